--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,681 @@
+// Package balance holds every decision of one instance. A host makes a Balancer with New, hands it
+// what happened (Req, Finished, Started, Withdrawn, Listed, Probed, Alarm: they only update what is
+// known), then calls Next(now) until it reports false and carries each Decision out. The clock is
+// the host's, in nanoseconds. The interface types stand in types.go, the reasons in docs/design.md.
+package balance
+
+import (
+	"cmp"
+	"fmt"
+	"hash/crc32"
+	"math"
+	"slices"
+	"strconv"
+)
+
+const (
+	ms  = int64(1e6)
+	sec = int64(1e9)
+
+	alpha        = 0.3  // weight of the newest outcome in a server's health (design)
+	floor        = 0.05 // health never falls below it (design)
+	streakLimit  = 2    // consecutive failures that eject (design)
+	jitter       = 0.2  // fraction of a backoff that is left to chance (design)
+	firstBackoff = 5 * sec
+	mostBackoff  = 30 * sec
+	proven       = 5 // answers in a row after which a server's backoff starts anew
+
+	skipOver   = 1.6  // a server is skipped past this multiple of its share of what is in flight,
+	skipSlack  = 2.0  // and this many dispatches more
+	aimShare   = 0.55 // part of the response target that a server's own in-flight may fill
+	holdShare  = 0.25 // part of the response target that a req may be held
+	newcomer   = 4.0  // in-flight cap of a server that is not known to be cold, until it has answered
+	quiet      = 3.0  // typical answer times without an answer after which a server counts as silent
+	hedgeAfter = 3.0  // typical answer times after which a second dispatch is considered
+	hedgeShare = 0.1  // second dispatches earned by each first one
+	tenantSpan = 4.0  // seconds over which rates are remembered
+)
+
+const (
+	unasked = iota
+	asked
+	confirmed
+	refuted
+)
+
+// dispatch is one attempt that is or was out for a req.
+type dispatch struct {
+	req        *req
+	srv        *server
+	index      int
+	sent       int64
+	rank       float64 // this balancer's dispatches at the server, itself counted
+	out, maybe bool    // still out; may have run
+	cut        bool    // cancelled because another one was faster
+}
+
+// req is one request; it is dropped once it has ended and nothing of it is out.
+type req struct {
+	Arrival
+	rules              *RuleSet
+	tenant             int
+	taken, aim, giveUp int64
+	sends              []*dispatch
+	outs               int
+	ended, streaming   bool
+}
+
+// server is what this balancer knows of one listed server; it is dropped when off the list and idle.
+type server struct {
+	Server
+	known       bool // still on the list
+	health      float64
+	streak      int
+	ejections   int
+	good        int
+	until       int64 // end of the ejection
+	ejected     bool
+	probe       int // at the end of the ejection: unasked, asked, confirmed, refuted
+	silent      bool
+	out         []*dispatch // oldest first
+	answered    int64       // when it last proved to be answering
+	unit, lat   float64     // time for each place in flight, and typical answer time; 0: not measured
+	grow        float64     // in-flight cap that grows with answers
+	full        int64       // it turned a req away: not before then
+	spent       float64     // budget of a cold server, in reqs
+	spentAt     int64
+	ready, cold float64 // weight now; 0 < cold < 1 while it warms
+}
+
+// Balancer is one instance.
+type Balancer struct {
+	t        Terms
+	reqs     map[uint64]*req // emptied by drop once a req ended and nothing of it is out
+	open     []*req          // not ended, in order of arrival; emptied by plan
+	servers  []*server       // by ID; emptied by Listed and Finished
+	draws    uint64
+	todo     []Decision // emptied by Next
+	planned  bool
+	wake     int64
+	askAt    int64 // when the list is to be asked again; 0: subscribed
+	asks     int
+	dazed    bool
+	inflight int
+	rate     decayed   // dispatches
+	served   []decayed // dispatches of each tenant
+	hedges   float64
+}
+
+// decayed is a count that fades over tenantSpan.
+type decayed struct {
+	n  float64
+	at int64
+}
+
+func (d *decayed) now(now int64) float64 {
+	d.n *= math.Exp(-float64(now-d.at) / (tenantSpan * float64(sec)))
+	d.at = now
+	return d.n
+}
+
+// New makes an instance; the list follows as Listed(Restored).
+func New(t Terms, now int64) *Balancer {
+	b := &Balancer{t: t, reqs: map[uint64]*req{}, served: make([]decayed, len(t.Tenants))}
+	if t.MustAsk {
+		b.askAt = now + 1 + int64(b.chance()*0.3*float64(sec)) // apart from its siblings
+	}
+	return b
+}
+
+// mix spreads the bits of a CRC, which is linear, over a whole word.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func uniform(x uint64) float64 { return (float64(mix(x)>>11) + 0.5) / (1 << 53) }
+
+func (b *Balancer) chance() float64 {
+	b.draws++
+	c := crc32.ChecksumIEEE(strconv.AppendUint(strconv.AppendUint(nil, b.t.Seed, 36), b.draws, 36))
+	return uniform(uint64(c)<<32 ^ b.draws)
+}
+
+// Req takes a req.
+func (b *Balancer) Req(a Arrival, now int64) {
+	b.planned = false
+	r := &req{Arrival: a, rules: &RuleSet{Effect: NonReplayable, ResponseTarget: a.Budget}, taken: now, tenant: -1}
+	for i := range b.t.RuleSets {
+		if b.t.RuleSets[i].Name == a.RuleSet {
+			r.rules = &b.t.RuleSets[i]
+		}
+	}
+	for i := range b.t.Tenants {
+		if b.t.Tenants[i].Name == a.Tenant {
+			r.tenant = i
+		}
+	}
+	// What comes past the response target is worth little: the req ends before it, and always before
+	// its own budget is up.
+	r.aim = now + r.rules.ResponseTarget
+	r.giveUp = now + a.Budget
+	if r.rules.OverdueValue <= 0 {
+		r.giveUp = min(r.giveUp, r.aim)
+	}
+	r.giveUp -= 2 * b.t.Tick
+	b.reqs[a.ID] = r
+	b.open = append(b.open, r)
+}
+
+// Withdrawn tells that a req has ended without the balancer.
+func (b *Balancer) Withdrawn(id uint64) {
+	if r := b.reqs[id]; r != nil {
+		b.planned = false
+		b.end(r)
+	}
+}
+
+// Started tells that an answer streams to the client, which now owns the dispatch.
+func (b *Balancer) Started(id uint64) {
+	if r := b.reqs[id]; r != nil {
+		b.planned = false
+		r.streaming = true
+	}
+}
+
+// Alarm tells that a Wake is due.
+func (b *Balancer) Alarm() { b.planned, b.wake = false, 0 }
+
+// end closes a req.
+func (b *Balancer) end(r *req) {
+	r.ended = true
+	if r.outs == 0 {
+		delete(b.reqs, r.ID)
+	}
+}
+
+// Finished takes the outcome of a dispatch.
+func (b *Balancer) Finished(id uint64, attempt int, o Outcome, final bool, took, now int64) {
+	r := b.reqs[id]
+	if r == nil || attempt < 0 || attempt >= len(r.sends) || !r.sends[attempt].out {
+		return
+	}
+	b.planned = false
+	d := r.sends[attempt]
+	d.out = false
+	r.outs--
+	b.inflight--
+	s := d.srv
+	s.out = slices.DeleteFunc(s.out, func(x *dispatch) bool { return x == d })
+	d.maybe = o != Refused && o != NoConnection && o != NotSent
+	if final && !r.ended {
+		for _, x := range r.sends {
+			x.cut = x.out && x.sent < d.sent // slower than a later one
+		}
+		b.end(r)
+	} else if r.ended && r.outs == 0 {
+		delete(b.reqs, id)
+	}
+	if s.Since <= d.sent { // what was sent to an earlier process tells nothing of this one
+		b.judge(s, d, o, took, now)
+	}
+	b.forget()
+}
+
+// judge lets an outcome speak on the server.
+func (b *Balancer) judge(s *server, d *dispatch, o Outcome, took, now int64) {
+	aim := d.req.rules.ResponseTarget
+	switch o {
+	case Served:
+		b.answered(s, now)
+		s.measure(took, d.rank)
+		s.grow += 0.5
+		s.good++
+		s.streak = 0
+		if s.good >= proven {
+			s.ejections = 0
+		}
+		s.learn(outcomeOf(took <= aim))
+	case Errored, Reset, NoConnection:
+		if o == Errored {
+			b.answered(s, now)
+		}
+		s.failed()
+	case TimedOut:
+		// A server that answers others meanwhile is slow or crowded, not dead: overload ejects nobody.
+		if s.answered > d.sent {
+			s.measure(took, d.rank)
+			s.learn(0)
+		} else {
+			s.failed()
+		}
+	case Refused: // back-pressure
+		b.answered(s, now)
+		s.full = now + max(20*ms, int64(s.unit))
+		s.grow = max(1, math.Min(s.grow, float64(len(s.out))))
+	case Cancelled:
+		if d.cut {
+			s.learn(0)
+		}
+	}
+}
+
+func outcomeOf(ok bool) float64 {
+	if ok {
+		return 1
+	}
+	return 0
+}
+
+func (s *server) learn(x float64) { s.health = max(floor, alpha*x+(1-alpha)*s.health) }
+
+// measure keeps how long an answer takes, and how long for each place in flight (one over the rate).
+func (s *server) measure(took int64, rank float64) {
+	t := float64(took)
+	if s.lat == 0 {
+		s.lat, s.unit = t, t/rank
+		return
+	}
+	s.lat += 0.1 * (t - s.lat)
+	s.unit += 0.1 * (t/rank - s.unit)
+}
+
+func (b *Balancer) answered(s *server, now int64) { s.answered, s.silent = now, false }
+
+// failed counts a failure; tend ejects a server that has two in a row.
+func (s *server) failed() {
+	s.learn(0)
+	s.good = 0
+	s.streak++
+}
+
+func (b *Balancer) eject(s *server, now int64) {
+	back := min(mostBackoff, firstBackoff<<min(s.ejections, 10))
+	back = int64(float64(back) * (1 + jitter*(2*b.chance()-1)))
+	s.ejections++
+	s.ejected, s.until, s.probe = true, now+back, unasked
+	b.log("ejected %s for %d ms: streak %d, health %.2f", s.ID, back/ms, s.streak, s.health)
+}
+
+func (b *Balancer) log(format string, a ...any) {
+	b.todo = append(b.todo, Decision{Kind: Log, Text: fmt.Sprintf(format, a...)})
+}
+
+// Probed takes the result of a probe.
+func (b *Balancer) Probed(id string, ok bool) {
+	if s := b.find(id); s != nil && s.probe == asked {
+		b.planned = false
+		s.probe = confirmed
+		if !ok {
+			s.probe = refuted
+			s.failed()
+		}
+	}
+}
+
+func (b *Balancer) find(id string) *server {
+	if i, ok := slices.BinarySearchFunc(b.servers, id, byID); ok {
+		return b.servers[i]
+	}
+	return nil
+}
+
+func byID(s *server, id string) int { return cmp.Compare(s.ID, id) }
+
+// Listed follows the list. An unavailable one is asked for again, later each time, so that drains
+// are always heard of in time and a weak list service is not pressed.
+func (b *Balancer) Listed(form Form, entries []Server, now int64) {
+	b.planned = false
+	if form == Unavailable {
+		b.asks = min(b.asks+1, 3)
+		b.askAt = now + int64((0.3+b.chance())*0.25*float64(sec)*float64(int64(1)<<b.asks))
+		return
+	}
+	if form != Restored {
+		b.asks, b.askAt = 0, 0
+	}
+	if form != Changes {
+		for _, s := range b.servers {
+			s.known = false
+		}
+	}
+	for _, e := range entries {
+		b.enter(e, now)
+	}
+	b.forget()
+}
+
+func (b *Balancer) enter(e Server, now int64) {
+	i, had := slices.BinarySearchFunc(b.servers, e.ID, byID)
+	if !had {
+		mean, n := 0.0, 0.0
+		for _, s := range b.servers {
+			if s.known {
+				mean, n = mean+s.health, n+1
+			}
+		}
+		if n == 0 {
+			mean, n = 1, 1
+		}
+		s := &server{Server: e, health: mean / n, grow: newcomer, answered: now}
+		b.servers = slices.Insert(b.servers, i, s)
+	}
+	s := b.servers[i]
+	if had && e.Since > s.Since { // a new process: what was known of the old one is void
+		s.streak, s.ejections, s.ejected, s.silent, s.answered = 0, 0, false, false, now
+	}
+	if e.Since > s.Since || !had {
+		s.grow = newcomer
+		if b.warmth(e, now) < 1 {
+			s.grow = 1
+		}
+	}
+	s.Server, s.known = e, e.State != Gone
+	if s.Share <= 0 {
+		s.Share = 1
+	}
+}
+
+// warmth is the part of its capacity that a server has at the least, by its age.
+func (b *Balancer) warmth(e Server, now int64) float64 {
+	if e.Since <= 0 || b.t.RampTime <= 0 || now-e.Since >= b.t.RampTime {
+		return 1
+	}
+	return b.t.StartCapacity + (1-b.t.StartCapacity)*max(0, float64(now-e.Since)/float64(b.t.RampTime))
+}
+
+// forget drops servers that are off the list and have nothing out.
+func (b *Balancer) forget() {
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return !s.known && len(s.out) == 0 })
+}
+
+// Next gives the next decision; false when there is none.
+func (b *Balancer) Next(now int64) (Decision, bool) {
+	if !b.planned {
+		b.planned = true
+		b.plan(now)
+	}
+	if len(b.todo) == 0 {
+		return Decision{}, false
+	}
+	d := b.todo[0]
+	b.todo = b.todo[1:]
+	return d, true
+}
+
+// plan turns what is known into decisions.
+func (b *Balancer) plan(now int64) {
+	next := int64(math.MaxInt64)
+	if b.askAt > 0 {
+		if now >= b.askAt {
+			b.todo = append(b.todo, Decision{Kind: Watch})
+			b.askAt = now + max(b.t.AskWithin/2, sec) // in case no answer comes at all
+		}
+		next = b.askAt
+	}
+	next = min(next, b.tend(now))
+	order := b.sweep()
+	if len(order) > 1 { // the most valuable first, among equals the oldest
+		order = slices.Clone(b.open)
+		value := make(map[*req]float64, len(order))
+		for _, r := range order {
+			value[r] = b.value(r, now)
+		}
+		slices.SortStableFunc(order, func(x, y *req) int { return cmp.Compare(value[y], value[x]) })
+	}
+	for _, r := range order {
+		next = min(next, b.serve(r, now))
+	}
+	if len(b.sweep()) > 0 || next < math.MaxInt64 {
+		next = max(next, now+b.t.Tick)
+		if b.wake == 0 || next < b.wake {
+			b.wake = next
+			b.todo = append(b.todo, Decision{Kind: Wake, Time: next - now})
+		}
+	}
+}
+
+// sweep takes ended reqs off the open ones. What is still out for them is cancelled, as its answer
+// is worth nothing any more.
+func (b *Balancer) sweep() []*req {
+	b.open = slices.DeleteFunc(b.open, func(r *req) bool {
+		for _, d := range r.sends {
+			if r.ended && d.out && b.t.CanCancel && !r.streaming {
+				b.todo = append(b.todo, Decision{Kind: Cancel, Req: r.ID, Attempt: d.index})
+			}
+		}
+		return r.ended
+	})
+	return b.open
+}
+
+// value ranks held reqs: billing value for the work they take, less for a tenant that has had more
+// than its share of late.
+func (b *Balancer) value(r *req, now int64) float64 {
+	v := r.rules.BillingValue
+	if !b.t.ValuePerWork && r.Work > 0 {
+		v /= float64(r.Work)
+	}
+	if total := b.rate.now(now); r.tenant >= 0 && total > 1 && b.t.Tenants[r.tenant].Share > 0 {
+		v /= max(0.25, b.served[r.tenant].now(now)/(total*b.t.Tenants[r.tenant].Share))
+	}
+	return v
+}
+
+// tend looks after the servers: warmth, silence, the end of ejections, the dazed mode.
+func (b *Balancer) tend(now int64) int64 {
+	next, healthy, usable := int64(math.MaxInt64), 0, 0
+	for _, s := range b.servers {
+		s.cold = b.warmth(s.Server, now)
+		if !s.known || s.State != Running {
+			continue
+		}
+		usable++
+		switch over := s.ejected && now >= s.until; {
+		case !s.ejected && s.streak >= streakLimit, over && s.probe == refuted:
+			b.eject(s, now)
+		case over && s.probe == unasked && b.t.CanProbe:
+			s.probe = asked
+			b.todo = append(b.todo, Decision{Kind: Probe, Server: s.ID})
+		case over && s.probe != asked:
+			// A probe proves only that a process runs: the server comes back through the fresh
+			// host's cap, one failure away from the next ejection.
+			s.ejected, s.silent, s.streak, s.good, s.grow = false, false, streakLimit-1, 0, 1
+			b.log("returned %s: health %.2f", s.ID, s.health)
+		}
+		if s.ejected {
+			if s.probe == unasked {
+				next = min(next, s.until)
+			}
+			continue
+		}
+		healthy++
+		// A hang or a lost machine gives no sign but silence: nothing more is sent until it answers.
+		if len(s.out) > 0 && s.lat > 0 {
+			since := max(s.answered, s.out[0].sent)
+			limit := int64(max(quiet*s.lat, 0.25*float64(s.out[0].req.rules.ResponseTarget)))
+			if s.silent = now-since > limit; !s.silent {
+				next = min(next, since+limit+1)
+			}
+		} else if len(s.out) == 0 {
+			s.silent = false
+		}
+	}
+	if dazed := usable > 0 && healthy == 0; dazed != b.dazed {
+		b.dazed = dazed
+		b.log("dazed %v: %d of %d servers healthy", dazed, healthy, usable)
+	}
+	return next
+}
+
+// serve decides on one req and says when it is to be looked at again.
+func (b *Balancer) serve(r *req, now int64) int64 {
+	if r.streaming {
+		return math.MaxInt64
+	}
+	if now >= r.giveUp {
+		b.finish(r)
+		return math.MaxInt64
+	}
+	if r.outs == 0 {
+		if s := b.pick(r, now); s != nil {
+			b.send(r, s, now)
+			return b.hedgeAt(r)
+		}
+		until := min(r.giveUp, r.taken+int64(holdShare*float64(r.rules.ResponseTarget)))
+		if now >= until || !b.canSend(r) {
+			b.finish(r)
+			return math.MaxInt64
+		}
+		return now + b.t.Tick
+	}
+	at := b.hedgeAt(r)
+	if now < at || r.outs > 1 {
+		return min(at, r.giveUp)
+	}
+	if b.hedges >= 1 {
+		if s := b.pick(r, now); s != nil && float64(r.giveUp-now) > s.lat {
+			b.hedges--
+			b.send(r, s, now)
+		}
+	}
+	return min(r.giveUp, now+4*b.t.Tick)
+}
+
+// hedgeAt is when a second dispatch is worth a thought.
+func (b *Balancer) hedgeAt(r *req) int64 {
+	if !b.t.Parallel || r.rules.Effect == NonReplayable || r.outs != 1 || !b.canSend(r) {
+		return r.giveUp
+	}
+	d := r.sends[len(r.sends)-1]
+	wait := max(hedgeAfter*d.srv.lat, 0.3*float64(r.rules.ResponseTarget))
+	return min(r.giveUp, d.sent+int64(wait))
+}
+
+// finish gives the final answer: a deny where that is harmless, an abort otherwise.
+func (b *Balancer) finish(r *req) {
+	d := Decision{Kind: Abort, Req: r.ID}
+	if b.canDeny(r) {
+		d.Kind = Deny
+		if b.t.Advise {
+			d.Time = min(b.t.MaxAdvice, r.rules.ResponseTarget/2)
+		}
+	}
+	b.todo = append(b.todo, d)
+	b.end(r)
+}
+
+func (b *Balancer) canDeny(r *req) bool {
+	harmless := r.rules.Effect == Replayable || r.rules.Effect == Uniqued && r.rules.Group == GroupAll
+	return harmless || !slices.ContainsFunc(r.sends, func(d *dispatch) bool { return d.maybe })
+}
+
+// canSend says whether the rules leave room for a further dispatch to some server.
+func (b *Balancer) canSend(r *req) bool {
+	return len(r.sends) < b.t.MaxDispatches && (r.outs == 0 || b.t.Parallel) &&
+		(r.rules.Effect != NonReplayable || b.canDeny(r))
+}
+
+// allowed says whether the req may go to this server without taking effect twice.
+func (r *req) allowed(s *server, now int64) bool {
+	for _, d := range r.sends {
+		if !d.maybe || r.rules.Effect == Replayable {
+			continue
+		}
+		same := r.rules.Group == GroupAll || d.srv.Zone == s.Zone &&
+			(r.rules.Group == GroupZone || d.srv.Cell == s.Cell)
+		if r.rules.Effect == NonReplayable || !same || now >= d.sent+r.rules.Window {
+			return false
+		}
+	}
+	return true
+}
+
+// pick is the weighted rendezvous: of the servers that are not skipped, the one with the top score.
+func (b *Balancer) pick(r *req, now int64) *server {
+	if !b.canSend(r) {
+		return nil
+	}
+	key := r.Key
+	if key == "" {
+		key = strconv.FormatFloat(b.chance(), 'g', -1, 64)
+	}
+	h := crc32.ChecksumIEEE([]byte(key))
+	total := 0.0
+	for _, s := range b.servers {
+		s.ready = 0
+		if s.known && s.State == Running && (!s.ejected || b.dazed) {
+			s.ready = s.Share * s.cold
+			total += s.ready
+		}
+	}
+	var best, again *server
+	top, topAgain := 0.0, 0.0
+	for _, s := range b.servers {
+		if s.ready == 0 || !r.allowed(s, now) || !b.room(s, r, total, now) {
+			continue
+		}
+		w := s.health * s.ready
+		if b.dazed {
+			w = 1
+		}
+		c := crc32.Update(h, crc32.IEEETable, []byte(s.ID))
+		score := -w / math.Log(uniform(uint64(h)<<32|uint64(c)))
+		tried := slices.ContainsFunc(r.sends, func(d *dispatch) bool { return d.srv == s })
+		switch {
+		case tried && (again == nil || score > topAgain):
+			again, topAgain = s, score
+		case !tried && (best == nil || score > top):
+			best, top = s, score
+		}
+	}
+	if best == nil && r.outs == 0 { // a server that was tried is better than none
+		return again
+	}
+	return best
+}
+
+// room says whether a server may take one more: bounded by rate times time as measured, by its share
+// of what is in flight, and for a cold one by this balancer's share of its budget.
+func (b *Balancer) room(s *server, r *req, total float64, now int64) bool {
+	n := float64(len(s.out))
+	if now < s.full || s.silent && !b.dazed || n >= s.grow {
+		return false
+	}
+	if s.unit > 0 && n >= max(1, aimShare*float64(r.rules.ResponseTarget)/s.unit) {
+		return false
+	}
+	share := s.ready / total
+	if n >= skipOver*share*float64(b.inflight+1)+skipSlack {
+		return false
+	}
+	if s.cold < 1 {
+		// All balancers together must not push over a cold server: each sends it no more than its
+		// own mean rate at warm servers, scaled down by how warm it is.
+		rate := max(0.2, share*b.rate.now(now)/tenantSpan)
+		s.spent = max(0, s.spent-rate*float64(now-s.spentAt)/float64(sec))
+		s.spentAt = now
+		return s.spent < 1
+	}
+	return true
+}
+
+// send dispatches a req.
+func (b *Balancer) send(r *req, s *server, now int64) {
+	d := &dispatch{req: r, srv: s, index: len(r.sends), sent: now, out: true, maybe: true}
+	r.sends = append(r.sends, d)
+	r.outs++
+	s.out = append(s.out, d)
+	d.rank = float64(len(s.out))
+	b.inflight++
+	s.spent++
+	b.rate.n = b.rate.now(now) + 1
+	if r.tenant >= 0 {
+		b.served[r.tenant].n = b.served[r.tenant].now(now) + 1
+	}
+	if d.index == 0 {
+		b.hedges = min(3, b.hedges+hedgeShare)
+	}
+	b.todo = append(b.todo, Decision{Kind: Dispatch, Req: r.ID, Server: s.ID, Time: r.giveUp})
+}
--- /dev/null
+++ b/balance/types.go
@@ -0,0 +1,142 @@
+package balance
+
+// Effect says whether a req may run more than once.
+type Effect int
+
+// The three kinds of effect.
+const (
+	Replayable    Effect = iota // may run again
+	Uniqued                     // a repeat is dropped inside its group and window
+	NonReplayable               // must never run twice
+)
+
+// Group names the servers that drop a repeat of a uniqued req.
+type Group int
+
+// The groups of a uniqued rule set.
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// RuleSet is one class of reqs. Times are nanoseconds.
+type RuleSet struct {
+	Name           string
+	Effect         Effect
+	Group          Group
+	Window         int64
+	ResponseTarget int64
+	ClientTimeout  int64
+	BillingValue   float64
+	OverdueValue   float64 // share of the billing value that is left past the response target
+}
+
+// Tenant is one customer and its share of the fleet.
+type Tenant struct {
+	Name  string
+	Share float64
+}
+
+// Terms is what an instance is told at its start, as far as it is read.
+type Terms struct {
+	Seed          uint64
+	Zone          string
+	RuleSets      []RuleSet
+	Tenants       []Tenant
+	ValuePerWork  bool // billing value counts per unit of work, not per req
+	MaxDispatches int
+	Parallel      bool // a second dispatch may be out at the same time
+	CanCancel     bool
+	CanProbe      bool
+	Advise        bool  // a deny may say when to come back
+	MaxAdvice     int64 // the longest wait that a client honours
+	MustAsk       bool  // the list arrives only when asked for
+	AskWithin     int64
+	StartCapacity float64
+	RampTime      int64
+	CrossPrice    float64 // points for each dispatch that crosses zones
+	Tick          int64
+}
+
+// State is where a listed server stands.
+type State int
+
+// The states of a listed server.
+const (
+	Running State = iota
+	Draining
+	Gone
+)
+
+// Server is one entry of the list.
+type Server struct {
+	ID    string
+	Zone  string
+	Cell  int64
+	State State
+	Share float64
+	Since int64 // clock time of its latest start, 0 when long past
+}
+
+// Form says how a list message changes the list.
+type Form int
+
+// The forms of a list message.
+const (
+	Changes Form = iota
+	Whole
+	Restored
+	Unavailable
+)
+
+// Outcome is how a dispatch ended.
+type Outcome int
+
+// The outcomes. Refused, NoConnection and NotSent prove that the req never ran.
+const (
+	Served Outcome = iota
+	Errored
+	Refused
+	TimedOut
+	NoConnection
+	Reset
+	Cancelled
+	NotSent
+	Unknown
+)
+
+// Arrival is a req as it was taken.
+type Arrival struct {
+	ID      uint64
+	RuleSet string
+	Tenant  string
+	Key     string
+	Budget  int64 // time left before the client gives up this try
+	Work    int64 // expected work, 0 when not told
+}
+
+// Kind is what a Decision asks of the host.
+type Kind int
+
+// The kinds of decision.
+const (
+	Dispatch Kind = iota
+	Deny
+	Abort
+	Cancel
+	Probe
+	Watch
+	Wake
+	Log
+)
+
+// Decision is one thing for the host to do. Only the fields of its kind are set.
+type Decision struct {
+	Kind    Kind
+	Req     uint64
+	Server  string
+	Attempt int   // Cancel
+	Time    int64 // Dispatch: abandon then; Deny: advised wait; Wake: wait
+	Text    string
+}
