--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,8 +27,8 @@
 
 	skipOver   = 1.6  // a server is skipped past this multiple of its share of what is in flight,
 	skipSlack  = 2.0  // and this many dispatches more
-	aimShare   = 0.2 // part of the response target that a server's own in-flight may fill
-	holdShare  = 0.15 // part of the response target that a req may be held
+	aimShare   = 0.14 // part of the response target that a server's own in-flight may fill
+	holdShare  = 0.08 // part of the response target that a req may be held
 	newcomer   = 2.0  // in-flight cap of a server that is not known to be cold, until it has answered
 	quiet      = 3.0  // typical answer times without an answer after which a server counts as silent
 	hedgeAfter = 3.0  // typical answer times after which a second dispatch is considered
