Servers of the own zone weigh more, by the price of crossing zones

Cause: each req crossing a zone costs points and two thirds or more crossed. The weight is now 1 + 70 x the price.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,6 +30,7 @@
 	aimShare   = 0.14 // part of the response target that a server's own in-flight may fill
 	holdShare  = 0.08 // part of the response target that a req may be held
 	newcomer   = 2.0  // in-flight cap of a server that is not known to be cold, until it has answered
+	nearer     = 70.0 // times the price of crossing zones: extra weight of a server in the own zone
 	quiet      = 3.0  // typical answer times without an answer after which a server counts as silent
 	hedgeAfter = 3.0  // typical answer times after which a second dispatch is considered
 	hedgeShare = 0.1  // second dispatches earned by each first one
@@ -607,6 +608,9 @@
 		s.ready = 0
 		if s.known && s.State == Running && (!s.ejected || b.dazed) {
 			s.ready = s.Share * s.cold
+			if s.Zone == b.t.Zone {
+				s.ready *= 1 + nearer*b.t.CrossPrice
+			}
 			total += s.ready
 		}
 	}
