--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,7 +23,7 @@
 	jitter       = 0.2  // fraction of a backoff that is left to chance (design)
 	firstBackoff = 5 * sec
 	mostBackoff  = 30 * sec
-	proven       = 5 // answers in a row after which a server's backoff starts anew
+	recovered    = 0.9 // health at which a server's backoff starts anew
 
 	skipOver   = 1.6  // a server is skipped past this multiple of its share of what is in flight,
 	skipSlack  = 2.0  // and this many dispatches more
@@ -37,74 +37,64 @@
 	tenantSpan = 4.0  // seconds over which rates are remembered
 )
 
-const (
-	unasked = iota
-	asked
-	confirmed
-	refuted
-)
+const unasked, asked, confirmed, refuted = 0, 1, 2, 3 // the probe at the end of an ejection
 
-// dispatch is one attempt that is or was out for a req.
+// dispatch is one attempt for a req.
 type dispatch struct {
-	req        *req
-	srv        *server
-	index      int
-	sent       int64
-	rank       float64 // this balancer's dispatches at the server, itself counted
-	out, maybe bool    // still out; may have run
-	cut        bool    // cancelled because another one was faster
+	req             *req
+	srv             *server
+	index           int
+	sent            int64
+	rank            float64 // this balancer's dispatches at the server, itself counted
+	out, maybe, cut bool    // still out; may have run; cancelled because another one was faster
 }
 
 // req is one request; it is dropped once it has ended and nothing of it is out.
 type req struct {
 	Arrival
-	rules              *RuleSet
-	tenant             int
-	taken, aim, giveUp int64
-	sends              []*dispatch
-	outs               int
-	ended, streaming   bool
+	rules            *RuleSet
+	tenant           int
+	taken, giveUp    int64
+	value            float64
+	sends            []*dispatch
+	outs             int
+	ended, streaming bool
 }
 
 // server is what this balancer knows of one listed server; it is dropped when off the list and idle.
 type server struct {
 	Server
-	known       bool // still on the list
-	health      float64
-	streak      int
-	ejections   int
-	good        int
-	until       int64 // end of the ejection
-	ejected     bool
-	probe       int // at the end of the ejection: unasked, asked, confirmed, refuted
-	silent      bool
-	out         []*dispatch // oldest first
-	answered    int64       // when it last proved to be answering
-	unit, lat   float64     // time for each place in flight, and typical answer time; 0: not measured
-	grow        float64     // in-flight cap that grows with answers
-	full        int64       // it turned a req away: not before then
-	spent       float64     // budget of a cold server, in reqs
-	spentAt     int64
-	ready, cold float64 // weight now; 0 < cold < 1 while it warms
+	known                   bool // still on the list
+	health                  float64
+	streak, ejections       int
+	ejected, silent         bool
+	until                   int64 // end of the ejection
+	probe                   int
+	out                     []*dispatch // oldest first
+	answered, full, spentAt int64       // last answer; turned a req away until then
+	unit, lat               float64     // time for each place in flight, and of an answer; 0: not measured
+	grow                    float64     // in-flight cap that grows with answers
+	spent                   float64     // budget of a cold server, in reqs
+	cold, ready             float64     // part of its capacity by age; weight now
 }
 
 // Balancer is one instance.
 type Balancer struct {
 	t        Terms
-	reqs     map[uint64]*req // emptied by drop once a req ended and nothing of it is out
-	open     []*req          // not ended, in order of arrival; emptied by plan
-	servers  []*server       // by ID; emptied by Listed and Finished
+	reqs     map[uint64]*req // emptied when a req has ended and nothing of it is out
+	open     []*req          // in order of arrival; emptied by sweep
+	servers  []*server       // by ID; emptied by forget
+	todo     []Decision      // emptied by Next
 	draws    uint64
-	todo     []Decision // emptied by Next
-	planned  bool
-	wake     int64
-	askAt    int64 // when the list is to be asked again; 0: subscribed
 	asks     int
-	dazed    bool
+	askAt    int64 // when the list is to be asked again; 0: subscribed
+	wake     int64
 	inflight int
+	hedges   float64
 	rate     decayed   // dispatches
 	served   []decayed // dispatches of each tenant
-	hedges   float64
+
+	planned, dazed bool
 }
 
 // decayed is a count that fades over tenantSpan.
@@ -146,23 +136,16 @@
 // Req takes a req.
 func (b *Balancer) Req(a Arrival, now int64) {
 	b.planned = false
-	r := &req{Arrival: a, rules: &RuleSet{Effect: NonReplayable, ResponseTarget: a.Budget}, taken: now, tenant: -1}
-	for i := range b.t.RuleSets {
-		if b.t.RuleSets[i].Name == a.RuleSet {
-			r.rules = &b.t.RuleSets[i]
-		}
-	}
-	for i := range b.t.Tenants {
-		if b.t.Tenants[i].Name == a.Tenant {
-			r.tenant = i
-		}
+	r := &req{Arrival: a, rules: &RuleSet{Effect: NonReplayable, ResponseTarget: a.Budget}, taken: now}
+	if i := slices.IndexFunc(b.t.RuleSets, func(x RuleSet) bool { return x.Name == a.RuleSet }); i >= 0 {
+		r.rules = &b.t.RuleSets[i]
 	}
+	r.tenant = slices.IndexFunc(b.t.Tenants, func(x Tenant) bool { return x.Name == a.Tenant })
 	// What comes past the response target is worth little: the req ends before it, and always before
 	// its own budget is up.
-	r.aim = now + r.rules.ResponseTarget
 	r.giveUp = now + a.Budget
 	if r.rules.OverdueValue <= 0 {
-		r.giveUp = min(r.giveUp, r.aim)
+		r.giveUp = min(r.giveUp, now+r.rules.ResponseTarget)
 	}
 	r.giveUp -= 2 * b.t.Tick
 	b.reqs[a.ID] = r
@@ -226,51 +209,47 @@
 
 // judge lets an outcome speak on the server.
 func (b *Balancer) judge(s *server, d *dispatch, o Outcome, took, now int64) {
-	aim := d.req.rules.ResponseTarget
 	switch o {
 	case Served:
-		b.answered(s, now)
+		s.answered = now
 		s.measure(took, d.rank)
 		s.grow += 0.5
-		s.good++
-		s.streak = 0
-		if s.good >= proven {
+		if s.streak = 0; s.health > recovered {
 			s.ejections = 0
 		}
-		s.learn(outcomeOf(took <= aim))
+		s.learn(took <= d.req.rules.ResponseTarget)
 	case Errored, Reset, NoConnection:
 		if o == Errored {
-			b.answered(s, now)
+			s.answered = now
 		}
 		s.failed()
 	case TimedOut:
 		// A server that answers others meanwhile is slow or crowded, not dead: overload ejects nobody.
 		if s.answered > d.sent {
 			s.measure(took, d.rank)
-			s.learn(0)
+			s.learn(false)
 		} else {
 			s.failed()
 		}
 	case Refused: // back-pressure
-		b.answered(s, now)
+		s.answered = now
 		s.full = now + max(20*ms, int64(s.unit))
 		s.grow = max(1, math.Min(s.grow, float64(len(s.out))))
 	case Cancelled:
 		if d.cut {
-			s.learn(0)
+			s.learn(false)
 		}
 	}
 }
 
-func outcomeOf(ok bool) float64 {
+func (s *server) learn(ok bool) {
+	s.health *= 1 - alpha
 	if ok {
-		return 1
+		s.health += alpha
 	}
-	return 0
+	s.health = max(floor, s.health)
 }
 
-func (s *server) learn(x float64) { s.health = max(floor, alpha*x+(1-alpha)*s.health) }
-
 // measure keeps how long an answer takes, and how long for each place in flight (one over the rate).
 func (s *server) measure(took int64, rank float64) {
 	t := float64(took)
@@ -282,12 +261,9 @@
 	s.unit += 0.1 * (t/rank - s.unit)
 }
 
-func (b *Balancer) answered(s *server, now int64) { s.answered, s.silent = now, false }
-
 // failed counts a failure; tend ejects a server that has two in a row.
 func (s *server) failed() {
-	s.learn(0)
-	s.good = 0
+	s.learn(false)
 	s.streak++
 }
 
@@ -328,12 +304,12 @@
 // are always heard of in time and a weak list service is not pressed.
 func (b *Balancer) Listed(form Form, entries []Server, now int64) {
 	b.planned = false
-	if form == Unavailable {
+	switch {
+	case form == Unavailable:
 		b.asks = min(b.asks+1, 3)
 		b.askAt = now + int64((0.3+b.chance())*0.25*float64(sec)*float64(int64(1)<<b.asks))
 		return
-	}
-	if form != Restored {
+	case form != Restored:
 		b.asks, b.askAt = 0, 0
 	}
 	if form != Changes {
@@ -419,11 +395,10 @@
 	order := b.sweep()
 	if len(order) > 1 { // the most valuable first, among equals the oldest
 		order = slices.Clone(b.open)
-		value := make(map[*req]float64, len(order))
 		for _, r := range order {
-			value[r] = b.value(r, now)
+			r.value = b.value(r, now)
 		}
-		slices.SortStableFunc(order, func(x, y *req) int { return cmp.Compare(value[y], value[x]) })
+		slices.SortStableFunc(order, func(x, y *req) int { return cmp.Compare(y.value, x.value) })
 	}
 	for _, r := range order {
 		next = min(next, b.serve(r, now))
@@ -482,7 +457,7 @@
 		case over && s.probe != asked:
 			// A probe proves only that a process runs: the server comes back through the fresh
 			// host's cap, one failure away from the next ejection.
-			s.ejected, s.silent, s.streak, s.good, s.grow = false, false, streakLimit-1, 0, 1
+			s.ejected, s.silent, s.streak, s.grow = false, false, streakLimit-1, 1
 			b.log("returned %s: health %.2f", s.ID, s.health)
 		}
 		if s.ejected {
@@ -614,9 +589,10 @@
 			total += s.ready
 		}
 	}
-	var best, again *server
-	top, topAgain := 0.0, 0.0
+	var best *server
+	top := 0.0
 	for _, s := range b.servers {
+		at := func(d *dispatch) bool { return d.srv == s }
 		if s.ready == 0 || !r.allowed(s, now) || !b.room(s, r, total, now) {
 			continue
 		}
@@ -624,19 +600,17 @@
 		if b.dazed {
 			w = 1
 		}
+		if slices.ContainsFunc(r.sends, at) { // a server that was tried is only better than none
+			if r.outs > 0 {
+				continue
+			}
+			w *= 1e-9
+		}
 		c := crc32.Update(h, crc32.IEEETable, []byte(s.ID))
-		score := -w / math.Log(uniform(uint64(h)<<32|uint64(c)))
-		tried := slices.ContainsFunc(r.sends, func(d *dispatch) bool { return d.srv == s })
-		switch {
-		case tried && (again == nil || score > topAgain):
-			again, topAgain = s, score
-		case !tried && (best == nil || score > top):
+		if score := -w / math.Log(uniform(uint64(h)<<32|uint64(c))); best == nil || score > top {
 			best, top = s, score
 		}
 	}
-	if best == nil && r.outs == 0 { // a server that was tried is better than none
-		return again
-	}
 	return best
 }
 
