A new process starts with an empty budget and at the mean health

Cause: the budget of a cold server counted what was sent to the old process, so it was starved; the own-zone weight also let near cold servers take more than their share.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -281,21 +281,15 @@
 
 // Probed takes the result of a probe.
 func (b *Balancer) Probed(id string, ok bool) {
-	if s := b.find(id); s != nil && s.probe == asked {
-		b.planned = false
-		s.probe = confirmed
-		if !ok {
-			s.probe = refuted
-			s.failed()
-		}
+	i, had := slices.BinarySearchFunc(b.servers, id, byID)
+	if !had || b.servers[i].probe != asked {
+		return
 	}
-}
-
-func (b *Balancer) find(id string) *server {
-	if i, ok := slices.BinarySearchFunc(b.servers, id, byID); ok {
-		return b.servers[i]
+	b.planned = false
+	if b.servers[i].probe = confirmed; !ok {
+		b.servers[i].probe = refuted
+		b.servers[i].failed()
 	}
-	return nil
 }
 
 func byID(s *server, id string) int { return cmp.Compare(s.ID, id) }
@@ -323,33 +317,36 @@
 	b.forget()
 }
 
+// enter takes one entry. A new server or a new process starts at the mean health of the others; what
+// was known of an old process is void.
 func (b *Balancer) enter(e Server, now int64) {
 	i, had := slices.BinarySearchFunc(b.servers, e.ID, byID)
-	if !had {
-		mean, n := 0.0, 0.0
+	if !had || e.Since > b.servers[i].Since {
+		sum, n := 0.0, 0.0
 		for _, s := range b.servers {
-			if s.known {
-				mean, n = mean+s.health, n+1
+			if s.known && s.ID != e.ID {
+				sum, n = sum+s.health, n+1
 			}
 		}
-		if n == 0 {
-			mean, n = 1, 1
+		fresh := &server{health: 1, grow: newcomer, answered: now}
+		if n > 0 {
+			fresh.health = sum / n
 		}
-		s := &server{Server: e, health: mean / n, grow: newcomer, answered: now}
-		b.servers = slices.Insert(b.servers, i, s)
-	}
-	s := b.servers[i]
-	if had && e.Since > s.Since { // a new process: what was known of the old one is void
-		s.streak, s.ejections, s.ejected, s.silent, s.answered = 0, 0, false, false, now
-	}
-	if e.Since > s.Since || !had {
-		s.grow = newcomer
 		if b.warmth(e, now) < 1 {
-			s.grow = 1
+			fresh.grow = 1
+		}
+		if had {
+			fresh.out = b.servers[i].out
+			for _, d := range fresh.out {
+				d.srv = fresh
+			}
+			b.servers[i] = fresh
+		} else {
+			b.servers = slices.Insert(b.servers, i, fresh)
 		}
 	}
-	s.Server, s.known = e, e.State != Gone
-	if s.Share <= 0 {
+	s := b.servers[i]
+	if s.Server, s.known = e, e.State != Gone; s.Share <= 0 {
 		s.Share = 1
 	}
 }
@@ -583,9 +580,6 @@
 		s.ready = 0
 		if s.known && s.State == Running && (!s.ejected || b.dazed) {
 			s.ready = s.Share * s.cold
-			if s.Zone == b.t.Zone {
-				s.ready *= 1 + nearer*b.t.CrossPrice
-			}
 			total += s.ready
 		}
 	}
@@ -597,6 +591,9 @@
 			continue
 		}
 		w := s.health * s.ready
+		if s.Zone == b.t.Zone {
+			w *= 1 + nearer*b.t.CrossPrice
+		}
 		if b.dazed {
 			w = 1
 		}
