--- a/balance/balance.go
+++ b/balance/balance.go
@@ -91,6 +91,7 @@
 	wake     int64
 	inflight int
 	hedges   float64
+	unit     float64   // typical time for each place in flight at a server of listed size 1
 	rate     decayed   // dispatches
 	served   []decayed // dispatches of each tenant
 
@@ -439,6 +440,13 @@
 // tend looks after the servers: warmth, silence, the end of ejections, the dazed mode.
 func (b *Balancer) tend(now int64) int64 {
 	next, healthy, usable := int64(math.MaxInt64), 0, 0
+	units, n := 0.0, 0.0
+	for _, s := range b.servers {
+		if s.unit > 0 {
+			units, n = units+math.Log(s.unit*s.Share), n+1
+		}
+	}
+	b.unit = math.Exp(units / max(1, n))
 	for _, s := range b.servers {
 		s.cold = b.warmth(s.Server, now)
 		if !s.known || s.State != Running {
@@ -580,6 +588,9 @@
 		s.ready = 0
 		if s.known && s.State == Running && (!s.ejected || b.dazed) {
 			s.ready = s.Share * s.cold
+			if s.unit > 0 {
+				s.ready *= math.Sqrt(b.unit / (s.unit * s.Share))
+			}
 			total += s.ready
 		}
 	}
