--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,8 +32,6 @@
 	newcomer   = 2.0  // in-flight cap of a server that is not known to be cold, until it has answered
 	nearer     = 70.0 // times the price of crossing zones: extra weight of a server in the own zone
 	quiet      = 3.0  // typical answer times without an answer after which a server counts as silent
-	hedgeAfter = 3.0  // typical answer times after which a second dispatch is considered
-	hedgeShare = 0.1  // second dispatches earned by each first one
 	tenantSpan = 4.0  // seconds over which rates are remembered
 )
 
@@ -90,7 +88,6 @@
 	askAt    int64 // when the list is to be asked again; 0: subscribed
 	wake     int64
 	inflight int
-	hedges   float64
 	unit     float64   // typical time for each place in flight at a server of listed size 1
 	rate     decayed   // dispatches
 	served   []decayed // dispatches of each tenant
@@ -497,41 +494,24 @@
 	}
 	if now >= r.giveUp {
 		b.finish(r)
+	}
+	if r.ended {
 		return math.MaxInt64
 	}
-	if r.outs == 0 {
+	if r.outs == 0 || r.outs == 1 && r.sends[len(r.sends)-1].srv.ejected {
+		// A replayable or uniqued req is not left to a silent server: a second dispatch goes out.
 		if s := b.pick(r, now); s != nil {
 			b.send(r, s, now)
-			return b.hedgeAt(r)
-		}
-		until := min(r.giveUp, r.taken+int64(holdShare*float64(r.rules.ResponseTarget)))
-		if now >= until || !b.canSend(r) {
-			b.finish(r)
-			return math.MaxInt64
-		}
-		return now + b.t.Tick
-	}
-	at := b.hedgeAt(r)
-	if now < at || r.outs > 1 {
-		return min(at, r.giveUp)
-	}
-	if b.hedges >= 1 {
-		if s := b.pick(r, now); s != nil && float64(r.giveUp-now) > s.lat {
-			b.hedges--
-			b.send(r, s, now)
+			return r.giveUp
 		}
 	}
-	return min(r.giveUp, now+4*b.t.Tick)
-}
-
-// hedgeAt is when a second dispatch is worth a thought.
-func (b *Balancer) hedgeAt(r *req) int64 {
-	if !b.t.Parallel || r.rules.Effect == NonReplayable || r.outs != 1 || !b.canSend(r) {
+	if r.outs > 0 {
 		return r.giveUp
 	}
-	d := r.sends[len(r.sends)-1]
-	wait := max(hedgeAfter*d.srv.lat, 0.3*float64(r.rules.ResponseTarget))
-	return min(r.giveUp, d.sent+int64(wait))
+	if now >= r.taken+int64(holdShare*float64(r.rules.ResponseTarget)) || !b.canSend(r) {
+		b.finish(r)
+	}
+	return now + b.t.Tick
 }
 
 // finish gives the final answer: a deny where that is harmless, an abort otherwise.
@@ -660,8 +640,5 @@
 	if r.tenant >= 0 {
 		b.served[r.tenant].n = b.served[r.tenant].now(now) + 1
 	}
-	if d.index == 0 {
-		b.hedges = min(3, b.hedges+hedgeShare)
-	}
 	b.todo = append(b.todo, Decision{Kind: Dispatch, Req: r.ID, Server: s.ID, Time: r.giveUp})
 }
