--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,10 +7,11 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/crc32"
 	"math"
 	"slices"
 	"strconv"
+
+	"ivybank/draw"
 )
 
 const (
@@ -116,19 +117,9 @@
 	return b
 }
 
-// mix spreads the bits of a CRC, which is linear, over a whole word.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-func uniform(x uint64) float64 { return (float64(mix(x)>>11) + 0.5) / (1 << 53) }
-
 func (b *Balancer) chance() float64 {
 	b.draws++
-	c := crc32.ChecksumIEEE(strconv.AppendUint(strconv.AppendUint(nil, b.t.Seed, 36), b.draws, 36))
-	return uniform(uint64(c)<<32 ^ b.draws)
+	return draw.Chance(b.t.Seed, b.draws)
 }
 
 // Req takes a req.
@@ -153,26 +144,24 @@
 // Withdrawn tells that a req has ended without the balancer.
 func (b *Balancer) Withdrawn(id uint64) {
 	if r := b.reqs[id]; r != nil {
-		b.planned = false
-		b.end(r)
+		b.planned, r.ended = false, true
+		b.drop(r)
 	}
 }
 
 // Started tells that an answer streams to the client, which now owns the dispatch.
 func (b *Balancer) Started(id uint64) {
 	if r := b.reqs[id]; r != nil {
-		b.planned = false
-		r.streaming = true
+		b.planned, r.streaming = false, true
 	}
 }
 
 // Alarm tells that a Wake is due.
 func (b *Balancer) Alarm() { b.planned, b.wake = false, 0 }
 
-// end closes a req.
-func (b *Balancer) end(r *req) {
-	r.ended = true
-	if r.outs == 0 {
+// drop forgets a req that has ended and has nothing out.
+func (b *Balancer) drop(r *req) {
+	if r.ended && r.outs == 0 {
 		delete(b.reqs, r.ID)
 	}
 }
@@ -183,22 +172,18 @@
 	if r == nil || attempt < 0 || attempt >= len(r.sends) || !r.sends[attempt].out {
 		return
 	}
-	b.planned = false
 	d := r.sends[attempt]
-	d.out = false
+	s := d.srv
+	b.planned, d.out = false, false
 	r.outs--
 	b.inflight--
-	s := d.srv
 	s.out = slices.DeleteFunc(s.out, func(x *dispatch) bool { return x == d })
 	d.maybe = o != Refused && o != NoConnection && o != NotSent
-	if final && !r.ended {
-		for _, x := range r.sends {
-			x.cut = x.out && x.sent < d.sent // slower than a later one
-		}
-		b.end(r)
-	} else if r.ended && r.outs == 0 {
-		delete(b.reqs, id)
+	for _, x := range r.sends {
+		x.cut = x.cut || final && x.out && x.sent < d.sent // slower than a later one
 	}
+	r.ended = r.ended || final
+	b.drop(r)
 	if s.Since <= d.sent { // what was sent to an earlier process tells nothing of this one
 		b.judge(s, d, o, took, now)
 	}
@@ -216,19 +201,19 @@
 			s.ejections = 0
 		}
 		s.learn(took <= d.req.rules.ResponseTarget)
-	case Errored, Reset, NoConnection:
-		if o == Errored {
-			s.answered = now
-		}
+	case Errored:
+		s.answered = now
+		s.failed()
+	case Reset, NoConnection:
 		s.failed()
 	case TimedOut:
 		// A server that answers others meanwhile is slow or crowded, not dead: overload ejects nobody.
-		if s.answered > d.sent {
-			s.measure(took, d.rank)
-			s.learn(false)
-		} else {
+		if s.answered <= d.sent {
 			s.failed()
+			return
 		}
+		s.measure(took, d.rank)
+		s.learn(false)
 	case Refused: // back-pressure
 		s.answered = now
 		s.full = now + max(20*ms, int64(s.unit))
@@ -241,8 +226,7 @@
 }
 
 func (s *server) learn(ok bool) {
-	s.health *= 1 - alpha
-	if ok {
+	if s.health *= 1 - alpha; ok {
 		s.health += alpha
 	}
 	s.health = max(floor, s.health)
@@ -250,13 +234,12 @@
 
 // measure keeps how long an answer takes, and how long for each place in flight (one over the rate).
 func (s *server) measure(took int64, rank float64) {
-	t := float64(took)
+	t, keep := float64(took), 0.9
 	if s.lat == 0 {
-		s.lat, s.unit = t, t/rank
-		return
+		keep = 0
 	}
-	s.lat += 0.1 * (t - s.lat)
-	s.unit += 0.1 * (t/rank - s.unit)
+	s.lat = keep*s.lat + (1-keep)*t
+	s.unit = keep*s.unit + (1-keep)*t/rank
 }
 
 // failed counts a failure; tend ejects a server that has two in a row.
@@ -273,8 +256,10 @@
 	b.log("ejected %s for %d ms: streak %d, health %.2f", s.ID, back/ms, s.streak, s.health)
 }
 
+func (b *Balancer) do(d Decision) { b.todo = append(b.todo, d) }
+
 func (b *Balancer) log(format string, a ...any) {
-	b.todo = append(b.todo, Decision{Kind: Log, Text: fmt.Sprintf(format, a...)})
+	b.do(Decision{Kind: Log, Text: fmt.Sprintf(format, a...)})
 }
 
 // Probed takes the result of a probe.
@@ -296,18 +281,16 @@
 // are always heard of in time and a weak list service is not pressed.
 func (b *Balancer) Listed(form Form, entries []Server, now int64) {
 	b.planned = false
-	switch {
-	case form == Unavailable:
+	if form == Unavailable {
 		b.asks = min(b.asks+1, 3)
 		b.askAt = now + int64((0.3+b.chance())*0.25*float64(sec)*float64(int64(1)<<b.asks))
 		return
-	case form != Restored:
+	}
+	if form != Restored {
 		b.asks, b.askAt = 0, 0
 	}
-	if form != Changes {
-		for _, s := range b.servers {
-			s.known = false
-		}
+	for _, s := range b.servers {
+		s.known = s.known && form == Changes
 	}
 	for _, e := range entries {
 		b.enter(e, now)
@@ -381,20 +364,18 @@
 	next := int64(math.MaxInt64)
 	if b.askAt > 0 {
 		if now >= b.askAt {
-			b.todo = append(b.todo, Decision{Kind: Watch})
+			b.do(Decision{Kind: Watch})
 			b.askAt = now + max(b.t.AskWithin/2, sec) // in case no answer comes at all
 		}
 		next = b.askAt
 	}
 	next = min(next, b.tend(now))
-	order := b.sweep()
-	if len(order) > 1 { // the most valuable first, among equals the oldest
-		order = slices.Clone(b.open)
-		for _, r := range order {
-			r.value = b.value(r, now)
-		}
-		slices.SortStableFunc(order, func(x, y *req) int { return cmp.Compare(y.value, x.value) })
+	order := slices.Clone(b.sweep())
+	for _, r := range order {
+		r.value = b.value(r, now)
 	}
+	// The most valuable first, among equals the oldest.
+	slices.SortStableFunc(order, func(x, y *req) int { return cmp.Compare(y.value, x.value) })
 	for _, r := range order {
 		next = min(next, b.serve(r, now))
 	}
@@ -402,7 +383,7 @@
 		next = max(next, now+b.t.Tick)
 		if b.wake == 0 || next < b.wake {
 			b.wake = next
-			b.todo = append(b.todo, Decision{Kind: Wake, Time: next - now})
+			b.do(Decision{Kind: Wake, Time: next - now})
 		}
 	}
 }
@@ -413,7 +394,7 @@
 	b.open = slices.DeleteFunc(b.open, func(r *req) bool {
 		for _, d := range r.sends {
 			if r.ended && d.out && b.t.CanCancel && !r.streaming {
-				b.todo = append(b.todo, Decision{Kind: Cancel, Req: r.ID, Attempt: d.index})
+				b.do(Decision{Kind: Cancel, Req: r.ID, Attempt: d.index})
 			}
 		}
 		return r.ended
@@ -455,7 +436,7 @@
 			b.eject(s, now)
 		case over && s.probe == unasked && b.t.CanProbe:
 			s.probe = asked
-			b.todo = append(b.todo, Decision{Kind: Probe, Server: s.ID})
+			b.do(Decision{Kind: Probe, Server: s.ID})
 		case over && s.probe != asked:
 			// A probe proves only that a process runs: the server comes back through the fresh
 			// host's cap, one failure away from the next ejection.
@@ -523,8 +504,9 @@
 			d.Time = min(b.t.MaxAdvice, r.rules.ResponseTarget/2)
 		}
 	}
-	b.todo = append(b.todo, d)
-	b.end(r)
+	b.do(d)
+	r.ended = true
+	b.drop(r)
 }
 
 func (b *Balancer) canDeny(r *req) bool {
@@ -562,7 +544,6 @@
 	if key == "" {
 		key = strconv.FormatFloat(b.chance(), 'g', -1, 64)
 	}
-	h := crc32.ChecksumIEEE([]byte(key))
 	total := 0.0
 	for _, s := range b.servers {
 		s.ready = 0
@@ -594,8 +575,7 @@
 			}
 			w *= 1e-9
 		}
-		c := crc32.Update(h, crc32.IEEETable, []byte(s.ID))
-		if score := -w / math.Log(uniform(uint64(h)<<32|uint64(c))); best == nil || score > top {
+		if score := -w / math.Log(draw.Hash(key, s.ID)); best == nil || score > top {
 			best, top = s, score
 		}
 	}
@@ -640,5 +620,5 @@
 	if r.tenant >= 0 {
 		b.served[r.tenant].n = b.served[r.tenant].now(now) + 1
 	}
-	b.todo = append(b.todo, Decision{Kind: Dispatch, Req: r.ID, Server: s.ID, Time: r.giveUp})
+	b.do(Decision{Kind: Dispatch, Req: r.ID, Server: s.ID, Time: r.giveUp})
 }
--- /dev/null
+++ b/draw/draw.go
@@ -0,0 +1,28 @@
+// Package draw is the source of chance and of hashes: CRC-32 with its bits mixed, as CRC is linear.
+package draw
+
+import (
+	"hash/crc32"
+	"strconv"
+)
+
+// mix is an integer finaliser.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func uniform(x uint64) float64 { return (float64(mix(x)>>11) + 0.5) / (1 << 53) }
+
+// Chance gives the n-th random number of a seed, between 0 and 1 exclusive.
+func Chance(seed, n uint64) float64 {
+	c := crc32.ChecksumIEEE(strconv.AppendUint(strconv.AppendUint(nil, seed, 36), n, 36))
+	return uniform(uint64(c)<<32 ^ n)
+}
+
+// Hash gives the number that belongs to a key and an id, between 0 and 1 exclusive.
+func Hash(key, id string) float64 {
+	h := crc32.ChecksumIEEE([]byte(key))
+	return uniform(uint64(h)<<32 | uint64(crc32.Update(h, crc32.IEEETable, []byte(id))))
+}
