--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,5 +1,5 @@
 // Package balance holds every decision of one instance. A host makes a Balancer with New, hands it
-// what happened (Req, Finished, Started, Withdrawn, Listed, Probed, Alarm: they only update what is
+// what happened (Req, Finished, Started, Withdrawn, Listed, Alarm: they only update what is
 // known), then calls Next(now) until it reports false and carries each Decision out. The clock is
 // the host's, in nanoseconds. The interface types stand in types.go, the reasons in docs/design.md.
 package balance
@@ -9,14 +9,12 @@
 	"fmt"
 	"math"
 	"slices"
-	"strconv"
 
 	"ivybank/draw"
 )
 
 const (
-	ms  = int64(1e6)
-	sec = int64(1e9)
+	ms, sec = int64(1e6), int64(1e9)
 
 	alpha        = 0.3  // weight of the newest outcome in a server's health (design)
 	floor        = 0.05 // health never falls below it (design)
@@ -36,14 +34,11 @@
 	tenantSpan = 4.0  // seconds over which rates are remembered
 )
 
-const unasked, asked, confirmed, refuted = 0, 1, 2, 3 // the probe at the end of an ejection
-
 // dispatch is one attempt for a req.
 type dispatch struct {
 	req             *req
 	srv             *server
-	index           int
-	sent            int64
+	index, sent     int64
 	rank            float64 // this balancer's dispatches at the server, itself counted
 	out, maybe, cut bool    // still out; may have run; cancelled because another one was faster
 }
@@ -52,11 +47,10 @@
 type req struct {
 	Arrival
 	rules            *RuleSet
-	tenant           int
 	taken, giveUp    int64
 	value            float64
 	sends            []*dispatch
-	outs             int
+	tenant, outs     int
 	ended, streaming bool
 }
 
@@ -67,8 +61,7 @@
 	health                  float64
 	streak, ejections       int
 	ejected, silent         bool
-	until                   int64 // end of the ejection
-	probe                   int
+	until                   int64       // end of the ejection
 	out                     []*dispatch // oldest first
 	answered, full, spentAt int64       // last answer; turned a req away until then
 	unit, lat               float64     // time for each place in flight, and of an answer; 0: not measured
@@ -85,9 +78,9 @@
 	servers  []*server       // by ID; emptied by forget
 	todo     []Decision      // emptied by Next
 	draws    uint64
-	asks     int
 	askAt    int64 // when the list is to be asked again; 0: subscribed
 	wake     int64
+	asks     int
 	inflight int
 	unit     float64   // typical time for each place in flight at a server of listed size 1
 	rate     decayed   // dispatches
@@ -252,28 +245,13 @@
 	back := min(mostBackoff, firstBackoff<<min(s.ejections, 10))
 	back = int64(float64(back) * (1 + jitter*(2*b.chance()-1)))
 	s.ejections++
-	s.ejected, s.until, s.probe = true, now+back, unasked
+	s.ejected, s.until = true, now+back
 	b.log("ejected %s for %d ms: streak %d, health %.2f", s.ID, back/ms, s.streak, s.health)
 }
 
 func (b *Balancer) do(d Decision) { b.todo = append(b.todo, d) }
 
-func (b *Balancer) log(format string, a ...any) {
-	b.do(Decision{Kind: Log, Text: fmt.Sprintf(format, a...)})
-}
-
-// Probed takes the result of a probe.
-func (b *Balancer) Probed(id string, ok bool) {
-	i, had := slices.BinarySearchFunc(b.servers, id, byID)
-	if !had || b.servers[i].probe != asked {
-		return
-	}
-	b.planned = false
-	if b.servers[i].probe = confirmed; !ok {
-		b.servers[i].probe = refuted
-		b.servers[i].failed()
-	}
-}
+func (b *Balancer) log(s string, a ...any) { b.do(Decision{Kind: Log, Text: fmt.Sprintf(s, a...)}) }
 
 func byID(s *server, id string) int { return cmp.Compare(s.ID, id) }
 
@@ -394,7 +372,7 @@
 	b.open = slices.DeleteFunc(b.open, func(r *req) bool {
 		for _, d := range r.sends {
 			if r.ended && d.out && b.t.CanCancel && !r.streaming {
-				b.do(Decision{Kind: Cancel, Req: r.ID, Attempt: d.index})
+				b.do(Decision{Kind: Cancel, Req: r.ID, Attempt: int(d.index)})
 			}
 		}
 		return r.ended
@@ -431,22 +409,15 @@
 			continue
 		}
 		usable++
-		switch over := s.ejected && now >= s.until; {
-		case !s.ejected && s.streak >= streakLimit, over && s.probe == refuted:
-			b.eject(s, now)
-		case over && s.probe == unasked && b.t.CanProbe:
-			s.probe = asked
-			b.do(Decision{Kind: Probe, Server: s.ID})
-		case over && s.probe != asked:
-			// A probe proves only that a process runs: the server comes back through the fresh
-			// host's cap, one failure away from the next ejection.
+		if s.ejected && now >= s.until {
+			// It comes back through the fresh host's cap, one failure away from the next ejection.
 			s.ejected, s.silent, s.streak, s.grow = false, false, streakLimit-1, 1
 			b.log("returned %s: health %.2f", s.ID, s.health)
+		} else if !s.ejected && s.streak >= streakLimit {
+			b.eject(s, now)
 		}
 		if s.ejected {
-			if s.probe == unasked {
-				next = min(next, s.until)
-			}
+			next = min(next, s.until)
 			continue
 		}
 		healthy++
@@ -542,7 +513,7 @@
 	}
 	key := r.Key
 	if key == "" {
-		key = strconv.FormatFloat(b.chance(), 'g', -1, 64)
+		key = fmt.Sprint(b.chance())
 	}
 	total := 0.0
 	for _, s := range b.servers {
@@ -609,7 +580,7 @@
 
 // send dispatches a req.
 func (b *Balancer) send(r *req, s *server, now int64) {
-	d := &dispatch{req: r, srv: s, index: len(r.sends), sent: now, out: true, maybe: true}
+	d := &dispatch{req: r, srv: s, index: int64(len(r.sends)), sent: now, out: true, maybe: true}
 	r.sends = append(r.sends, d)
 	r.outs++
 	s.out = append(s.out, d)
--- a/balance/types.go
+++ b/balance/types.go
@@ -48,7 +48,6 @@
 	MaxDispatches int
 	Parallel      bool // a second dispatch may be out at the same time
 	CanCancel     bool
-	CanProbe      bool
 	Advise        bool  // a deny may say when to come back
 	MaxAdvice     int64 // the longest wait that a client honours
 	MustAsk       bool  // the list arrives only when asked for
@@ -125,7 +124,6 @@
 	Deny
 	Abort
 	Cancel
-	Probe
 	Watch
 	Wake
 	Log
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -228,8 +228,6 @@
 			b.Alarm()
 		case "FINISHED":
 			b.Finished(id, try, outcome(f.at["Reason"]), final, took, a.now)
-		case "PROBED":
-			b.Probed(f.at["Host"], f.at["Reason"] == "0")
 		case "DIRECTORY_UPDATE":
 			b.Listed(form, list, a.now)
 		}
@@ -335,8 +333,6 @@
 		fmt.Fprintf(a.out, "LOSE Who=%s Call=%d\n", who, d.Req)
 	case balance.Cancel:
 		fmt.Fprintf(a.out, "STOP_ATTEMPT Who=%s Call=%d Try=%d\n", who, d.Req, d.Attempt)
-	case balance.Probe:
-		fmt.Fprintf(a.out, "PROBE Who=%s Host=%s\n", who, d.Server)
 	case balance.Watch:
 		fmt.Fprintf(a.out, "LISTEN Who=%s On=1\n", who)
 	case balance.Wake:
@@ -353,7 +349,7 @@
 		ValuePerWork:  f.at["BillingValuePer"] == "work",
 		MaxDispatches: int(f.int("Ceilings.MaxDispatches")),
 		Parallel:      f.bool("Ceilings.ParallelTries"), CanCancel: f.bool("Ceilings.Cancel"),
-		CanProbe: f.bool("Ceilings.Probes"), Advise: f.bool("Ceilings.RetryAfter"),
+		Advise:    f.bool("Ceilings.RetryAfter"),
 		MaxAdvice: f.int("Ceilings.MaxRetryAfterNs"), MustAsk: f.at["Discovery"] == "on_request",
 		AskWithin: f.int("Contract.AskWithinNs"), StartCapacity: f.float("Contract.StartCapacity"),
 		RampTime: f.int("Contract.RampTimeNs"), CrossPrice: f.float("Prices.CrossZone"),
