--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,14 +24,15 @@
 	mostBackoff  = 30 * sec
 	recovered    = 0.9 // health at which a server's backoff starts anew
 
-	skipOver   = 1.6  // a server is skipped past this multiple of its share of what is in flight,
-	skipSlack  = 2.0  // and this many dispatches more
-	aimShare   = 0.14 // part of the response target that a server's own in-flight may fill
-	holdShare  = 0.08 // part of the response target that a req may be held
-	newcomer   = 2.0  // in-flight cap of a server that is not known to be cold, until it has answered
-	nearer     = 70.0 // times the price of crossing zones: extra weight of a server in the own zone
-	quiet      = 3.0  // typical answer times without an answer after which a server counts as silent
-	tenantSpan = 4.0  // seconds over which rates are remembered
+	skipOver    = 1.6  // a server is skipped past this multiple of its share of what is in flight,
+	skipSlack   = 2.0  // and this many dispatches more
+	aimShare    = 0.14 // part of the response target that a server's own in-flight may fill
+	flightShare = 0.3  // part of the response target whose worth of answers may be in flight
+	holdShare   = 0.08 // part of the response target that a req may be held
+	newcomer    = 2.0  // in-flight cap of a server that is not known to be cold, until it has answered
+	nearer      = 70.0 // times the price of crossing zones: extra weight of a server in the own zone
+	quiet       = 3.0  // typical answer times without an answer after which a server counts as silent
+	tenantSpan  = 4.0  // seconds over which rates are remembered
 )
 
 // dispatch is one attempt for a req.
@@ -82,8 +83,10 @@
 	wake     int64
 	asks     int
 	inflight int
-	unit     float64   // typical time for each place in flight at a server of listed size 1
-	rate     decayed   // dispatches
+	unit     float64 // typical time for each place in flight at a server of listed size 1
+	rate     decayed // dispatches
+	answers  decayed // served in time
+	begun    int64
 	served   []decayed // dispatches of each tenant
 
 	planned, dazed bool
@@ -103,7 +106,7 @@
 
 // New makes an instance; the list follows as Listed(Restored).
 func New(t Terms, now int64) *Balancer {
-	b := &Balancer{t: t, reqs: map[uint64]*req{}, served: make([]decayed, len(t.Tenants))}
+	b := &Balancer{t: t, reqs: map[uint64]*req{}, served: make([]decayed, len(t.Tenants)), begun: now}
 	if t.MustAsk {
 		b.askAt = now + 1 + int64(b.chance()*0.3*float64(sec)) // apart from its siblings
 	}
@@ -194,6 +197,7 @@
 			s.ejections = 0
 		}
 		s.learn(took <= d.req.rules.ResponseTarget)
+		b.answers.n = b.answers.now(now) + 1
 	case Errored:
 		s.answered = now
 		s.failed()
@@ -508,7 +512,7 @@
 
 // pick is the weighted rendezvous: of the servers that are not skipped, the one with the top score.
 func (b *Balancer) pick(r *req, now int64) *server {
-	if !b.canSend(r) {
+	if !b.canSend(r) || float64(b.inflight) >= b.bound(r, now) {
 		return nil
 	}
 	key := r.Key
@@ -553,6 +557,14 @@
 	return best
 }
 
+// bound is what may be in flight: answers a second times a part of the response target. It guards
+// against many balancers that crowd every server at once, each with little there.
+func (b *Balancer) bound(r *req, now int64) float64 {
+	span := tenantSpan * -math.Expm1(-float64(now-b.begun)/(tenantSpan*float64(sec)))
+	rate := b.answers.now(now) / max(0.1, span)
+	return 2 + float64(len(b.servers))/8 + rate*flightShare*float64(r.rules.ResponseTarget)/float64(sec)
+}
+
 // room says whether a server may take one more: bounded by rate times time as measured, by its share
 // of what is in flight, and for a cold one by this balancer's share of its budget.
 func (b *Balancer) room(s *server, r *req, total float64, now int64) bool {
