--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 	skipSlack   = 2.0  // and this many dispatches more
 	aimShare    = 0.14 // part of the response target that a server's own in-flight may fill
 	flightShare = 0.3  // part of the response target whose worth of answers may be in flight
+	spill       = 3    // servers of its own rank order that a req may go to
 	holdShare   = 0.08 // part of the response target that a req may be held
 	newcomer    = 2.0  // in-flight cap of a server that is not known to be cold, until it has answered
 	nearer      = 70.0 // times the price of crossing zones: extra weight of a server in the own zone
@@ -68,7 +69,7 @@
 	unit, lat               float64     // time for each place in flight, and of an answer; 0: not measured
 	grow                    float64     // in-flight cap that grows with answers
 	spent                   float64     // budget of a cold server, in reqs
-	cold, ready             float64     // part of its capacity by age; weight now
+	cold, ready, score      float64     // part of its capacity by age; weight and score now
 }
 
 // Balancer is one instance.
@@ -498,7 +499,9 @@
 // allowed says whether the req may go to this server without taking effect twice.
 func (r *req) allowed(s *server, now int64) bool {
 	for _, d := range r.sends {
-		if !d.maybe || r.rules.Effect == Replayable {
+		if d.out && d.srv == s {
+			return false
+		} else if !d.maybe || r.rules.Effect == Replayable {
 			continue
 		}
 		same := r.rules.Group == GroupAll || d.srv.Zone == s.Zone &&
@@ -530,11 +533,9 @@
 			total += s.ready
 		}
 	}
-	var best *server
-	top := 0.0
+	ranked := make([]*server, 0, len(b.servers))
 	for _, s := range b.servers {
-		at := func(d *dispatch) bool { return d.srv == s }
-		if s.ready == 0 || !r.allowed(s, now) || !b.room(s, r, total, now) {
+		if s.ready == 0 || !r.allowed(s, now) {
 			continue
 		}
 		w := s.health * s.ready
@@ -544,17 +545,21 @@
 		if b.dazed {
 			w = 1
 		}
-		if slices.ContainsFunc(r.sends, at) { // a server that was tried is only better than none
-			if r.outs > 0 {
-				continue
+		for _, d := range r.sends { // a server that was tried is only better than none
+			if d.srv == s {
+				w *= 1e-9
 			}
-			w *= 1e-9
 		}
-		if score := -w / math.Log(draw.Hash(key, s.ID)); best == nil || score > top {
-			best, top = s, score
+		s.score = -w / math.Log(draw.Hash(key, s.ID))
+		ranked = append(ranked, s)
+	}
+	slices.SortStableFunc(ranked, func(x, y *server) int { return cmp.Compare(y.score, x.score) })
+	for _, s := range ranked[:min(spill, len(ranked))] {
+		if b.room(s, r, total, now) {
+			return s
 		}
 	}
-	return best
+	return nil
 }
 
 // bound is what may be in flight: answers a second times a part of the response target. It guards
