--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,7 +27,7 @@
 	skipOver    = 1.6  // a server is skipped past this multiple of its share of what is in flight,
 	skipSlack   = 2.0  // and this many dispatches more
 	aimShare    = 0.14 // part of the response target that a server's own in-flight may fill
-	flightShare = 0.3  // part of the response target whose worth of answers may be in flight
+	flightShare = 0.22 // part of the response target whose worth of answers may be in flight
 	spill       = 3    // servers of its own rank order that a req may go to
 	holdShare   = 0.08 // part of the response target that a req may be held
 	newcomer    = 2.0  // in-flight cap of a server that is not known to be cold, until it has answered
@@ -38,11 +38,11 @@
 
 // dispatch is one attempt for a req.
 type dispatch struct {
-	req             *req
-	srv             *server
-	index, sent     int64
-	rank            float64 // this balancer's dispatches at the server, itself counted
-	out, maybe, cut bool    // still out; may have run; cancelled because another one was faster
+	req         *req
+	srv         *server
+	index, sent int64
+	rank        float64 // this balancer's dispatches at the server, itself counted
+	out, maybe  bool    // still out; may have run
 }
 
 // req is one request; it is dropped once it has ended and nothing of it is out.
@@ -86,7 +86,6 @@
 	inflight int
 	unit     float64 // typical time for each place in flight at a server of listed size 1
 	rate     decayed // dispatches
-	answers  decayed // served in time
 	begun    int64
 	served   []decayed // dispatches of each tenant
 
@@ -176,9 +175,6 @@
 	b.inflight--
 	s.out = slices.DeleteFunc(s.out, func(x *dispatch) bool { return x == d })
 	d.maybe = o != Refused && o != NoConnection && o != NotSent
-	for _, x := range r.sends {
-		x.cut = x.cut || final && x.out && x.sent < d.sent // slower than a later one
-	}
 	r.ended = r.ended || final
 	b.drop(r)
 	if s.Since <= d.sent { // what was sent to an earlier process tells nothing of this one
@@ -198,7 +194,6 @@
 			s.ejections = 0
 		}
 		s.learn(took <= d.req.rules.ResponseTarget)
-		b.answers.n = b.answers.now(now) + 1
 	case Errored:
 		s.answered = now
 		s.failed()
@@ -216,10 +211,6 @@
 		s.answered = now
 		s.full = now + max(20*ms, int64(s.unit))
 		s.grow = max(1, math.Min(s.grow, float64(len(s.out))))
-	case Cancelled:
-		if d.cut {
-			s.learn(false)
-		}
 	}
 }
 
@@ -499,14 +490,12 @@
 // allowed says whether the req may go to this server without taking effect twice.
 func (r *req) allowed(s *server, now int64) bool {
 	for _, d := range r.sends {
-		if d.out && d.srv == s {
-			return false
-		} else if !d.maybe || r.rules.Effect == Replayable {
+		if !d.maybe || r.rules.Effect == Replayable && (!d.out || d.srv != s) {
 			continue
 		}
 		same := r.rules.Group == GroupAll || d.srv.Zone == s.Zone &&
 			(r.rules.Group == GroupZone || d.srv.Cell == s.Cell)
-		if r.rules.Effect == NonReplayable || !same || now >= d.sent+r.rules.Window {
+		if r.rules.Effect != Uniqued || !same || now >= d.sent+r.rules.Window || d.out && d.srv == s {
 			return false
 		}
 	}
@@ -525,7 +514,7 @@
 	total := 0.0
 	for _, s := range b.servers {
 		s.ready = 0
-		if s.known && s.State == Running && (!s.ejected || b.dazed) {
+		if s.known && s.State == Running && (b.dazed || !s.ejected && !s.silent) {
 			s.ready = s.Share * s.cold
 			if s.unit > 0 {
 				s.ready *= math.Sqrt(b.unit / (s.unit * s.Share))
@@ -562,37 +551,30 @@
 	return nil
 }
 
-// bound is what may be in flight: answers a second times a part of the response target. It guards
+// bound is what may be in flight: dispatches a second times a part of the response target. It guards
 // against many balancers that crowd every server at once, each with little there.
 func (b *Balancer) bound(r *req, now int64) float64 {
-	span := tenantSpan * -math.Expm1(-float64(now-b.begun)/(tenantSpan*float64(sec)))
-	rate := b.answers.now(now) / max(0.1, span)
-	return 2 + float64(len(b.servers))/8 + rate*flightShare*float64(r.rules.ResponseTarget)/float64(sec)
+	span := min(tenantSpan*float64(sec), float64(max(now-b.begun, sec/10)))
+	return 2 + float64(len(b.servers))/8 + b.rate.now(now)*flightShare*float64(r.rules.ResponseTarget)/span
 }
 
 // room says whether a server may take one more: bounded by rate times time as measured, by its share
 // of what is in flight, and for a cold one by this balancer's share of its budget.
 func (b *Balancer) room(s *server, r *req, total float64, now int64) bool {
-	n := float64(len(s.out))
-	if now < s.full || s.silent && !b.dazed || n >= s.grow {
-		return false
-	}
-	if s.unit > 0 && n >= max(1, aimShare*float64(r.rules.ResponseTarget)/s.unit) {
-		return false
-	}
 	share := s.ready / total
-	if n >= skipOver*share*float64(b.inflight+1)+skipSlack {
-		return false
-	}
-	if s.cold < 1 {
-		// All balancers together must not push over a cold server: each sends it no more than its
-		// own mean rate at warm servers, scaled down by how warm it is.
-		rate := max(0.2, share*b.rate.now(now)/tenantSpan)
-		s.spent = max(0, s.spent-rate*float64(now-s.spentAt)/float64(sec))
-		s.spentAt = now
-		return s.spent < 1
-	}
-	return true
+	limit := min(s.grow, skipOver*share*float64(b.inflight+1)+skipSlack)
+	if s.unit > 0 {
+		limit = min(limit, max(1, aimShare*float64(r.rules.ResponseTarget)/s.unit))
+	}
+	if now < s.full || float64(len(s.out)) >= limit || s.cold >= 1 {
+		return now >= s.full && float64(len(s.out)) < limit
+	}
+	// All balancers together must not push over a cold server: each sends it no more than its own
+	// mean rate at warm servers, scaled down by how warm it is.
+	rate := max(0.1, share*b.rate.now(now)/tenantSpan)
+	s.spent = max(0, s.spent-rate*float64(now-s.spentAt)/float64(sec))
+	s.spentAt = now
+	return s.spent < 1
 }
 
 // send dispatches a req.
