--- a/balance/balance.go
+++ b/balance/balance.go
@@ -458,6 +458,7 @@
 	}
 	if now >= r.taken+int64(holdShare*float64(r.rules.ResponseTarget)) || !b.canSend(r) {
 		b.finish(r)
+		return math.MaxInt64
 	}
 	return now + b.t.Tick
 }
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,377 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+// fleet is an instance with n running servers of one zone and cell, named a, b, c...
+func fleet(n int, change func(*Terms)) *Balancer {
+	t := Terms{Seed: 7, Zone: "z", MaxDispatches: 3, CanCancel: true, Tick: 5 * ms, StartCapacity: 0.2,
+		RampTime: 20 * sec, RuleSets: []RuleSet{
+			{Name: "again", Effect: Replayable, BillingValue: 1, ResponseTarget: sec},
+			{Name: "cell", Effect: Uniqued, Group: GroupCell, Window: sec, BillingValue: 1, ResponseTarget: sec},
+			{Name: "zone", Effect: Uniqued, Group: GroupZone, Window: sec, BillingValue: 1, ResponseTarget: sec},
+			{Name: "all", Effect: Uniqued, Group: GroupAll, Window: sec, BillingValue: 1, ResponseTarget: sec},
+			{Name: "once", Effect: NonReplayable, BillingValue: 1, ResponseTarget: sec}}}
+	if change != nil {
+		change(&t)
+	}
+	b := New(t, 0)
+	list := make([]Server, n)
+	for i := range list {
+		list[i] = Server{ID: string(rune('a' + i)), Zone: "z", Share: 1}
+	}
+	b.Listed(Restored, list, 0)
+	b.tend(0)
+	return b
+}
+
+// take hands in a req and gives it back as the module holds it.
+func take(b *Balancer, id uint64, rules, key string) *req {
+	b.Req(Arrival{ID: id, RuleSet: rules, Key: key, Budget: 2 * sec}, 0)
+	return b.reqs[id]
+}
+
+// pull gives the decisions of one kind, or all that are not wakes and logs for kind -1.
+func pull(b *Balancer, now int64, kind Kind) (got []Decision) {
+	for d, ok := b.Next(now); ok; d, ok = b.Next(now) {
+		if d.Kind == kind || kind < 0 && d.Kind != Wake && d.Kind != Log {
+			got = append(got, d)
+		}
+	}
+	return got
+}
+
+func near(t *testing.T, what string, got, want, within float64) {
+	t.Helper()
+	if math.Abs(got-want) > within {
+		t.Errorf("%s: got %.4f, want %.4f", what, got, want)
+	}
+}
+
+func TestEveryReqEnds(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		servers int
+		rules   string
+		budget  int64
+		spoil   func(*Balancer)
+		at      int64
+		want    Kind
+	}{
+		{"no server", 0, "once", 2 * sec, nil, 200 * ms, Deny},
+		{"all draining", 2, "once", 2 * sec, func(b *Balancer) {
+			b.Listed(Changes, []Server{{ID: "a", State: Draining}, {ID: "b", State: Gone}}, 0)
+		}, 200 * ms, Deny},
+		{"a budget of 4 ms", 2, "once", 4 * ms, nil, 0, Deny},
+		{"unknown rule set counts as non-replayable", 1, "other", 20 * ms, nil, 10 * ms, Abort},
+		{"sent and silent to the response target", 1, "once", 2 * sec, nil, 990 * ms, Abort},
+		{"replayable may be denied after a dispatch", 1, "again", 2 * sec, nil, 990 * ms, Deny},
+		{"uniqued by cell may not", 1, "cell", 2 * sec, nil, 990 * ms, Abort},
+		{"uniqued by all may", 1, "all", 2 * sec, nil, 990 * ms, Deny},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := fleet(c.servers, nil)
+			if c.spoil != nil {
+				c.spoil(b)
+			}
+			b.Req(Arrival{ID: 1, RuleSet: c.rules, Budget: c.budget}, 0)
+			got := pull(b, 0, -1)
+			b.Alarm()
+			got = append(got, pull(b, c.at, -1)...)
+			n := 0
+			for _, d := range got {
+				if d.Kind == Deny || d.Kind == Abort {
+					n++
+					if d.Kind != c.want {
+						t.Errorf("got answer %d, want %d", d.Kind, c.want)
+					}
+				}
+			}
+			if n != 1 {
+				t.Errorf("got %d final answers in %v", n, got)
+			}
+			if b.Alarm(); len(pull(b, c.at+sec, -1)) != 0 {
+				t.Error("something was sent after the final answer")
+			}
+		})
+	}
+}
+
+func TestNoEffectTwice(t *testing.T) {
+	proof := map[Outcome]bool{Refused: true, NoConnection: true, NotSent: true}
+	for o := Errored; o <= Unknown; o++ {
+		for _, rules := range []string{"again", "cell", "once"} {
+			t.Run(fmt.Sprint(rules, " after outcome ", o), func(t *testing.T) {
+				b := fleet(3, nil)
+				b.servers[1].Cell, b.servers[2].Cell = 1, 1
+				r := take(b, 1, rules, "k")
+				b.send(r, b.servers[0], 0)
+				b.Finished(1, 0, o, false, ms, ms)
+				for i, s := range b.servers {
+					want := rules == "again" || proof[o] || rules == "cell" && i == 0
+					if got := b.canSend(r) && r.allowed(s, ms); got != want {
+						t.Errorf("server %d allowed: %v, want %v", i, got, want)
+					}
+				}
+				if got, want := b.canDeny(r), rules == "again" || proof[o]; got != want {
+					t.Errorf("deny allowed: %v, want %v", got, want)
+				}
+			})
+		}
+	}
+	t.Run("uniqued outside its window", func(t *testing.T) {
+		b := fleet(1, nil)
+		r := take(b, 1, "all", "k")
+		b.send(r, b.servers[0], 0)
+		b.Finished(1, 0, Reset, false, ms, ms)
+		if !r.allowed(b.servers[0], sec-1) || r.allowed(b.servers[0], sec) {
+			t.Error("the window is not kept")
+		}
+	})
+	t.Run("uniqued by zone stays in its zone", func(t *testing.T) {
+		b := fleet(2, nil)
+		r := take(b, 1, "zone", "k")
+		b.send(r, b.servers[0], 0)
+		b.Finished(1, 0, Reset, false, ms, ms)
+		if b.servers[1].Cell = 9; !r.allowed(b.servers[1], ms) {
+			t.Error("another cell of the zone is not allowed")
+		}
+		if b.servers[1].Zone = "y"; r.allowed(b.servers[1], ms) {
+			t.Error("another zone is allowed")
+		}
+	})
+	t.Run("never two at once where that is forbidden", func(t *testing.T) {
+		b := fleet(2, nil)
+		r := take(b, 1, "again", "k")
+		if b.send(r, b.servers[0], 0); b.canSend(r) {
+			t.Error("a second dispatch is allowed")
+		}
+		if b.t.Parallel = true; !b.canSend(r) || r.allowed(b.servers[0], 0) || !r.allowed(b.servers[1], 0) {
+			t.Error("a copy goes to another server and to no other place")
+		}
+	})
+}
+
+func TestHealth(t *testing.T) {
+	t.Run("EWMA and its floor", func(t *testing.T) {
+		s := &server{health: 1}
+		s.learn(false)
+		near(t, "one failure", s.health, 0.7, 1e-12)
+		s.learn(true)
+		near(t, "then one answer", s.health, 0.79, 1e-12)
+		for range 50 {
+			s.learn(false)
+		}
+		near(t, "floor", s.health, floor, 1e-12)
+	})
+	t.Run("two failures eject, with growing jittered backoff", func(t *testing.T) {
+		b := fleet(2, nil)
+		s := b.servers[0]
+		for i, base := range []int64{5, 10, 20, 30, 30} {
+			s.ejected, s.streak = false, streakLimit
+			b.tend(0)
+			lo, hi := base*sec*8/10, base*sec*12/10
+			if !s.ejected || s.until < lo || s.until > hi {
+				t.Errorf("ejection %d: %v until %d, want %d to %d", i, s.ejected, s.until, lo, hi)
+			}
+		}
+		b.tend(s.until)
+		if s.ejected || s.grow != 1 || s.streak != streakLimit-1 {
+			t.Errorf("it returns under a cap of one, one failure from the next ejection: %+v", s)
+		}
+	})
+	for o, want := range map[Outcome]int{Errored: 2, Reset: 2, NoConnection: 2, TimedOut: 2, Refused: 1,
+		Cancelled: 1, NotSent: 1, Unknown: 1, Served: 0} {
+		t.Run(fmt.Sprint("streak after outcome ", o), func(t *testing.T) {
+			b := fleet(1, nil)
+			s := b.servers[0]
+			s.streak = 1
+			b.judge(s, &dispatch{req: take(b, 1, "once", "k"), srv: s, rank: 1, sent: ms}, o, ms, 2*ms)
+			if s.streak != want {
+				t.Errorf("got %d, want %d", s.streak, want)
+			}
+		})
+	}
+	t.Run("a time-out at a server that answers others is no streak", func(t *testing.T) {
+		b := fleet(1, nil)
+		s := b.servers[0]
+		s.answered = 2 * ms
+		b.judge(s, &dispatch{req: take(b, 1, "once", "k"), srv: s, rank: 1, sent: ms}, TimedOut, sec, sec)
+		if s.streak != 0 || s.health != 0.7 {
+			t.Errorf("streak %d, health %.2f", s.streak, s.health)
+		}
+	})
+	t.Run("newcomers start at the mean, restarts forget", func(t *testing.T) {
+		b := fleet(2, nil)
+		b.servers[0].health, b.servers[0].ejected, b.servers[0].spent = 0.4, true, 50
+		b.Listed(Changes, []Server{{ID: "c"}}, sec)
+		near(t, "newcomer", b.servers[2].health, 0.7, 1e-12)
+		b.Listed(Changes, []Server{{ID: "a", Since: sec}}, 2*sec)
+		s := b.servers[0]
+		near(t, "restarted", s.health, 0.85, 1e-12)
+		if s.ejected || s.spent != 0 || s.grow != 1 {
+			t.Errorf("a new process is not its old one: %+v", s)
+		}
+	})
+	t.Run("silence stops dispatches, an answer lifts it", func(t *testing.T) {
+		b := fleet(1, nil)
+		s := b.servers[0]
+		s.lat, s.unit = float64(100*ms), float64(100*ms)
+		b.send(take(b, 1, "once", "k"), s, 0)
+		b.todo = nil
+		if b.tend(300 * ms); s.silent {
+			t.Error("silent too early")
+		}
+		if b.tend(301 * ms); !s.silent || b.pick(take(b, 2, "once", "k"), 301*ms) != nil {
+			t.Error("a silent server is still fed")
+		}
+		if b.Finished(1, 0, Served, true, 302*ms, 302*ms); len(pull(b, 302*ms, Dispatch)) != 1 {
+			t.Error("an answer does not lift the silence")
+		}
+	})
+}
+
+func TestRendezvous(t *testing.T) {
+	tally := func(b *Balancer) map[string]float64 {
+		n := map[string]float64{}
+		for i := range 20000 {
+			n[b.pick(&req{rules: &b.t.RuleSets[0], Arrival: Arrival{Key: fmt.Sprint("key-", i)}}, 0).ID] += 1.0 / 20000
+		}
+		return n
+	}
+	t.Run("shares follow weight and health", func(t *testing.T) {
+		b := fleet(4, nil)
+		b.servers[0].Share, b.servers[1].health = 2, 0.5
+		n := tally(b)
+		for id, want := range map[string]float64{"a": 2 / 4.5, "b": 0.5 / 4.5, "c": 1 / 4.5, "d": 1 / 4.5} {
+			near(t, id, n[id], want, 0.015)
+		}
+	})
+	t.Run("dazed spreads evenly over ready servers", func(t *testing.T) {
+		b := fleet(4, nil)
+		for i, s := range b.servers {
+			s.streak, s.health, s.Share = streakLimit, 0.1*float64(i+1), float64(i+1)
+		}
+		b.servers[3].State = Draining
+		b.tend(0)
+		n := tally(b)
+		if !b.dazed || n["d"] != 0 {
+			t.Fatalf("dazed %v, draining got %.2f", b.dazed, n["d"])
+		}
+		for _, id := range []string{"a", "b", "c"} {
+			near(t, id, n[id], 1.0/3, 0.015)
+		}
+	})
+	t.Run("little moves when a server leaves, and keys are not correlated", func(t *testing.T) {
+		b, c := fleet(5, nil), fleet(5, nil)
+		c.Listed(Changes, []Server{{ID: "e", State: Gone}}, 0)
+		same := 0.0
+		last := ""
+		for i := range 20000 {
+			r := &req{rules: &b.t.RuleSets[0], Arrival: Arrival{Key: fmt.Sprint("key-", i)}}
+			was, is := b.pick(r, 0).ID, c.pick(r, 0).ID
+			if was != "e" && was != is {
+				t.Fatalf("key %d moved from %s to %s", i, was, is)
+			}
+			if was == last {
+				same++
+			}
+			last = was
+		}
+		near(t, "neighbouring keys on one server", same/20000, 0.2, 0.015)
+	})
+	t.Run("without a key chance decides", func(t *testing.T) {
+		b := fleet(2, nil)
+		n := map[string]int{}
+		for range 1000 {
+			n[b.pick(&req{rules: &b.t.RuleSets[0]}, 0).ID]++
+		}
+		if n["a"] < 400 || n["b"] < 400 {
+			t.Errorf("got %v", n)
+		}
+	})
+	t.Run("a price on crossing zones favours the own one", func(t *testing.T) {
+		b := fleet(2, func(t *Terms) { t.CrossPrice = 2 / nearer })
+		b.servers[1].Zone = "y"
+		near(t, "own zone", tally(b)["a"], 0.75, 0.015)
+	})
+}
+
+func TestLimits(t *testing.T) {
+	t.Run("nothing new to a draining server", func(t *testing.T) {
+		b := fleet(2, nil)
+		b.Listed(Changes, []Server{{ID: "a", Zone: "z", State: Draining}}, 0)
+		for i := range 100 {
+			if s := b.pick(&req{rules: &b.t.RuleSets[0], Arrival: Arrival{Key: fmt.Sprint(i)}}, 0); s.ID == "a" {
+				t.Fatal("a draining server was picked")
+			}
+		}
+	})
+	t.Run("a cold server gets its part of the own mean rate", func(t *testing.T) {
+		b := fleet(4, nil)
+		b.Listed(Changes, []Server{{ID: "a", Zone: "z", Share: 1, Since: 1}}, 1)
+		sent := 0
+		for now := int64(0); now < 2*sec; now += 5 * ms { // 200 a second for four servers
+			b.rate.n = 200 * tenantSpan
+			b.rate.at = now
+			s := b.servers[0]
+			if s.ready, s.cold = s.cold, b.warmth(s.Server, now); b.room(s, take(b, 1, "again", "k"), 3+s.cold, now) {
+				s.spent++
+				sent++
+			}
+		}
+		if most := 2 * 200 / 4 * 0.3 * 1.4; sent == 0 || float64(sent) > most {
+			t.Errorf("sent %d in two seconds, want 1 to %.0f", sent, most)
+		}
+	})
+	t.Run("what is in flight is bounded by rate times time", func(t *testing.T) {
+		b := fleet(8, nil)
+		b.rate.n, b.rate.at = 100*tenantSpan, 10*sec
+		near(t, "bound", b.bound(take(b, 1, "again", "k"), 10*sec), 3+100*flightShare, 1e-9)
+	})
+	t.Run("a req goes no further down its rank order than spill", func(t *testing.T) {
+		b := fleet(8, nil)
+		r := take(b, 1, "again", "k")
+		for range spill {
+			b.pick(r, 0).grow = 0
+		}
+		if s := b.pick(r, 0); s != nil {
+			t.Errorf("it went to %s", s.ID)
+		}
+	})
+	t.Run("an over-share tenant waits behind", func(t *testing.T) {
+		b := fleet(1, func(t *Terms) { t.Tenants = []Tenant{{"x", 0.5}, {"y", 0.5}} })
+		b.rate.n, b.served[0].n, b.served[1].n = 10, 8, 2
+		x, y := &req{rules: &b.t.RuleSets[0]}, &req{rules: &b.t.RuleSets[0], tenant: 1}
+		if b.value(x, 0) >= b.value(y, 0) {
+			t.Errorf("got %.2f for x, %.2f for y", b.value(x, 0), b.value(y, 0))
+		}
+	})
+}
+
+func TestListIsAskedAgain(t *testing.T) {
+	ask := func(t *Terms) { t.MustAsk, t.AskWithin = true, 10*sec }
+	b := fleet(1, ask)
+	if b.Alarm(); len(pull(b, sec, Watch)) != 1 {
+		t.Fatal("the list is not asked for at the start")
+	}
+	b.Listed(Whole, []Server{{ID: "a"}}, 2*sec)
+	if b.Alarm(); len(pull(b, 60*sec, Watch)) != 0 {
+		t.Error("a subscribed instance asked again")
+	}
+	for range 5 {
+		b.Listed(Unavailable, nil, 60*sec)
+		if wait := b.askAt - 60*sec; wait <= 0 || wait > 5*sec {
+			t.Errorf("asked again after %d ms", wait/ms)
+		}
+	}
+	if b.Alarm(); len(pull(b, 65*sec, Watch)) != 1 {
+		t.Error("a failed call is not repeated")
+	}
+	if b.Alarm(); len(pull(b, 71*sec, Watch)) != 1 {
+		t.Error("a call that was never answered is not repeated")
+	}
+}
