--- a/balance/balance.go
+++ b/balance/balance.go
@@ -469,7 +469,7 @@
 	if b.canDeny(r) {
 		d.Kind = Deny
 		if b.t.Advise {
-			d.Time = min(b.t.MaxAdvice, r.rules.ResponseTarget/2)
+			d.Time = min(b.t.MaxAdvice, r.rules.ResponseTarget/5)
 		}
 	}
 	b.do(d)
