--- a/balance/balance.go
+++ b/balance/balance.go
@@ -201,12 +201,12 @@
 		s.failed()
 	case TimedOut:
 		// A server that answers others meanwhile is slow or crowded, not dead: overload ejects nobody.
-		if s.answered <= d.sent {
+		s.measure(took, d.rank)
+		if s.answered > d.sent {
+			s.learn(false)
+		} else {
 			s.failed()
-			return
 		}
-		s.measure(took, d.rank)
-		s.learn(false)
 	case Refused: // back-pressure
 		s.answered = now
 		s.full = now + max(20*ms, int64(s.unit))
