--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,7 +27,7 @@
 	skipOver    = 1.6  // a server is skipped past this multiple of its share of what is in flight,
 	skipSlack   = 2.0  // and this many dispatches more
 	aimShare    = 0.14 // part of the response target that a server's own in-flight may fill
-	flightShare = 0.22 // part of the response target whose worth of answers may be in flight
+	flightShare = 0.3 // part of the response target whose worth of answers may be in flight
 	spill       = 3    // servers of its own rank order that a req may go to
 	holdShare   = 0.08 // part of the response target that a req may be held
 	newcomer    = 2.0  // in-flight cap of a server that is not known to be cold, until it has answered
@@ -85,7 +85,7 @@
 	asks     int
 	inflight int
 	unit     float64 // typical time for each place in flight at a server of listed size 1
-	rate     decayed // dispatches
+	rate     decayed // answers
 	begun    int64
 	served   []decayed // dispatches of each tenant
 
@@ -188,6 +188,7 @@
 	switch o {
 	case Served:
 		s.answered = now
+		b.rate.n = b.rate.now(now) + 1
 		s.measure(took, d.rank)
 		s.grow += 0.5
 		if s.streak = 0; s.health > recovered {
@@ -552,11 +553,12 @@
 	return nil
 }
 
-// bound is what may be in flight: dispatches a second times a part of the response target. It guards
+// bound is what may be in flight: answers a second times a part of the response target. It guards
 // against many balancers that crowd every server at once, each with little there.
 func (b *Balancer) bound(r *req, now int64) float64 {
 	span := min(tenantSpan*float64(sec), float64(max(now-b.begun, sec/10)))
-	return 2 + float64(len(b.servers))/8 + b.rate.now(now)*flightShare*float64(r.rules.ResponseTarget)/span
+	n := float64(len(b.servers))
+	return max(1, min(2+n/8, 1.5*n/float64(max(1, b.t.Copies)))) + b.rate.now(now)*flightShare*float64(r.rules.ResponseTarget)/span
 }
 
 // room says whether a server may take one more: bounded by rate times time as measured, by its share
@@ -587,7 +589,6 @@
 	d.rank = float64(len(s.out))
 	b.inflight++
 	s.spent++
-	b.rate.n = b.rate.now(now) + 1
 	if r.tenant >= 0 {
 		b.served[r.tenant].n = b.served[r.tenant].now(now) + 1
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -330,7 +330,11 @@
 	t.Run("what is in flight is bounded by rate times time", func(t *testing.T) {
 		b := fleet(8, nil)
 		b.rate.n, b.rate.at = 100*tenantSpan, 10*sec
-		near(t, "bound", b.bound(take(b, 1, "again", "k"), 10*sec), 3+100*flightShare, 1e-9)
+		r := take(b, 1, "again", "k")
+		for copies, least := range map[int]float64{1: 3, 8: 1.5, 80: 1} {
+			b.t.Copies = copies
+			near(t, fmt.Sprint("bound of ", copies), b.bound(r, 10*sec), least+100*flightShare, 1e-9)
+		}
 	})
 	t.Run("a req goes no further down its rank order than spill", func(t *testing.T) {
 		b := fleet(8, nil)
--- a/balance/types.go
+++ b/balance/types.go
@@ -45,6 +45,7 @@
 	RuleSets      []RuleSet
 	Tenants       []Tenant
 	ValuePerWork  bool // billing value counts per unit of work, not per req
+	Copies        int  // balancers of this fleet
 	MaxDispatches int
 	Parallel      bool // a second dispatch may be out at the same time
 	CanCancel     bool
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -347,6 +347,7 @@
 	t := balance.Terms{
 		Seed: f.id("Prng"), Zone: f.at["Zone"],
 		ValuePerWork:  f.at["BillingValuePer"] == "work",
+		Copies:        int(f.int("FleetSize")),
 		MaxDispatches: int(f.int("Ceilings.MaxDispatches")),
 		Parallel:      f.bool("Ceilings.ParallelTries"), CanCancel: f.bool("Ceilings.Cancel"),
 		Advise:    f.bool("Ceilings.RetryAfter"),
