--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,7 +27,7 @@
 	skipOver    = 1.6  // a server is skipped past this multiple of its share of what is in flight,
 	skipSlack   = 2.0  // and this many dispatches more
 	aimShare    = 0.14 // part of the response target that a server's own in-flight may fill
-	flightShare = 0.3 // part of the response target whose worth of answers may be in flight
+	flightShare = 0.3  // part of the response target whose worth of answers may be in flight
 	spill       = 3    // servers of its own rank order that a req may go to
 	holdShare   = 0.08 // part of the response target that a req may be held
 	newcomer    = 2.0  // in-flight cap of a server that is not known to be cold, until it has answered
@@ -438,13 +438,10 @@
 
 // serve decides on one req and says when it is to be looked at again.
 func (b *Balancer) serve(r *req, now int64) int64 {
-	if r.streaming {
-		return math.MaxInt64
-	}
-	if now >= r.giveUp {
+	if now >= r.giveUp && !r.streaming {
 		b.finish(r)
 	}
-	if r.ended {
+	if r.ended || r.streaming {
 		return math.MaxInt64
 	}
 	if r.outs == 0 || r.outs == 1 && r.sends[len(r.sends)-1].srv.ejected {
@@ -558,7 +555,8 @@
 func (b *Balancer) bound(r *req, now int64) float64 {
 	span := min(tenantSpan*float64(sec), float64(max(now-b.begun, sec/10)))
 	n := float64(len(b.servers))
-	return max(1, min(2+n/8, 1.5*n/float64(max(1, b.t.Copies)))) + b.rate.now(now)*flightShare*float64(r.rules.ResponseTarget)/span
+	least := max(1, min(2+n/8, 1.5*n/float64(max(1, b.t.Copies))))
+	return least + b.rate.now(now)*flightShare*float64(r.rules.ResponseTarget)/span
 }
 
 // room says whether a server may take one more: bounded by rate times time as measured, by its share
