--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,6 +31,7 @@
 	spill       = 3    // servers of its own rank order that a req may go to
 	holdShare   = 0.08 // part of the response target that a req may be held
 	newcomer    = 2.0  // in-flight cap of a server that is not known to be cold, until it has answered
+	coldShare   = 1.6  // times the mean rate at warm servers that a cold one may get, by its warmth
 	nearer      = 70.0 // times the price of crossing zones: extra weight of a server in the own zone
 	quiet       = 3.0  // typical answer times without an answer after which a server counts as silent
 	tenantSpan  = 4.0  // seconds over which rates are remembered
@@ -572,7 +573,7 @@
 	}
 	// All balancers together must not push over a cold server: each sends it no more than its own
 	// mean rate at warm servers, scaled down by how warm it is.
-	rate := max(0.1, share*b.rate.now(now)/tenantSpan)
+	rate := max(0.1, coldShare*share*b.rate.now(now)/tenantSpan)
 	s.spent = max(0, s.spent-rate*float64(now-s.spentAt)/float64(sec))
 	s.spentAt = now
 	return s.spent < 1
