--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,6 +27,7 @@
 	skipOver    = 1.6  // a server is skipped past this multiple of its share of what is in flight,
 	skipSlack   = 2.0  // and this many dispatches more
 	aimShare    = 0.14 // part of the response target that a server's own in-flight may fill
+	leastShare  = 1.5  // servers for each balancer times this may always be in flight,
 	flightShare = 0.3  // part of the response target whose worth of answers may be in flight
 	spill       = 3    // servers of its own rank order that a req may go to
 	holdShare   = 0.08 // part of the response target that a req may be held
@@ -556,7 +557,7 @@
 func (b *Balancer) bound(r *req, now int64) float64 {
 	span := min(tenantSpan*float64(sec), float64(max(now-b.begun, sec/10)))
 	n := float64(len(b.servers))
-	least := max(1, min(2+n/8, 1.5*n/float64(max(1, b.t.Copies))))
+	least := max(1, leastShare*n/float64(max(1, b.t.Copies)))
 	return least + b.rate.now(now)*flightShare*float64(r.rules.ResponseTarget)/span
 }
 
