--- a/balance/balance.go
+++ b/balance/balance.go
@@ -76,20 +76,20 @@
 
 // Balancer is one instance.
 type Balancer struct {
-	t        Terms
-	reqs     map[uint64]*req // emptied when a req has ended and nothing of it is out
-	open     []*req          // in order of arrival; emptied by sweep
-	servers  []*server       // by ID; emptied by forget
-	todo     []Decision      // emptied by Next
-	draws    uint64
-	askAt    int64 // when the list is to be asked again; 0: subscribed
-	wake     int64
-	asks     int
-	inflight int
-	unit     float64 // typical time for each place in flight at a server of listed size 1
-	rate     decayed // answers
-	begun    int64
-	served   []decayed // dispatches of each tenant
+	t                 Terms
+	reqs              map[uint64]*req // emptied when a req has ended and nothing of it is out
+	open              []*req          // in order of arrival; emptied by sweep
+	servers           []*server       // by ID; emptied by forget
+	todo              []Decision      // emptied by Next
+	draws             uint64
+	askAt             int64 // when the list is to be asked again; 0: subscribed
+	wake              int64
+	asks              int
+	inflight, healthy int
+	unit              float64 // typical time for each place in flight at a server of listed size 1
+	rate              decayed // answers
+	begun             int64
+	served            []decayed // dispatches of each tenant
 
 	planned, dazed bool
 }
@@ -431,6 +431,7 @@
 			s.silent = false
 		}
 	}
+	b.healthy = healthy
 	if dazed := usable > 0 && healthy == 0; dazed != b.dazed {
 		b.dazed = dazed
 		b.log("dazed %v: %d of %d servers healthy", dazed, healthy, usable)
@@ -556,8 +557,7 @@
 // against many balancers that crowd every server at once, each with little there.
 func (b *Balancer) bound(r *req, now int64) float64 {
 	span := min(tenantSpan*float64(sec), float64(max(now-b.begun, sec/10)))
-	n := float64(len(b.servers))
-	least := max(1, leastShare*n/float64(max(1, b.t.Copies)))
+	least := max(1, leastShare*float64(b.healthy)/float64(max(1, b.t.Copies)))
 	return least + b.rate.now(now)*flightShare*float64(r.rules.ResponseTarget)/span
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -328,7 +328,9 @@
 		}
 	})
 	t.Run("what is in flight is bounded by rate times time", func(t *testing.T) {
-		b := fleet(8, nil)
+		b := fleet(9, nil)
+		b.servers[0].ejected, b.servers[0].until = true, sec
+		b.tend(0)
 		b.rate.n, b.rate.at = 100*tenantSpan, 10*sec
 		r := take(b, 1, "again", "k")
 		for copies, least := range map[int]float64{2: 4 * leastShare, 8: leastShare, 80: 1} {
