--- a/balance/balance.go
+++ b/balance/balance.go
@@ -155,7 +155,7 @@
 }
 
 // Alarm tells that a Wake is due.
-func (b *Balancer) Alarm() { b.planned, b.wake = false, 0 }
+func (b *Balancer) Alarm() { b.planned = false }
 
 // drop forgets a req that has ended and has nothing out.
 func (b *Balancer) drop(r *req) {
@@ -358,7 +358,7 @@
 	}
 	if len(b.sweep()) > 0 || next < math.MaxInt64 {
 		next = max(next, now+b.t.Tick)
-		if b.wake == 0 || next < b.wake {
+		if b.wake <= now || next < b.wake {
 			b.wake = next
 			b.do(Decision{Kind: Wake, Time: next - now})
 		}
@@ -410,7 +410,7 @@
 		usable++
 		if s.ejected && now >= s.until {
 			// It comes back through the fresh host's cap, one failure away from the next ejection.
-			s.ejected, s.silent, s.streak, s.grow = false, false, streakLimit-1, 1
+			s.ejected, s.streak, s.grow = false, streakLimit-1, 1
 			b.log("returned %s: health %.2f", s.ID, s.health)
 		} else if !s.ejected && s.streak >= streakLimit {
 			b.eject(s, now)
@@ -421,14 +421,14 @@
 		}
 		healthy++
 		// A hang or a lost machine gives no sign but silence: nothing more is sent until it answers.
-		if len(s.out) > 0 && s.lat > 0 {
-			since := max(s.answered, s.out[0].sent)
-			limit := int64(max(quiet*s.lat, 0.25*float64(s.out[0].req.rules.ResponseTarget)))
+		// Started streams belong to their clients and may be quiet for long.
+		first := slices.IndexFunc(s.out, func(d *dispatch) bool { return !d.req.streaming })
+		if s.silent = false; first >= 0 && s.lat > 0 {
+			since := max(s.answered, s.out[first].sent)
+			limit := int64(max(quiet*s.lat, 0.25*float64(s.out[first].req.rules.ResponseTarget)))
 			if s.silent = now-since > limit; !s.silent {
 				next = min(next, since+limit+1)
 			}
-		} else if len(s.out) == 0 {
-			s.silent = false
 		}
 	}
 	b.healthy = healthy
@@ -448,7 +448,7 @@
 		return math.MaxInt64
 	}
 	if r.outs == 0 || r.outs == 1 && r.sends[len(r.sends)-1].srv.ejected {
-		// A replayable or uniqued req is not left to a silent server: a second dispatch goes out.
+		// A replayable or uniqued req is not left to an ejected server: a second dispatch goes out.
 		if s := b.pick(r, now); s != nil {
 			b.send(r, s, now)
 			return r.giveUp
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -216,6 +216,16 @@
 			t.Errorf("a new process is not its old one: %+v", s)
 		}
 	})
+	t.Run("a started stream is no silence", func(t *testing.T) {
+		b := fleet(1, nil)
+		s := b.servers[0]
+		s.lat = float64(100 * ms)
+		b.send(take(b, 1, "once", "k"), s, 0)
+		b.Started(1)
+		if b.tend(9 * sec); s.silent {
+			t.Error("a server that streams counts as silent")
+		}
+	})
 	t.Run("silence stops dispatches, an answer lifts it", func(t *testing.T) {
 		b := fleet(1, nil)
 		s := b.servers[0]
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -1,6 +1,7 @@
 package simwire
 
 import (
+	"bufio"
 	"strings"
 	"testing"
 )
@@ -43,3 +44,28 @@
 		})
 	}
 }
+
+func TestPanicBecomesException(t *testing.T) {
+	var out strings.Builder
+	a := &adapter{out: bufio.NewWriter(&out)}
+	a.guard("proxy-1", func() { panic("no\nserver") })
+	a.out.Flush()
+	if want := "EXCEPTION Who=proxy-1 Msg=no server\n"; out.String() != want {
+		t.Errorf("got %q, want %q", out.String(), want)
+	}
+}
+
+func TestRestartForgets(t *testing.T) {
+	begin, list, _ := strings.Cut(start, "LEDGER")
+	_, begin, _ = strings.Cut(begin, "\n")
+	in := start + "NEW_REQUEST Who=proxy-1 Call=9 Priority=r Entity=k BudgetNs=900000000\nFLUSH\n" +
+		"ROUND TsNs=2000 serial=2\nHALT Who=proxy-1\n" + begin + "LEDGER" + list +
+		"FINISHED Who=proxy-1 Call=9 Host=1.2.3.4:5 DoneFlag=0 Try=0 Reason=104 DurationNs=5\nFLUSH\n"
+	var out strings.Builder
+	if err := Run(strings.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	if _, second, _ := strings.Cut(out.String(), "ACK serial=1\n"); second != "ACK serial=2\n" {
+		t.Errorf("after a restart got:\n%s", second)
+	}
+}
