The order of held reqs weighs a tenant's excess by its third power

Cause: traffic beyond a share is worth a twentieth or a fifth, but only lost its place in proportion.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -387,7 +387,7 @@
 		v /= float64(r.Work)
 	}
 	if total := b.rate.now(now); r.tenant >= 0 && total > 1 && b.t.Tenants[r.tenant].Share > 0 {
-		v /= max(0.25, b.served[r.tenant].now(now)/(total*b.t.Tenants[r.tenant].Share))
+		v /= math.Pow(max(0.25, b.served[r.tenant].now(now)/(total*b.t.Tenants[r.tenant].Share)), 3)
 	}
 	return v
 }
