--- a/balance/balance.go
+++ b/balance/balance.go
@@ -203,9 +203,10 @@
 	case Reset, NoConnection:
 		s.failed()
 	case TimedOut:
-		// A server that answers others meanwhile is slow or crowded, not dead: overload ejects nobody.
+		// One that answers others meanwhile or is slow anyway is crowded, not dead: overload ejects nobody.
+		lat := s.lat
 		s.measure(took, d.rank)
-		if s.answered > d.sent {
+		if s.lat = lat; s.answered > d.sent || float64(took) < quiet*lat {
 			s.learn(false)
 		} else {
 			s.failed()
@@ -365,8 +366,7 @@
 	}
 }
 
-// sweep takes ended reqs off the open ones. What is still out for them is cancelled, as its answer
-// is worth nothing any more.
+// sweep takes ended reqs off the open ones and cancels what is out for them: it is worth nothing.
 func (b *Balancer) sweep() []*req {
 	b.open = slices.DeleteFunc(b.open, func(r *req) bool {
 		for _, d := range r.sends {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -204,6 +204,17 @@
 			t.Errorf("streak %d, health %.2f", s.streak, s.health)
 		}
 	})
+	t.Run("a time-out at a server that is slow anyway is no streak", func(t *testing.T) {
+		for lat, want := range map[int64]int{300 * ms: 1, 400 * ms: 0} {
+			b := fleet(1, nil)
+			s := b.servers[0]
+			s.lat, s.answered = float64(lat), 0
+			b.judge(s, &dispatch{req: take(b, 1, "once", "k"), srv: s, rank: 1, sent: ms}, TimedOut, sec, sec)
+			if s.streak != want || s.lat != float64(lat) {
+				t.Errorf("usually %d ms: streak %d, want %d", lat/ms, s.streak, want)
+			}
+		}
+	})
 	t.Run("newcomers start at the mean, restarts forget", func(t *testing.T) {
 		b := fleet(2, nil)
 		b.servers[0].health, b.servers[0].ejected, b.servers[0].spent = 0.4, true, 50
