Tidy-up; nothing is due while only started streams are open

A wake was set with no time due (an endless delay) when only started streams were open: now none is, with a test.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,11 +40,11 @@
 
 // dispatch is one attempt for a req.
 type dispatch struct {
-	req         *req
-	srv         *server
-	index, sent int64
-	rank        float64 // this balancer's dispatches at the server, itself counted
-	out, maybe  bool    // still out; may have run
+	req        *req
+	srv        *server
+	sent       int64
+	rank       float64 // this balancer's dispatches at the server, itself counted
+	out, maybe bool    // still out; may have run
 }
 
 // req is one request; it is dropped once it has ended and nothing of it is out.
@@ -61,35 +61,31 @@
 // server is what this balancer knows of one listed server; it is dropped when off the list and idle.
 type server struct {
 	Server
-	known                   bool // still on the list
-	health                  float64
-	streak, ejections       int
-	ejected, silent         bool
-	until                   int64       // end of the ejection
-	out                     []*dispatch // oldest first
-	answered, full, spentAt int64       // last answer; turned a req away until then
-	unit, lat               float64     // time for each place in flight, and of an answer; 0: not measured
-	grow                    float64     // in-flight cap that grows with answers
-	spent                   float64     // budget of a cold server, in reqs
-	cold, ready, score      float64     // part of its capacity by age; weight and score now
+	known, ejected, silent bool // known: still on the list
+	health                 float64
+	streak, ejections      int
+	until, answered        int64       // end of the ejection; last answer
+	full, spentAt          int64       // turned a req away until then; when spent was brought up to date
+	out                    []*dispatch // oldest first
+	unit, lat              float64     // time for each place in flight, and of an answer; 0: not measured
+	grow, spent            float64     // in-flight cap that grows with answers; budget of a cold server, in reqs
+	cold, ready, score     float64     // part of its capacity by age; weight and score now
 }
 
 // Balancer is one instance.
 type Balancer struct {
-	t                 Terms
-	reqs              map[uint64]*req // emptied when a req has ended and nothing of it is out
-	open              []*req          // in order of arrival; emptied by sweep
-	servers           []*server       // by ID; emptied by forget
-	todo              []Decision      // emptied by Next
-	draws             uint64
-	askAt             int64 // when the list is to be asked again; 0: subscribed
-	wake              int64
-	asks              int
-	inflight, healthy int
-	unit              float64 // typical time for each place in flight at a server of listed size 1
-	rate              decayed // answers
-	begun             int64
-	served            []decayed // dispatches of each tenant
+	t                       Terms
+	reqs                    map[uint64]*req // emptied when a req has ended and nothing of it is out
+	open                    []*req          // in order of arrival; emptied by sweep
+	servers                 []*server       // by ID; emptied by forget
+	todo                    []Decision      // emptied by Next
+	draws                   uint64
+	askAt                   int64 // when the list is to be asked again; 0: subscribed
+	wake, begun             int64
+	asks, inflight, healthy int
+	unit                    float64   // typical time for each place in flight at a server of listed size 1
+	rate                    decayed   // answers
+	served                  []decayed // dispatches of each tenant
 
 	planned, dazed bool
 }
@@ -106,6 +102,8 @@
 	return d.n
 }
 
+func (d *decayed) add(now int64) { d.n = d.now(now) + 1 }
+
 // New makes an instance; the list follows as Listed(Restored).
 func New(t Terms, now int64) *Balancer {
 	b := &Balancer{t: t, reqs: map[uint64]*req{}, served: make([]decayed, len(t.Tenants)), begun: now}
@@ -128,8 +126,7 @@
 		r.rules = &b.t.RuleSets[i]
 	}
 	r.tenant = slices.IndexFunc(b.t.Tenants, func(x Tenant) bool { return x.Name == a.Tenant })
-	// What comes past the response target is worth little: the req ends before it, and always before
-	// its own budget is up.
+	// What comes past the response target is worth little: the req ends before it and before its budget.
 	r.giveUp = now + a.Budget
 	if r.rules.OverdueValue <= 0 {
 		r.giveUp = min(r.giveUp, now+r.rules.ResponseTarget)
@@ -190,8 +187,8 @@
 	switch o {
 	case Served:
 		s.answered = now
-		b.rate.n = b.rate.now(now) + 1
-		s.measure(took, d.rank)
+		b.rate.add(now)
+		s.unit, s.lat = s.follow(s.unit, float64(took)/d.rank), s.follow(s.lat, float64(took))
 		s.grow += 0.5
 		if s.streak = 0; s.health > recovered {
 			s.ejections = 0
@@ -204,9 +201,8 @@
 		s.failed()
 	case TimedOut:
 		// One that answers others meanwhile or is slow anyway is crowded, not dead: overload ejects nobody.
-		lat := s.lat
-		s.measure(took, d.rank)
-		if s.lat = lat; s.answered > d.sent || float64(took) < quiet*lat {
+		s.unit = s.follow(s.unit, float64(took)/d.rank)
+		if s.answered > d.sent || float64(took) < quiet*s.lat {
 			s.learn(false)
 		} else {
 			s.failed()
@@ -225,14 +221,12 @@
 	s.health = max(floor, s.health)
 }
 
-// measure keeps how long an answer takes, and how long for each place in flight (one over the rate).
-func (s *server) measure(took int64, rank float64) {
-	t, keep := float64(took), 0.9
+// follow moves a measured time towards the newest one; until the first answer the newest is all there is.
+func (s *server) follow(old, newest float64) float64 {
 	if s.lat == 0 {
-		keep = 0
+		return newest
 	}
-	s.lat = keep*s.lat + (1-keep)*t
-	s.unit = keep*s.unit + (1-keep)*t/rank
+	return 0.9*old + 0.1*newest
 }
 
 // failed counts a failure; tend ejects a server that has two in a row.
@@ -357,7 +351,8 @@
 	for _, r := range order {
 		next = min(next, b.serve(r, now))
 	}
-	if len(b.sweep()) > 0 || next < math.MaxInt64 {
+	b.sweep()
+	if next < math.MaxInt64 { // with only started streams nothing is due
 		next = max(next, now+b.t.Tick)
 		if b.wake <= now || next < b.wake {
 			b.wake = next
@@ -369,9 +364,9 @@
 // sweep takes ended reqs off the open ones and cancels what is out for them: it is worth nothing.
 func (b *Balancer) sweep() []*req {
 	b.open = slices.DeleteFunc(b.open, func(r *req) bool {
-		for _, d := range r.sends {
+		for i, d := range r.sends {
 			if r.ended && d.out && b.t.CanCancel && !r.streaming {
-				b.do(Decision{Kind: Cancel, Req: r.ID, Attempt: int(d.index)})
+				b.do(Decision{Kind: Cancel, Req: r.ID, Attempt: i})
 			}
 		}
 		return r.ended
@@ -394,7 +389,8 @@
 
 // tend looks after the servers: warmth, silence, the end of ejections, the dazed mode.
 func (b *Balancer) tend(now int64) int64 {
-	next, healthy, usable := int64(math.MaxInt64), 0, 0
+	next, usable := int64(math.MaxInt64), 0
+	b.healthy = 0
 	units, n := 0.0, 0.0
 	for _, s := range b.servers {
 		if s.unit > 0 {
@@ -419,7 +415,7 @@
 			next = min(next, s.until)
 			continue
 		}
-		healthy++
+		b.healthy++
 		// A hang or a lost machine gives no sign but silence: nothing more is sent until it answers.
 		// Started streams belong to their clients and may be quiet for long.
 		first := slices.IndexFunc(s.out, func(d *dispatch) bool { return !d.req.streaming })
@@ -431,10 +427,9 @@
 			}
 		}
 	}
-	b.healthy = healthy
-	if dazed := usable > 0 && healthy == 0; dazed != b.dazed {
+	if dazed := usable > 0 && b.healthy == 0; dazed != b.dazed {
 		b.dazed = dazed
-		b.log("dazed %v: %d of %d servers healthy", dazed, healthy, usable)
+		b.log("dazed %v: %d of %d servers healthy", dazed, b.healthy, usable)
 	}
 	return next
 }
@@ -492,12 +487,15 @@
 // allowed says whether the req may go to this server without taking effect twice.
 func (r *req) allowed(s *server, now int64) bool {
 	for _, d := range r.sends {
-		if !d.maybe || r.rules.Effect == Replayable && (!d.out || d.srv != s) {
+		if d.out && d.srv == s {
+			return false
+		}
+		if !d.maybe || r.rules.Effect == Replayable {
 			continue
 		}
 		same := r.rules.Group == GroupAll || d.srv.Zone == s.Zone &&
 			(r.rules.Group == GroupZone || d.srv.Cell == s.Cell)
-		if r.rules.Effect != Uniqued || !same || now >= d.sent+r.rules.Window || d.out && d.srv == s {
+		if r.rules.Effect == NonReplayable || !same || now >= d.sent+r.rules.Window {
 			return false
 		}
 	}
@@ -569,8 +567,11 @@
 	if s.unit > 0 {
 		limit = min(limit, max(1, aimShare*float64(r.rules.ResponseTarget)/s.unit))
 	}
-	if now < s.full || float64(len(s.out)) >= limit || s.cold >= 1 {
-		return now >= s.full && float64(len(s.out)) < limit
+	if now < s.full || float64(len(s.out)) >= limit {
+		return false
+	}
+	if s.cold >= 1 {
+		return true
 	}
 	// All balancers together must not push over a cold server: each sends it no more than its own
 	// mean rate at warm servers, scaled down by how warm it is.
@@ -582,7 +583,7 @@
 
 // send dispatches a req.
 func (b *Balancer) send(r *req, s *server, now int64) {
-	d := &dispatch{req: r, srv: s, index: int64(len(r.sends)), sent: now, out: true, maybe: true}
+	d := &dispatch{req: r, srv: s, sent: now, out: true, maybe: true}
 	r.sends = append(r.sends, d)
 	r.outs++
 	s.out = append(s.out, d)
@@ -590,7 +591,7 @@
 	b.inflight++
 	s.spent++
 	if r.tenant >= 0 {
-		b.served[r.tenant].n = b.served[r.tenant].now(now) + 1
+		b.served[r.tenant].add(now)
 	}
 	b.do(Decision{Kind: Dispatch, Req: r.ID, Server: s.ID, Time: r.giveUp})
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -227,6 +227,14 @@
 			t.Errorf("a new process is not its old one: %+v", s)
 		}
 	})
+	t.Run("with only a started stream open nothing is due", func(t *testing.T) {
+		b := fleet(1, nil)
+		b.send(take(b, 1, "once", "k"), b.servers[0], 0)
+		b.Started(1)
+		if got := pull(b, sec, Wake); len(got) != 0 {
+			t.Errorf("got %v", got)
+		}
+	})
 	t.Run("a started stream is no silence", func(t *testing.T) {
 		b := fleet(1, nil)
 		s := b.servers[0]
--- a/balance/types.go
+++ b/balance/types.go
@@ -27,7 +27,6 @@
 	Group          Group
 	Window         int64
 	ResponseTarget int64
-	ClientTimeout  int64
 	BillingValue   float64
 	OverdueValue   float64 // share of the billing value that is left past the response target
 }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -26,8 +26,7 @@
 	serial    string
 	instances map[string]*balance.Balancer // emptied by HALT
 	touched   []string                     // instances with an event in this batch; emptied by FLUSH
-	lists     [16][]balance.Server         // replaced by the next list of that number
-	listed    [16]bool
+	lists     [16][]balance.Server         // nil until sent, replaced by the next list of that number
 }
 
 // Run serves the wire until its input ends. The error names the line that could not be read.
@@ -172,6 +171,7 @@
 // tell hands one event to its instance.
 func (a *adapter) tell(name, who string, b *balance.Balancer, f *fields) error {
 	form, list := balance.Unavailable, []balance.Server(nil)
+	var id uint64
 	switch name {
 	case "DIRECTORY_UPDATE":
 		var ok bool
@@ -182,12 +182,13 @@
 		}
 		if form != balance.Unavailable {
 			n := f.id("Ref")
-			if f.err == nil && (n >= uint64(len(a.lists)) || !a.listed[n]) {
-				return fmt.Errorf("Ref=%d: expected a list that was sent", n)
+			if f.err != nil {
+				return f.err
 			}
-			if f.err == nil {
-				list = a.lists[n]
+			if n >= uint64(len(a.lists)) || a.lists[n] == nil {
+				return fmt.Errorf("Ref=%d: expected a list that was sent", n)
 			}
+			list = a.lists[n]
 		}
 	case "HALT":
 		delete(a.instances, who)
@@ -204,17 +205,16 @@
 	case "PROBED":
 		f.id("Reason")
 	case "NEW_REQUEST", "WITHDRAWN", "FINISHED", "STARTED":
-		f.id("Call")
-		f.int("Try")
+		id = f.id("Call")
 		if name == "FINISHED" {
 			f.id("Reason")
 		}
 	}
-	budget, work, took, final := f.int("BudgetNs"), f.int("CostGuessNs"), f.int("DurationNs"), f.bool("DoneFlag")
+	budget, work, took := f.int("BudgetNs"), f.int("CostGuessNs"), f.int("DurationNs")
+	try, final := int(f.int("Try")), f.bool("DoneFlag")
 	if f.err != nil {
 		return f.err
 	}
-	id, try := uint64(f.int("Call")), int(f.int("Try"))
 	a.guard(who, func() {
 		switch name {
 		case "NEW_REQUEST":
@@ -254,7 +254,7 @@
 	if n >= uint64(len(a.lists)) {
 		return fmt.Errorf("Ref=%d: expected a list number from 0 to 15", n)
 	}
-	var list []balance.Server
+	list := []balance.Server{}
 	for range count {
 		text, err := a.next()
 		if errors.Is(err, io.EOF) {
@@ -278,7 +278,7 @@
 			return h.err
 		}
 	}
-	a.lists[n], a.listed[n] = list, true
+	a.lists[n] = list
 	return nil
 }
 
@@ -370,8 +370,7 @@
 		}
 		t.RuleSets = append(t.RuleSets, balance.RuleSet{Name: f.at[p+"Name"], Effect: effect, Group: group,
 			Window: f.int(p + "WindowNs"), ResponseTarget: f.int(p + "ResponseTargetNs"),
-			ClientTimeout: f.int(p + "ClientTimeoutNs"), BillingValue: f.float(p + "BillingValue"),
-			OverdueValue: f.float(p + "OverdueBillingValue")})
+			BillingValue: f.float(p + "BillingValue"), OverdueValue: f.float(p + "OverdueBillingValue")})
 	}
 	for i := range f.int("Tenants.count") {
 		p := fmt.Sprintf("Tenants.%d.", i)
