--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"ivybank/draw"
+	"ivybank/fade"
 )
 
 const (
@@ -24,18 +25,19 @@
 	mostBackoff  = 30 * sec
 	recovered    = 0.9 // health at which a server's backoff starts anew
 
-	skipOver    = 1.6  // a server is skipped past this multiple of its share of what is in flight,
-	skipSlack   = 2.0  // and this many dispatches more
-	aimShare    = 0.14 // part of the response target that a server's own in-flight may fill
-	leastShare  = 1.5  // servers for each balancer times this may always be in flight,
-	flightShare = 0.3  // part of the response target whose worth of answers may be in flight
-	spill       = 3    // servers of its own rank order that a req may go to
-	holdShare   = 0.08 // part of the response target that a req may be held
-	newcomer    = 2.0  // in-flight cap of a server that is not known to be cold, until it has answered
-	coldShare   = 1.6  // times the mean rate at warm servers that a cold one may get, by its warmth
-	nearer      = 70.0 // times the price of crossing zones: extra weight of a server in the own zone
-	quiet       = 3.0  // typical answer times without an answer after which a server counts as silent
-	tenantSpan  = 4.0  // seconds over which rates are remembered
+	skipOver    = 1.6     // a server is skipped past this multiple of its share of what is in flight,
+	skipSlack   = 2.0     // and this many dispatches more
+	aimShare    = 0.14    // part of the response target that a server's own in-flight may fill
+	leastShare  = 1.5     // servers for each balancer times this may always be in flight,
+	flightShare = 0.3     // part of the response target whose worth of answers may be in flight
+	spill       = 3       // servers of its own rank order that a req may go to
+	holdShare   = 0.08    // part of the response target that a req may be held
+	newcomer    = 2.0     // in-flight cap of a server that is not known to be cold, until it has answered
+	coldShare   = 1.6     // times the mean rate at warm servers that a cold one may get, by its warmth
+	nearer      = 70.0    // times the price of crossing zones: extra weight of a server in the own zone
+	quiet       = 3.0     // typical answer times without an answer after which a server counts as silent
+	span        = 4 * sec // over which rates are remembered
+	askApart    = 5e6     // time between first calls for the list, for each balancer
 )
 
 // dispatch is one attempt for a req.
@@ -83,32 +85,19 @@
 	askAt                   int64 // when the list is to be asked again; 0: subscribed
 	wake, begun             int64
 	asks, inflight, healthy int
-	unit                    float64   // typical time for each place in flight at a server of listed size 1
-	rate                    decayed   // answers
-	served                  []decayed // dispatches of each tenant
-
-	planned, dazed bool
-}
-
-// decayed is a count that fades over tenantSpan.
-type decayed struct {
-	n  float64
-	at int64
+	unit                    float64      // typical time for each place in flight at a server of listed size 1
+	rate                    fade.Count   // answers
+	served                  []fade.Count // dispatches of each tenant
+	planned, dazed          bool
 }
 
-func (d *decayed) now(now int64) float64 {
-	d.n *= math.Exp(-float64(now-d.at) / (tenantSpan * float64(sec)))
-	d.at = now
-	return d.n
-}
-
-func (d *decayed) add(now int64) { d.n = d.now(now) + 1 }
-
 // New makes an instance; the list follows as Listed(Restored).
 func New(t Terms, now int64) *Balancer {
-	b := &Balancer{t: t, reqs: map[uint64]*req{}, served: make([]decayed, len(t.Tenants)), begun: now}
+	b := &Balancer{t: t, reqs: map[uint64]*req{}, served: make([]fade.Count, len(t.Tenants)), begun: now}
 	if t.MustAsk {
-		b.askAt = now + 1 + int64(b.chance()*0.3*float64(sec)) // apart from its siblings
+		// Apart from its siblings, as the list service is small, but well before it is deemed told.
+		apart := min(0.3*float64(sec)+askApart*float64(t.Copies), float64(t.AskWithin)/2)
+		b.askAt = now + 1 + int64(b.chance()*apart)
 	}
 	return b
 }
@@ -187,7 +176,7 @@
 	switch o {
 	case Served:
 		s.answered = now
-		b.rate.add(now)
+		b.rate.Add(now, span)
 		s.unit, s.lat = s.follow(s.unit, float64(took)/d.rank), s.follow(s.lat, float64(took))
 		s.grow += 0.5
 		if s.streak = 0; s.health > recovered {
@@ -286,7 +275,9 @@
 			fresh.health = sum / n
 		}
 		if b.warmth(e, now) < 1 {
-			fresh.grow = 1
+			// Hundreds of balancers hear of it together: each has to save up for its first dispatch there,
+			// from a point of its own, or their first ones alone would push it over.
+			fresh.grow, fresh.spent, fresh.spentAt = 1, 1+b.chance(), now
 		}
 		if had {
 			fresh.out = b.servers[i].out
@@ -381,8 +372,8 @@
 	if !b.t.ValuePerWork && r.Work > 0 {
 		v /= float64(r.Work)
 	}
-	if total := b.rate.now(now); r.tenant >= 0 && total > 1 && b.t.Tenants[r.tenant].Share > 0 {
-		v /= math.Pow(max(0.25, b.served[r.tenant].now(now)/(total*b.t.Tenants[r.tenant].Share)), 3)
+	if total := b.rate.Now(now, span); r.tenant >= 0 && total > 1 && b.t.Tenants[r.tenant].Share > 0 {
+		v /= math.Pow(max(0.25, b.served[r.tenant].Now(now, span)/(total*b.t.Tenants[r.tenant].Share)), 3)
 	}
 	return v
 }
@@ -554,9 +545,9 @@
 // bound is what may be in flight: answers a second times a part of the response target. It guards
 // against many balancers that crowd every server at once, each with little there.
 func (b *Balancer) bound(r *req, now int64) float64 {
-	span := min(tenantSpan*float64(sec), float64(max(now-b.begun, sec/10)))
+	past := min(span, max(now-b.begun, sec/10))
 	least := max(1, leastShare*float64(b.healthy)/float64(max(1, b.t.Copies)))
-	return least + b.rate.now(now)*flightShare*float64(r.rules.ResponseTarget)/span
+	return least + b.rate.Now(now, span)*flightShare*float64(r.rules.ResponseTarget)/float64(past)
 }
 
 // room says whether a server may take one more: bounded by rate times time as measured, by its share
@@ -575,7 +566,7 @@
 	}
 	// All balancers together must not push over a cold server: each sends it no more than its own
 	// mean rate at warm servers, scaled down by how warm it is.
-	rate := max(0.1, coldShare*share*b.rate.now(now)/tenantSpan)
+	rate := coldShare * share * b.rate.Now(now, span) * float64(sec) / float64(span)
 	s.spent = max(0, s.spent-rate*float64(now-s.spentAt)/float64(sec))
 	s.spentAt = now
 	return s.spent < 1
@@ -591,7 +582,7 @@
 	b.inflight++
 	s.spent++
 	if r.tenant >= 0 {
-		b.served[r.tenant].add(now)
+		b.served[r.tenant].Add(now, span)
 	}
 	b.do(Decision{Kind: Dispatch, Req: r.ID, Server: s.ID, Time: r.giveUp})
 }
