--- a/balance/balance.go
+++ b/balance/balance.go
@@ -515,7 +515,7 @@
 	}
 	ranked := make([]*server, 0, len(b.servers))
 	for _, s := range b.servers {
-		if s.ready == 0 || !r.allowed(s, now) {
+		if s.ready == 0 || !r.allowed(s, now) || !b.afford(s, s.ready/total, now) {
 			continue
 		}
 		w := s.health * s.ready
@@ -550,22 +550,23 @@
 	return least + b.rate.Now(now, span)*flightShare*float64(r.rules.ResponseTarget)/float64(past)
 }
 
-// room says whether a server may take one more: bounded by rate times time as measured, by its share
-// of what is in flight, and for a cold one by this balancer's share of its budget.
+// room says whether a server may take one more: bounded by rate times time as measured and by its share
+// of what is in flight.
 func (b *Balancer) room(s *server, r *req, total float64, now int64) bool {
 	share := s.ready / total
 	limit := min(s.grow, skipOver*share*float64(b.inflight+1)+skipSlack)
 	if s.unit > 0 {
 		limit = min(limit, max(1, aimShare*float64(r.rules.ResponseTarget)/s.unit))
 	}
-	if now < s.full || float64(len(s.out)) >= limit {
-		return false
-	}
+	return now >= s.full && float64(len(s.out)) < limit
+}
+
+// afford says whether a cold server's budget leaves room. All balancers together must not push it over:
+// each sends it no more than its own mean rate at warm servers, scaled down by how warm it is.
+func (b *Balancer) afford(s *server, share float64, now int64) bool {
 	if s.cold >= 1 {
 		return true
 	}
-	// All balancers together must not push over a cold server: each sends it no more than its own
-	// mean rate at warm servers, scaled down by how warm it is.
 	rate := coldShare * share * b.rate.Now(now, span) * float64(sec) / float64(span)
 	s.spent = max(0, s.spent-rate*float64(now-s.spentAt)/float64(sec))
 	s.spentAt = now
