A cold server draws by req where balancers outnumber servers; no floor under its budget

Cause: each of hundreds of balancers may send a cold server one req at once and 0.1 a second more, and a popular key brings all of them together.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -275,9 +275,7 @@
 			fresh.health = sum / n
 		}
 		if b.warmth(e, now) < 1 {
-			// Hundreds of balancers hear of it together: each has to save up for its first dispatch there,
-			// from a point of its own, or their first ones alone would push it over.
-			fresh.grow, fresh.spent, fresh.spentAt = 1, 1+b.chance(), now
+			fresh.grow = 1
 		}
 		if had {
 			fresh.out = b.servers[i].out
@@ -502,7 +500,7 @@
 	if key == "" {
 		key = fmt.Sprint(b.chance())
 	}
-	total := 0.0
+	lot, total := fmt.Sprint(r.ID), 0.0
 	for _, s := range b.servers {
 		s.ready = 0
 		if s.known && s.State == Running && (b.dazed || !s.ejected && !s.silent) {
@@ -530,7 +528,13 @@
 				w *= 1e-9
 			}
 		}
-		s.score = -w / math.Log(draw.Hash(key, s.ID))
+		h := draw.Hash(key, s.ID)
+		if s.cold < 1 && b.t.Copies > len(b.servers) {
+			// Hundreds of balancers, each with a budget of less than one req, would push it over with one
+			// popular key: it gets its part of each key instead.
+			h = draw.Hash(lot, s.ID)
+		}
+		s.score = -w / math.Log(h)
 		ranked = append(ranked, s)
 	}
 	slices.SortStableFunc(ranked, func(x, y *server) int { return cmp.Compare(y.score, x.score) })
