--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,7 +37,11 @@
 	nearer      = 70.0    // times the price of crossing zones: extra weight of a server in the own zone
 	quiet       = 3.0     // typical answer times without an answer after which a server counts as silent
 	span        = 4 * sec // over which rates are remembered
-	askApart    = 5e6     // time between first calls for the list, for each balancer
+	calmLeast   = 2.0
+	jamFrom     = 0.2
+	jammed      = 0.5
+	jamAlpha    = 0.1
+	askApart    = 5e6 // time between first calls for the list, for each balancer
 )
 
 // dispatch is one attempt for a req.
@@ -58,6 +62,7 @@
 	sends            []*dispatch
 	tenant, outs     int
 	ended, streaming bool
+	luck             float64 // below 1
 }
 
 // server is what this balancer knows of one listed server; it is dropped when off the list and idle.
@@ -85,6 +90,7 @@
 	askAt                   int64 // when the list is to be asked again; 0: subscribed
 	wake, begun             int64
 	asks, inflight, healthy int
+	jam                     float64      // part of dispatches that time out of late
 	unit                    float64      // typical time for each place in flight at a server of listed size 1
 	rate                    fade.Count   // answers
 	served                  []fade.Count // dispatches of each tenant
@@ -121,6 +127,9 @@
 		r.giveUp = min(r.giveUp, now+r.rules.ResponseTarget)
 	}
 	r.giveUp -= 2 * b.t.Tick
+	if b.part() < 1 {
+		r.luck = b.chance()
+	}
 	b.reqs[a.ID] = r
 	b.open = append(b.open, r)
 }
@@ -173,6 +182,9 @@
 
 // judge lets an outcome speak on the server.
 func (b *Balancer) judge(s *server, d *dispatch, o Outcome, took, now int64) {
+	if b.jam *= 1 - jamAlpha; o == TimedOut {
+		b.jam += jamAlpha
+	}
 	switch o {
 	case Served:
 		s.answered = now
@@ -493,7 +505,7 @@
 
 // pick is the weighted rendezvous: of the servers that are not skipped, the one with the top score.
 func (b *Balancer) pick(r *req, now int64) *server {
-	if !b.canSend(r) || float64(b.inflight) >= b.bound(r, now) {
+	if !b.canSend(r) || float64(b.inflight)+r.luck >= b.bound(r, now) {
 		return nil
 	}
 	key := r.Key
@@ -550,10 +562,20 @@
 // against many balancers that crowd every server at once, each with little there.
 func (b *Balancer) bound(r *req, now int64) float64 {
 	past := min(span, max(now-b.begun, sec/10))
-	least := max(1, leastShare*float64(b.healthy)/float64(max(1, b.t.Copies)))
+	least := b.part()
+	if least < 1 {
+		// Hundreds of balancers with one dispatch each would be several for each server. While dispatches
+		// time out a balancer keeps fewer than one out on the mean: a req goes or waits by chance.
+		least += (calmLeast - least) * min(1, max(0, (jammed-b.jam)/(jammed-jamFrom)))
+	}
 	return least + b.rate.Now(now, span)*flightShare*float64(r.rules.ResponseTarget)/float64(past)
 }
 
+// part is this balancer's part of what may always be in flight.
+func (b *Balancer) part() float64 {
+	return leastShare * float64(b.healthy) / float64(max(1, b.t.Copies))
+}
+
 // room says whether a server may take one more: bounded by rate times time as measured and by its share
 // of what is in flight.
 func (b *Balancer) room(s *server, r *req, total float64, now int64) bool {
