--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,6 +1,6 @@
 // Package balance holds every decision of one instance. A host makes a Balancer with New, hands it
-// what happened (Req, Finished, Started, Withdrawn, Listed, Alarm: they only update what is
-// known), then calls Next(now) until it reports false and carries each Decision out. The clock is
+// what happened (Req, Finished, Started, Withdrawn, Listed: they only update what is known), then,
+// also when a Wake is due, calls Next(now) until it reports false and carries each Decision out. The clock is
 // the host's, in nanoseconds. The interface types stand in types.go, the reasons in docs/design.md.
 package balance
 
@@ -32,16 +32,16 @@
 	flightShare = 0.3     // part of the response target whose worth of answers may be in flight
 	spill       = 3       // servers of its own rank order that a req may go to
 	holdShare   = 0.08    // part of the response target that a req may be held
-	newcomer    = 2.0     // in-flight cap of a server that is not known to be cold, until it has answered
+	newcomer    = 2.0     // in-flight cap of a new server, until it has answered
 	coldShare   = 1.6     // times the mean rate at warm servers that a cold one may get, by its warmth
 	nearer      = 70.0    // times the price of crossing zones: extra weight of a server in the own zone
 	quiet       = 3.0     // typical answer times without an answer after which a server counts as silent
 	span        = 4 * sec // over which rates are remembered
-	calmLeast   = 2.0
-	jamFrom     = 0.2
-	jammed      = 0.5
-	jamAlpha    = 0.1
-	askApart    = 5e6 // time between first calls for the list, for each balancer
+	calmLeast   = 2.0     // what may always be in flight instead where that is below one and few time out
+	jammed      = 0.5     // part of dispatches that time out at which it has shrunk to its share
+	hedge       = 0.3     // part of the response target after which a second dispatch may go out,
+	cheapWaste  = 0.1     // where wasted work costs no more than this
+	askApart    = 5e6     // time that calls for the list are spread over, for each balancer
 )
 
 // dispatch is one attempt for a req.
@@ -62,10 +62,10 @@
 	sends            []*dispatch
 	tenant, outs     int
 	ended, streaming bool
-	luck             float64 // below 1
+	luck             float64 // a random number below 1
 }
 
-// server is what this balancer knows of one listed server; it is dropped when off the list and idle.
+// server is what this balancer knows of one listed server; tend drops it when off the list and idle.
 type server struct {
 	Server
 	known, ejected, silent bool // known: still on the list
@@ -79,43 +79,35 @@
 	cold, ready, score     float64     // part of its capacity by age; weight and score now
 }
 
-// Balancer is one instance.
-type Balancer struct {
-	t                       Terms
-	reqs                    map[uint64]*req // emptied when a req has ended and nothing of it is out
-	open                    []*req          // in order of arrival; emptied by sweep
-	servers                 []*server       // by ID; emptied by forget
-	todo                    []Decision      // emptied by Next
-	draws                   uint64
-	askAt                   int64 // when the list is to be asked again; 0: subscribed
-	wake, begun             int64
-	asks, inflight, healthy int
-	jam                     float64      // part of dispatches that time out of late
-	unit                    float64      // typical time for each place in flight at a server of listed size 1
-	rate                    fade.Count   // answers
-	served                  []fade.Count // dispatches of each tenant
-	planned, dazed          bool
+type Balancer struct { // one instance
+	t                 Terms
+	reqs              map[uint64]*req // emptied when a req has ended and nothing of it is out
+	open              []*req          // in order of arrival; emptied by sweep
+	servers           []*server       // by ID; emptied by tend
+	todo              []Decision      // emptied by Next
+	dice              draw.Dice
+	askAt             int64 // when the list is to be asked again; 0: subscribed
+	wake, begun       int64
+	inflight, healthy int
+	jam               float64      // part of dispatches that time out of late
+	unit              float64      // typical time for each place in flight at a server of listed size 1
+	rate              fade.Count   // answers
+	served            []fade.Count // dispatches of each tenant
+	planned, dazed    bool
 }
 
 // New makes an instance; the list follows as Listed(Restored).
 func New(t Terms, now int64) *Balancer {
 	b := &Balancer{t: t, reqs: map[uint64]*req{}, served: make([]fade.Count, len(t.Tenants)), begun: now}
+	b.dice.Seed = t.Seed
 	if t.MustAsk {
-		// Apart from its siblings, as the list service is small, but well before it is deemed told.
-		apart := min(0.3*float64(sec)+askApart*float64(t.Copies), float64(t.AskWithin)/2)
-		b.askAt = now + 1 + int64(b.chance()*apart)
+		b.askAt = now + 1 + int64(b.dice.Next()*b.apart())
 	}
 	return b
 }
 
-func (b *Balancer) chance() float64 {
-	b.draws++
-	return draw.Chance(b.t.Seed, b.draws)
-}
-
 // Req takes a req.
 func (b *Balancer) Req(a Arrival, now int64) {
-	b.planned = false
 	r := &req{Arrival: a, rules: &RuleSet{Effect: NonReplayable, ResponseTarget: a.Budget}, taken: now}
 	if i := slices.IndexFunc(b.t.RuleSets, func(x RuleSet) bool { return x.Name == a.RuleSet }); i >= 0 {
 		r.rules = &b.t.RuleSets[i]
@@ -127,9 +119,8 @@
 		r.giveUp = min(r.giveUp, now+r.rules.ResponseTarget)
 	}
 	r.giveUp -= 2 * b.t.Tick
-	if b.part() < 1 {
-		r.luck = b.chance()
-	}
+	r.luck = b.dice.Next()
+	r.Key = cmp.Or(r.Key, fmt.Sprint(r.luck)) // without a key chance decides
 	b.reqs[a.ID] = r
 	b.open = append(b.open, r)
 }
@@ -137,7 +128,7 @@
 // Withdrawn tells that a req has ended without the balancer.
 func (b *Balancer) Withdrawn(id uint64) {
 	if r := b.reqs[id]; r != nil {
-		b.planned, r.ended = false, true
+		r.ended = true
 		b.drop(r)
 	}
 }
@@ -145,13 +136,10 @@
 // Started tells that an answer streams to the client, which now owns the dispatch.
 func (b *Balancer) Started(id uint64) {
 	if r := b.reqs[id]; r != nil {
-		b.planned, r.streaming = false, true
+		r.streaming = true
 	}
 }
 
-// Alarm tells that a Wake is due.
-func (b *Balancer) Alarm() { b.planned = false }
-
 // drop forgets a req that has ended and has nothing out.
 func (b *Balancer) drop(r *req) {
 	if r.ended && r.outs == 0 {
@@ -167,7 +155,7 @@
 	}
 	d := r.sends[attempt]
 	s := d.srv
-	b.planned, d.out = false, false
+	d.out = false
 	r.outs--
 	b.inflight--
 	s.out = slices.DeleteFunc(s.out, func(x *dispatch) bool { return x == d })
@@ -177,13 +165,12 @@
 	if s.Since <= d.sent { // what was sent to an earlier process tells nothing of this one
 		b.judge(s, d, o, took, now)
 	}
-	b.forget()
 }
 
 // judge lets an outcome speak on the server.
 func (b *Balancer) judge(s *server, d *dispatch, o Outcome, took, now int64) {
-	if b.jam *= 1 - jamAlpha; o == TimedOut {
-		b.jam += jamAlpha
+	if b.jam *= 0.9; o == TimedOut {
+		b.jam += 0.1
 	}
 	switch o {
 	case Served:
@@ -238,7 +225,7 @@
 
 func (b *Balancer) eject(s *server, now int64) {
 	back := min(mostBackoff, firstBackoff<<min(s.ejections, 10))
-	back = int64(float64(back) * (1 + jitter*(2*b.chance()-1)))
+	back = int64(float64(back) * (1 + jitter*(2*b.dice.Next()-1)))
 	s.ejections++
 	s.ejected, s.until = true, now+back
 	b.log("ejected %s for %d ms: streak %d, health %.2f", s.ID, back/ms, s.streak, s.health)
@@ -250,17 +237,20 @@
 
 func byID(s *server, id string) int { return cmp.Compare(s.ID, id) }
 
-// Listed follows the list. An unavailable one is asked for again, later each time, so that drains
-// are always heard of in time and a weak list service is not pressed.
+// apart spreads calls for the list, as a service of fixed size serves all balancers, but keeps them well
+// within the time after which this one is deemed told.
+func (b *Balancer) apart() float64 {
+	return min(0.5*float64(sec)+askApart*float64(b.t.Copies), float64(b.t.AskWithin)/2)
+}
+
+// Listed follows the list. An unavailable one is asked for again.
 func (b *Balancer) Listed(form Form, entries []Server, now int64) {
-	b.planned = false
 	if form == Unavailable {
-		b.asks = min(b.asks+1, 3)
-		b.askAt = now + int64((0.3+b.chance())*0.25*float64(sec)*float64(int64(1)<<b.asks))
+		b.askAt = now + int64((0.5+b.dice.Next())*b.apart())
 		return
 	}
 	if form != Restored {
-		b.asks, b.askAt = 0, 0
+		b.askAt = 0
 	}
 	for _, s := range b.servers {
 		s.known = s.known && form == Changes
@@ -268,7 +258,6 @@
 	for _, e := range entries {
 		b.enter(e, now)
 	}
-	b.forget()
 }
 
 // enter takes one entry. A new server or a new process starts at the mean health of the others; what
@@ -286,9 +275,6 @@
 		if n > 0 {
 			fresh.health = sum / n
 		}
-		if b.warmth(e, now) < 1 {
-			fresh.grow = 1
-		}
 		if had {
 			fresh.out = b.servers[i].out
 			for _, d := range fresh.out {
@@ -313,18 +299,12 @@
 	return b.t.StartCapacity + (1-b.t.StartCapacity)*max(0, float64(now-e.Since)/float64(b.t.RampTime))
 }
 
-// forget drops servers that are off the list and have nothing out.
-func (b *Balancer) forget() {
-	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return !s.known && len(s.out) == 0 })
-}
-
 // Next gives the next decision; false when there is none.
 func (b *Balancer) Next(now int64) (Decision, bool) {
 	if !b.planned {
-		b.planned = true
 		b.plan(now)
 	}
-	if len(b.todo) == 0 {
+	if b.planned = len(b.todo) > 0; !b.planned {
 		return Decision{}, false
 	}
 	d := b.todo[0]
@@ -347,7 +327,6 @@
 	for _, r := range order {
 		r.value = b.value(r, now)
 	}
-	// The most valuable first, among equals the oldest.
 	slices.SortStableFunc(order, func(x, y *req) int { return cmp.Compare(y.value, x.value) })
 	for _, r := range order {
 		next = min(next, b.serve(r, now))
@@ -391,6 +370,7 @@
 // tend looks after the servers: warmth, silence, the end of ejections, the dazed mode.
 func (b *Balancer) tend(now int64) int64 {
 	next, usable := int64(math.MaxInt64), 0
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return !s.known && len(s.out) == 0 })
 	b.healthy = 0
 	units, n := 0.0, 0.0
 	for _, s := range b.servers {
@@ -443,15 +423,16 @@
 	if r.ended || r.streaming {
 		return math.MaxInt64
 	}
-	if r.outs == 0 || r.outs == 1 && r.sends[len(r.sends)-1].srv.ejected {
+	again := b.secondAt(r)
+	if r.outs == 0 || r.outs == 1 && (r.sends[len(r.sends)-1].srv.ejected || now >= again) {
 		// A replayable or uniqued req is not left to an ejected server: a second dispatch goes out.
 		if s := b.pick(r, now); s != nil {
 			b.send(r, s, now)
-			return r.giveUp
+			return min(r.giveUp, b.secondAt(r))
 		}
 	}
 	if r.outs > 0 {
-		return r.giveUp
+		return min(r.giveUp, max(again, now+4*b.t.Tick))
 	}
 	if now >= r.taken+int64(holdShare*float64(r.rules.ResponseTarget)) || !b.canSend(r) {
 		b.finish(r)
@@ -460,14 +441,21 @@
 	return now + b.t.Tick
 }
 
+// secondAt is when a second dispatch may join the one that is out: balancers that outnumber the servers know
+// too little of single ones to avoid the crowded, and where waste is cheap a copy finds a better one.
+func (b *Balancer) secondAt(r *req) int64 {
+	if r.outs != 1 || b.part() >= 1 || b.t.WastePrice > cheapWaste || !b.canSend(r) {
+		return math.MaxInt64
+	}
+	return r.sends[len(r.sends)-1].sent + int64(hedge*float64(r.rules.ResponseTarget))
+}
+
 // finish gives the final answer: a deny where that is harmless, an abort otherwise.
 func (b *Balancer) finish(r *req) {
 	d := Decision{Kind: Abort, Req: r.ID}
 	if b.canDeny(r) {
 		d.Kind = Deny
-		if b.t.Advise {
-			d.Time = min(b.t.MaxAdvice, r.rules.ResponseTarget/5)
-		}
+		d.Time = min(b.t.MaxAdvice, r.rules.ResponseTarget/5)
 	}
 	b.do(d)
 	r.ended = true
@@ -505,14 +493,10 @@
 
 // pick is the weighted rendezvous: of the servers that are not skipped, the one with the top score.
 func (b *Balancer) pick(r *req, now int64) *server {
-	if !b.canSend(r) || float64(b.inflight)+r.luck >= b.bound(r, now) {
+	if !b.canSend(r) || float64(b.inflight) >= b.bound(r, now) {
 		return nil
 	}
-	key := r.Key
-	if key == "" {
-		key = fmt.Sprint(b.chance())
-	}
-	lot, total := fmt.Sprint(r.ID), 0.0
+	total := 0.0
 	for _, s := range b.servers {
 		s.ready = 0
 		if s.known && s.State == Running && (b.dazed || !s.ejected && !s.silent) {
@@ -535,16 +519,14 @@
 		if b.dazed {
 			w = 1
 		}
-		for _, d := range r.sends { // a server that was tried is only better than none
-			if d.srv == s {
-				w *= 1e-9
-			}
+		if slices.ContainsFunc(r.sends, func(d *dispatch) bool { return d.srv == s }) {
+			w *= 1e-9 // one that was tried is only better than none
 		}
-		h := draw.Hash(key, s.ID)
+		h := draw.Hash(r.Key, s.ID)
 		if s.cold < 1 && b.t.Copies > len(b.servers) {
 			// Hundreds of balancers, each with a budget of less than one req, would push it over with one
 			// popular key: it gets its part of each key instead.
-			h = draw.Hash(lot, s.ID)
+			h = draw.Hash(fmt.Sprint(r.luck), s.ID)
 		}
 		s.score = -w / math.Log(h)
 		ranked = append(ranked, s)
@@ -566,7 +548,8 @@
 	if least < 1 {
 		// Hundreds of balancers with one dispatch each would be several for each server. While dispatches
 		// time out a balancer keeps fewer than one out on the mean: a req goes or waits by chance.
-		least += (calmLeast - least) * min(1, max(0, (jammed-b.jam)/(jammed-jamFrom)))
+		least += (calmLeast - least) * max(0, 1-math.Pow(b.jam/jammed, 2))
+		least -= r.luck
 	}
 	return least + b.rate.Now(now, span)*flightShare*float64(r.rules.ResponseTarget)/float64(past)
 }
@@ -576,14 +559,11 @@
 	return leastShare * float64(b.healthy) / float64(max(1, b.t.Copies))
 }
 
-// room says whether a server may take one more: bounded by rate times time as measured and by its share
-// of what is in flight.
+// room says whether a server may take one more: by rate times time, and by its share of what is in flight.
 func (b *Balancer) room(s *server, r *req, total float64, now int64) bool {
 	share := s.ready / total
 	limit := min(s.grow, skipOver*share*float64(b.inflight+1)+skipSlack)
-	if s.unit > 0 {
-		limit = min(limit, max(1, aimShare*float64(r.rules.ResponseTarget)/s.unit))
-	}
+	limit = min(limit, max(1, aimShare*float64(r.rules.ResponseTarget)/s.unit)) // unit 0: no limit by time
 	return now >= s.full && float64(len(s.out)) < limit
 }
 
@@ -594,8 +574,7 @@
 		return true
 	}
 	rate := coldShare * share * b.rate.Now(now, span) * float64(sec) / float64(span)
-	s.spent = max(0, s.spent-rate*float64(now-s.spentAt)/float64(sec))
-	s.spentAt = now
+	s.spent, s.spentAt = max(0, s.spent-rate*float64(now-s.spentAt)/float64(sec)), now
 	return s.spent < 1
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -79,7 +79,6 @@
 			}
 			b.Req(Arrival{ID: 1, RuleSet: c.rules, Budget: c.budget}, 0)
 			got := pull(b, 0, -1)
-			b.Alarm()
 			got = append(got, pull(b, c.at, -1)...)
 			n := 0
 			for _, d := range got {
@@ -93,7 +92,7 @@
 			if n != 1 {
 				t.Errorf("got %d final answers in %v", n, got)
 			}
-			if b.Alarm(); len(pull(b, c.at+sec, -1)) != 0 {
+			if len(pull(b, c.at+sec, -1)) != 0 {
 				t.Error("something was sent after the final answer")
 			}
 		})
@@ -223,7 +222,7 @@
 		b.Listed(Changes, []Server{{ID: "a", Since: sec}}, 2*sec)
 		s := b.servers[0]
 		near(t, "restarted", s.health, 0.85, 1e-12)
-		if s.ejected || s.spent != 0 || s.grow != 1 {
+		if s.ejected || s.spent != 0 || s.grow != newcomer {
 			t.Errorf("a new process is not its old one: %+v", s)
 		}
 	})
@@ -315,8 +314,8 @@
 	t.Run("without a key chance decides", func(t *testing.T) {
 		b := fleet(2, nil)
 		n := map[string]int{}
-		for range 1000 {
-			n[b.pick(&req{rules: &b.t.RuleSets[0]}, 0).ID]++
+		for i := range uint64(1000) {
+			n[b.pick(take(b, i, "again", ""), 0).ID]++
 		}
 		if n["a"] < 400 || n["b"] < 400 {
 			t.Errorf("got %v", n)
@@ -362,9 +361,14 @@
 		b.tend(0)
 		b.rate.N, b.rate.At = 100*float64(span/sec), 10*sec
 		r := take(b, 1, "again", "k")
-		for copies, least := range map[int]float64{2: 4 * leastShare, 8: leastShare, 80: 1} {
-			b.t.Copies = copies
-			near(t, fmt.Sprint("bound of ", copies), b.bound(r, 10*sec), least+100*flightShare, 1e-9)
+		for _, c := range []struct {
+			copies     int
+			jam, least float64
+		}{{2, 0, 4 * leastShare}, {2, 1, 4 * leastShare}, {8, 1, leastShare}, {80, 0, calmLeast},
+			{80, jammed, 0.1 * leastShare}, {80, jammed / 2, 0.75*calmLeast + 0.25*0.1*leastShare}} {
+			b.t.Copies, b.jam = c.copies, c.jam
+			r.luck = 0
+			near(t, fmt.Sprint("bound of ", c.copies), b.bound(r, 10*sec), c.least+100*flightShare, 1e-9)
 		}
 	})
 	t.Run("a req goes no further down its rank order than spill", func(t *testing.T) {
@@ -390,11 +394,11 @@
 func TestListIsAskedAgain(t *testing.T) {
 	ask := func(t *Terms) { t.MustAsk, t.AskWithin = true, 10*sec }
 	b := fleet(1, ask)
-	if b.Alarm(); len(pull(b, sec, Watch)) != 1 {
+	if len(pull(b, sec, Watch)) != 1 {
 		t.Fatal("the list is not asked for at the start")
 	}
 	b.Listed(Whole, []Server{{ID: "a"}}, 2*sec)
-	if b.Alarm(); len(pull(b, 60*sec, Watch)) != 0 {
+	if len(pull(b, 60*sec, Watch)) != 0 {
 		t.Error("a subscribed instance asked again")
 	}
 	for range 5 {
@@ -403,10 +407,10 @@
 			t.Errorf("asked again after %d ms", wait/ms)
 		}
 	}
-	if b.Alarm(); len(pull(b, 65*sec, Watch)) != 1 {
+	if len(pull(b, 65*sec, Watch)) != 1 {
 		t.Error("a failed call is not repeated")
 	}
-	if b.Alarm(); len(pull(b, 71*sec, Watch)) != 1 {
+	if len(pull(b, 71*sec, Watch)) != 1 {
 		t.Error("a call that was never answered is not repeated")
 	}
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -48,13 +48,13 @@
 	MaxDispatches int
 	Parallel      bool // a second dispatch may be out at the same time
 	CanCancel     bool
-	Advise        bool  // a deny may say when to come back
-	MaxAdvice     int64 // the longest wait that a client honours
+	MaxAdvice     int64 // the longest wait that a client honours, 0 where none is advised
 	MustAsk       bool  // the list arrives only when asked for
 	AskWithin     int64
 	StartCapacity float64
 	RampTime      int64
 	CrossPrice    float64 // points for each dispatch that crosses zones
+	WastePrice    float64 // points for work that served no answer, as much as was asked for
 	Tick          int64
 }
 
--- a/draw/draw.go
+++ b/draw/draw.go
@@ -15,6 +15,15 @@
 
 func uniform(x uint64) float64 { return (float64(mix(x)>>11) + 0.5) / (1 << 53) }
 
+// Dice is a source of random numbers.
+type Dice struct{ Seed, n uint64 }
+
+// Next gives the next number, between 0 and 1 exclusive.
+func (d *Dice) Next() float64 {
+	d.n++
+	return Chance(d.Seed, d.n)
+}
+
 // Chance gives the n-th random number of a seed, between 0 and 1 exclusive.
 func Chance(seed, n uint64) float64 {
 	c := crc32.ChecksumIEEE(strconv.AppendUint(strconv.AppendUint(nil, seed, 36), n, 36))
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -224,8 +224,6 @@
 			b.Withdrawn(id)
 		case "STARTED":
 			b.Started(id)
-		case "ALARM":
-			b.Alarm()
 		case "FINISHED":
 			b.Finished(id, try, outcome(f.at["Reason"]), final, took, a.now)
 		case "DIRECTORY_UPDATE":
@@ -350,11 +348,13 @@
 		Copies:        int(f.int("FleetSize")),
 		MaxDispatches: int(f.int("Ceilings.MaxDispatches")),
 		Parallel:      f.bool("Ceilings.ParallelTries"), CanCancel: f.bool("Ceilings.Cancel"),
-		Advise:    f.bool("Ceilings.RetryAfter"),
-		MaxAdvice: f.int("Ceilings.MaxRetryAfterNs"), MustAsk: f.at["Discovery"] == "on_request",
+		MustAsk:   f.at["Discovery"] == "on_request",
 		AskWithin: f.int("Contract.AskWithinNs"), StartCapacity: f.float("Contract.StartCapacity"),
 		RampTime: f.int("Contract.RampTimeNs"), CrossPrice: f.float("Prices.CrossZone"),
-		Tick: f.int("TickNs"),
+		WastePrice: f.float("Prices.Waste"), Tick: f.int("TickNs"),
+	}
+	if f.bool("Ceilings.RetryAfter") {
+		t.MaxAdvice = f.int("Ceilings.MaxRetryAfterNs")
 	}
 	for i := range f.int("RuleSets.count") {
 		p := fmt.Sprintf("RuleSets.%d.", i)
