--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,8 +37,8 @@
 	nearer      = 70.0    // times the price of crossing zones: extra weight of a server in the own zone
 	quiet       = 3.0     // typical answer times without an answer after which a server counts as silent
 	span        = 4 * sec // over which rates are remembered
-	calmLeast   = 2.0     // what may always be in flight instead where that is below one and few time out
-	jammed      = 0.5     // part of dispatches that time out at which it has shrunk to its share
+	calmLeast   = 2.0     // what may always be in flight instead where that is below one and answers are quick
+	jammed      = 0.65    // mean time of dispatches over their response target at which it is down to its share
 	hedge       = 0.3     // part of the response target after which a second dispatch may go out,
 	cheapWaste  = 0.1     // where wasted work costs no more than this
 	askApart    = 5e6     // time that calls for the list are spread over, for each balancer
@@ -89,7 +89,7 @@
 	askAt             int64 // when the list is to be asked again; 0: subscribed
 	wake, begun       int64
 	inflight, healthy int
-	jam               float64      // part of dispatches that time out of late
+	jam               float64      // mean time of dispatches of late over their response target
 	unit              float64      // typical time for each place in flight at a server of listed size 1
 	rate              fade.Count   // answers
 	served            []fade.Count // dispatches of each tenant
@@ -169,8 +169,8 @@
 
 // judge lets an outcome speak on the server.
 func (b *Balancer) judge(s *server, d *dispatch, o Outcome, took, now int64) {
-	if b.jam *= 0.9; o == TimedOut {
-		b.jam += 0.1
+	if o == Served || o == TimedOut {
+		b.jam += 0.1 * (float64(took)/float64(d.req.rules.ResponseTarget) - b.jam)
 	}
 	switch o {
 	case Served:
@@ -546,9 +546,9 @@
 	past := min(span, max(now-b.begun, sec/10))
 	least := b.part()
 	if least < 1 {
-		// Hundreds of balancers with one dispatch each would be several for each server. While dispatches
-		// time out a balancer keeps fewer than one out on the mean: a req goes or waits by chance.
-		least += (calmLeast - least) * max(0, 1-math.Pow(b.jam/jammed, 2))
+		// Hundreds of balancers with one dispatch each would be several for each server. While answers
+		// are late everywhere a balancer keeps fewer than one out on the mean: a req goes or waits by chance.
+		least += (calmLeast - least) * max(0, 1-math.Pow(b.jam/jammed, 6))
 		least -= r.luck
 	}
 	return least + b.rate.Now(now, span)*flightShare*float64(r.rules.ResponseTarget)/float64(past)
