--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,6 +41,8 @@
 	jammed      = 0.65    // mean time of dispatches over their response target at which it is down to its share
 	hedge       = 0.3     // part of the response target after which a second dispatch may go out,
 	cheapWaste  = 0.1     // where wasted work costs no more than this
+	restFrom    = sec     // time without a dispatch after which connections count as rested
+	restLoss    = 0.25    // part lost over rested connections, past that of others, at which they are closed
 	askApart    = 5e6     // time that calls for the list are spread over, for each balancer
 )
 
@@ -51,6 +53,7 @@
 	sent       int64
 	rank       float64 // this balancer's dispatches at the server, itself counted
 	out, maybe bool    // still out; may have run
+	rested     int     // 1: over a connection that had rested
 }
 
 // req is one request; it is dropped once it has ended and nothing of it is out.
@@ -71,7 +74,7 @@
 	known, ejected, silent bool // known: still on the list
 	health                 float64
 	streak, ejections      int
-	until, answered        int64       // end of the ejection; last answer
+	until, answered, used  int64       // end of the ejection; last answer; last outcome
 	full, spentAt          int64       // turned a req away until then; when spent was brought up to date
 	out                    []*dispatch // oldest first
 	unit, lat              float64     // time for each place in flight, and of an answer; 0: not measured
@@ -89,7 +92,9 @@
 	askAt             int64 // when the list is to be asked again; 0: subscribed
 	wake, begun       int64
 	inflight, healthy int
+	late              [2]float64   // part of dispatches that time out, over connections in use and rested
 	jam               float64      // mean time of dispatches of late over their response target
+	mean              float64      // health of the servers
 	unit              float64      // typical time for each place in flight at a server of listed size 1
 	rate              fade.Count   // answers
 	served            []fade.Count // dispatches of each tenant
@@ -159,6 +164,7 @@
 	r.outs--
 	b.inflight--
 	s.out = slices.DeleteFunc(s.out, func(x *dispatch) bool { return x == d })
+	s.used = now
 	d.maybe = o != Refused && o != NoConnection && o != NotSent
 	r.ended = r.ended || final
 	b.drop(r)
@@ -171,6 +177,9 @@
 func (b *Balancer) judge(s *server, d *dispatch, o Outcome, took, now int64) {
 	if o == Served || o == TimedOut {
 		b.jam += 0.1 * (float64(took)/float64(d.req.rules.ResponseTarget) - b.jam)
+		if b.late[d.rested] *= 0.85; o == TimedOut {
+			b.late[d.rested] += 0.15
+		}
 	}
 	switch o {
 	case Served:
@@ -182,10 +191,7 @@
 			s.ejections = 0
 		}
 		s.learn(took <= d.req.rules.ResponseTarget)
-	case Errored:
-		s.answered = now
-		s.failed()
-	case Reset, NoConnection:
+	case Errored, Reset, NoConnection:
 		s.failed()
 	case TimedOut:
 		// One that answers others meanwhile or is slow anyway is crowded, not dead: overload ejects nobody.
@@ -264,28 +270,13 @@
 // was known of an old process is void.
 func (b *Balancer) enter(e Server, now int64) {
 	i, had := slices.BinarySearchFunc(b.servers, e.ID, byID)
-	if !had || e.Since > b.servers[i].Since {
-		sum, n := 0.0, 0.0
-		for _, s := range b.servers {
-			if s.known && s.ID != e.ID {
-				sum, n = sum+s.health, n+1
-			}
-		}
-		fresh := &server{health: 1, grow: newcomer, answered: now}
-		if n > 0 {
-			fresh.health = sum / n
-		}
-		if had {
-			fresh.out = b.servers[i].out
-			for _, d := range fresh.out {
-				d.srv = fresh
-			}
-			b.servers[i] = fresh
-		} else {
-			b.servers = slices.Insert(b.servers, i, fresh)
-		}
+	if !had {
+		b.servers = slices.Insert(b.servers, i, &server{Server: Server{Since: -1}})
 	}
 	s := b.servers[i]
+	if e.Since > s.Since {
+		*s = server{out: s.out, health: cmp.Or(b.mean, 1), grow: newcomer, answered: now}
+	}
 	if s.Server, s.known = e, e.State != Gone; s.Share <= 0 {
 		s.Share = 1
 	}
@@ -373,7 +364,9 @@
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return !s.known && len(s.out) == 0 })
 	b.healthy = 0
 	units, n := 0.0, 0.0
+	b.mean = 0
 	for _, s := range b.servers {
+		b.mean += s.health / float64(len(b.servers))
 		if s.unit > 0 {
 			units, n = units+math.Log(s.unit*s.Share), n+1
 		}
@@ -397,8 +390,7 @@
 			continue
 		}
 		b.healthy++
-		// A hang or a lost machine gives no sign but silence: nothing more is sent until it answers.
-		// Started streams belong to their clients and may be quiet for long.
+		// A hang gives no sign but silence: nothing more goes there until it answers. Streams may be quiet.
 		first := slices.IndexFunc(s.out, func(d *dispatch) bool { return !d.req.streaming })
 		if s.silent = false; first >= 0 && s.lat > 0 {
 			since := max(s.answered, s.out[first].sent)
@@ -546,10 +538,8 @@
 	past := min(span, max(now-b.begun, sec/10))
 	least := b.part()
 	if least < 1 {
-		// Hundreds of balancers with one dispatch each would be several for each server. While answers
-		// are late everywhere a balancer keeps fewer than one out on the mean: a req goes or waits by chance.
-		least += (calmLeast - least) * max(0, 1-math.Pow(b.jam/jammed, 6))
-		least -= r.luck
+		// One dispatch for each of hundreds is several a server: while answers are late fewer go, by chance.
+		least += (calmLeast-least)*max(0, 1-math.Pow(b.jam/jammed, 6)) - r.luck
 	}
 	return least + b.rate.Now(now, span)*flightShare*float64(r.rules.ResponseTarget)/float64(past)
 }
@@ -581,6 +571,15 @@
 // send dispatches a req.
 func (b *Balancer) send(r *req, s *server, now int64) {
 	d := &dispatch{req: r, srv: s, sent: now, out: true, maybe: true}
+	rested := s.used > 0 && now-s.used > restFrom && len(s.out) == 0
+	if rested && b.late[1] > restLoss+b.late[0] {
+		// What lies between may forget connections at rest and swallow what comes over them: they are closed
+		// while that is seen, and tried again after some time.
+		b.late[1] *= 0.98
+		b.do(Decision{Kind: Close, Server: s.ID})
+	} else if rested {
+		d.rested = 1
+	}
 	r.sends = append(r.sends, d)
 	r.outs++
 	s.out = append(s.out, d)
--- a/balance/types.go
+++ b/balance/types.go
@@ -125,6 +125,7 @@
 	Abort
 	Cancel
 	Watch
+	Close
 	Wake
 	Log
 )
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -333,6 +333,8 @@
 		fmt.Fprintf(a.out, "STOP_ATTEMPT Who=%s Call=%d Try=%d\n", who, d.Req, d.Attempt)
 	case balance.Watch:
 		fmt.Fprintf(a.out, "LISTEN Who=%s On=1\n", who)
+	case balance.Close:
+		fmt.Fprintf(a.out, "HANG_UP Who=%s Host=%s\n", who, d.Server)
 	case balance.Wake:
 		fmt.Fprintf(a.out, "NOTIFY_ME Who=%s DelayNs=%d Mark=0\n", who, d.Time)
 	case balance.Log:
