--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,7 +38,7 @@
 	quiet       = 3.0     // typical answer times without an answer after which a server counts as silent
 	span        = 4 * sec // over which rates are remembered
 	calmLeast   = 2.0     // what may always be in flight instead where that is below one and answers are quick
-	jammed      = 0.65    // mean time of dispatches over their response target at which it is down to its share
+	jammed      = 0.65    // mean time of dispatches over response target at which it is down to its share
 	hedge       = 0.3     // part of the response target after which a second dispatch may go out,
 	cheapWaste  = 0.1     // where wasted work costs no more than this
 	restFrom    = sec     // time without a dispatch after which connections count as rested
@@ -209,10 +209,8 @@
 }
 
 func (s *server) learn(ok bool) {
-	if s.health *= 1 - alpha; ok {
-		s.health += alpha
-	}
-	s.health = max(floor, s.health)
+	outcome := map[bool]float64{true: 1}[ok]
+	s.health = max(floor, alpha*outcome+(1-alpha)*s.health)
 }
 
 // follow moves a measured time towards the newest one; until the first answer the newest is all there is.
@@ -323,12 +321,10 @@
 		next = min(next, b.serve(r, now))
 	}
 	b.sweep()
-	if next < math.MaxInt64 { // with only started streams nothing is due
-		next = max(next, now+b.t.Tick)
-		if b.wake <= now || next < b.wake {
-			b.wake = next
-			b.do(Decision{Kind: Wake, Time: next - now})
-		}
+	next = max(next, now+b.t.Tick)
+	if next < math.MaxInt64 && (b.wake <= now || next < b.wake) { // with only started streams nothing is due
+		b.wake = next
+		b.do(Decision{Kind: Wake, Time: next - now})
 	}
 }
 
@@ -499,13 +495,13 @@
 			total += s.ready
 		}
 	}
-	ranked := make([]*server, 0, len(b.servers))
+	ranked, many := make([]*server, 0, len(b.servers)), b.t.Copies > len(b.servers)
 	for _, s := range b.servers {
 		if s.ready == 0 || !r.allowed(s, now) || !b.afford(s, s.ready/total, now) {
 			continue
 		}
 		w := s.health * s.ready
-		if s.Zone == b.t.Zone {
+		if s.Zone == b.t.Zone && (s.cold >= 1 || !many) {
 			w *= 1 + nearer*b.t.CrossPrice
 		}
 		if b.dazed {
@@ -515,17 +511,17 @@
 			w *= 1e-9 // one that was tried is only better than none
 		}
 		h := draw.Hash(r.Key, s.ID)
-		if s.cold < 1 && b.t.Copies > len(b.servers) {
+		if s.cold < 1 && many {
 			// Hundreds of balancers, each with a budget of less than one req, would push it over with one
-			// popular key: it gets its part of each key instead.
+			// popular key, their zone's weight or what others have no room for: it gets its part of each key.
 			h = draw.Hash(fmt.Sprint(r.luck), s.ID)
 		}
 		s.score = -w / math.Log(h)
 		ranked = append(ranked, s)
 	}
 	slices.SortStableFunc(ranked, func(x, y *server) int { return cmp.Compare(y.score, x.score) })
-	for _, s := range ranked[:min(spill, len(ranked))] {
-		if b.room(s, r, total, now) {
+	for i, s := range ranked[:min(spill, len(ranked))] {
+		if b.room(s, r, total, now) && (i == 0 || s.cold >= 1 || !many) {
 			return s
 		}
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -373,6 +373,26 @@
 			t.Errorf("sent %d in two seconds, want 1 to %.0f", sent, most)
 		}
 	})
+	t.Run("where balancers outnumber servers a cold server gets its part of each key and no overflow", func(t *testing.T) {
+		b := fleet(2, func(t *Terms) { t.Copies, t.CrossPrice = 5, 2/nearer })
+		b.servers[1].Zone = "y"
+		b.Listed(Changes, []Server{{ID: "a", Zone: "z", Share: 1, Since: 1}}, 1)
+		b.tend(1)
+		cold := 0.0
+		for i := range uint64(20000) {
+			r := take(b, i, "again", fmt.Sprint("key-", i))
+			b.servers[0].spent, b.servers[1].full = 0, 0
+			s := b.pick(r, 0)
+			if s == b.servers[0] {
+				cold += 1.0 / 20000
+				continue
+			}
+			if b.servers[1].full = sec; b.pick(r, 0) != nil {
+				t.Fatal("a cold server was sent what another has no room for")
+			}
+		}
+		near(t, "part of the reqs", cold, 0.2/1.2, 0.02)
+	})
 	t.Run("what is in flight is bounded by rate times time", func(t *testing.T) {
 		b := fleet(9, nil)
 		b.servers[0].ejected, b.servers[0].until = true, sec
