--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,7 +37,7 @@
 	nearer      = 70.0    // times the price of crossing zones: extra weight of a server in the own zone
 	quiet       = 3.0     // typical answer times without an answer after which a server counts as silent
 	span        = 4 * sec // over which rates are remembered
-	calmLeast   = 2.0     // what may always be in flight instead where that is below one and answers are quick
+	calmLeast   = 2.0     // what may always be in flight instead in calm, where that is below one and all servers are healthy
 	jammed      = 0.65    // mean time of dispatches over response target at which it is down to its share
 	hedge       = 0.3     // part of the response target after which a second dispatch may go out,
 	cheapWaste  = 0.1     // where wasted work costs no more than this
@@ -535,7 +535,8 @@
 	least := b.part()
 	if least < 1 {
 		// One dispatch for each of hundreds is several a server: while answers are late fewer go, by chance.
-		least += (calmLeast-least)*max(0, 1-math.Pow(b.jam/jammed, 6)) - r.luck
+		calm := calmLeast * float64(b.healthy) / float64(len(b.servers))
+		least += (calm-least)*max(0, 1-math.Pow(b.jam/jammed, 6)) - r.luck
 	}
 	return least + b.rate.Now(now, span)*flightShare*float64(r.rules.ResponseTarget)/float64(past)
 }
