--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,7 +37,7 @@
 	nearer      = 70.0    // times the price of crossing zones: extra weight of a server in the own zone
 	quiet       = 3.0     // typical answer times without an answer after which a server counts as silent
 	span        = 4 * sec // over which rates are remembered
-	calmLeast   = 2.0     // what may always be in flight instead in calm, where that is below one and all servers are healthy
+	calmLeast   = 2.0     // what may always be in flight in calm, where that is below one and all are healthy
 	jammed      = 0.65    // mean time of dispatches over response target at which it is down to its share
 	hedge       = 0.3     // part of the response target after which a second dispatch may go out,
 	cheapWaste  = 0.1     // where wasted work costs no more than this
@@ -535,7 +535,7 @@
 	least := b.part()
 	if least < 1 {
 		// One dispatch for each of hundreds is several a server: while answers are late fewer go, by chance.
-		calm := calmLeast * float64(b.healthy) / float64(len(b.servers))
+		calm := max(1, calmLeast*float64(b.healthy)/float64(len(b.servers)))
 		least += (calm-least)*max(0, 1-math.Pow(b.jam/jammed, 6)) - r.luck
 	}
 	return least + b.rate.Now(now, span)*flightShare*float64(r.rules.ResponseTarget)/float64(past)
@@ -543,7 +543,11 @@
 
 // part is this balancer's part of what may always be in flight.
 func (b *Balancer) part() float64 {
-	return leastShare * float64(b.healthy) / float64(max(1, b.t.Copies))
+	n := b.healthy
+	if b.dazed {
+		n = len(b.servers) // all are picked
+	}
+	return leastShare * float64(n) / float64(max(1, b.t.Copies))
 }
 
 // room says whether a server may take one more: by rate times time, and by its share of what is in flight.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -410,6 +410,24 @@
 			near(t, fmt.Sprint("bound of ", c.copies), b.bound(r, 10*sec), c.least+100*flightShare, 1e-9)
 		}
 	})
+	t.Run("a dazed balancer among many still sends", func(t *testing.T) {
+		b := fleet(3, func(t *Terms) { t.Copies = 20 })
+		for _, s := range b.servers {
+			s.streak = streakLimit
+		}
+		b.tend(0)
+		for _, b.jam = range []float64{0, 1} {
+			sent := 0
+			for i := range uint64(1000) {
+				if b.pick(take(b, i, "again", "k"), 0) != nil {
+					sent++
+				}
+			}
+			if sent == 0 {
+				t.Errorf("nothing is sent with answers at %v of the response target", b.jam)
+			}
+		}
+	})
 	t.Run("a req goes no further down its rank order than spill", func(t *testing.T) {
 		b := fleet(8, nil)
 		r := take(b, 1, "again", "k")
