--- a/balance/balance.go
+++ b/balance/balance.go
@@ -209,8 +209,10 @@
 }
 
 func (s *server) learn(ok bool) {
-	outcome := map[bool]float64{true: 1}[ok]
-	s.health = max(floor, alpha*outcome+(1-alpha)*s.health)
+	if s.health *= 1 - alpha; ok {
+		s.health += alpha
+	}
+	s.health = max(floor, s.health)
 }
 
 // follow moves a measured time towards the newest one; until the first answer the newest is all there is.
@@ -341,8 +343,7 @@
 	return b.open
 }
 
-// value ranks held reqs: billing value for the work they take, less for a tenant that has had more
-// than its share of late.
+// value ranks held reqs: billing value for their work, less for a tenant that had more than its share.
 func (b *Balancer) value(r *req, now int64) float64 {
 	v := r.rules.BillingValue
 	if !b.t.ValuePerWork && r.Work > 0 {
@@ -429,8 +430,7 @@
 	return now + b.t.Tick
 }
 
-// secondAt is when a second dispatch may join the one that is out: balancers that outnumber the servers know
-// too little of single ones to avoid the crowded, and where waste is cheap a copy finds a better one.
+// secondAt is when, where waste is cheap, a copy may join a dispatch: many balancers know servers too little.
 func (b *Balancer) secondAt(r *req) int64 {
 	if r.outs != 1 || b.part() >= 1 || b.t.WastePrice > cheapWaste || !b.canSend(r) {
 		return math.MaxInt64
@@ -484,7 +484,7 @@
 	if !b.canSend(r) || float64(b.inflight) >= b.bound(r, now) {
 		return nil
 	}
-	total := 0.0
+	lot, total := fmt.Sprint(r.luck), 0.0
 	for _, s := range b.servers {
 		s.ready = 0
 		if s.known && s.State == Running && (b.dazed || !s.ejected && !s.silent) {
@@ -514,7 +514,7 @@
 		if s.cold < 1 && many {
 			// Hundreds of balancers, each with a budget of less than one req, would push it over with one
 			// popular key, their zone's weight or what others have no room for: it gets its part of each key.
-			h = draw.Hash(fmt.Sprint(r.luck), s.ID)
+			h = draw.Hash(lot, s.ID)
 		}
 		s.score = -w / math.Log(h)
 		ranked = append(ranked, s)
--- a/draw/draw.go
+++ b/draw/draw.go
@@ -21,13 +21,8 @@
 // Next gives the next number, between 0 and 1 exclusive.
 func (d *Dice) Next() float64 {
 	d.n++
-	return Chance(d.Seed, d.n)
-}
-
-// Chance gives the n-th random number of a seed, between 0 and 1 exclusive.
-func Chance(seed, n uint64) float64 {
-	c := crc32.ChecksumIEEE(strconv.AppendUint(strconv.AppendUint(nil, seed, 36), n, 36))
-	return uniform(uint64(c)<<32 ^ n)
+	c := crc32.ChecksumIEEE(strconv.AppendUint(strconv.AppendUint(nil, d.Seed, 36), d.n, 36))
+	return uniform(uint64(c)<<32 ^ d.n)
 }
 
 // Hash gives the number that belongs to a key and an id, between 0 and 1 exclusive.
