Clients at rest give their descriptors back; bad calls go no further and blame no host

Ruled out: memory (9 of 48 MB) and CPU (0.23 s in the fullest second). At fault: proxy/intake.go welcome (a client's connection was closed only when extra), no timer for a call that never comes whole, malformed waiting behind an open req; proxy/pool.go connect and proxy/send.go broke (no descriptor here was told as "could not connect", which ejects a server); take (an unknown rule set, tenant, or an id in use went on); proxy/book.go outcome (a 4xx counted against the server). Now: a connection without an open req goes after 2 s, longest first, past a third of the descriptors; one that says nothing goes when room ends; half a call is answered 408 after 2.5 s.

--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -1,9 +1,13 @@
 package proxy
 
 // This file owns the table of reqs: it turns a call into a req of the module and forgets it when it has
-// ended. It must never judge a rule set or a tenant; the module knows what to make of them.
+// ended. It must never let in what the settings do not name, nor judge what they do.
 
 import (
+	"errors"
+	"net/http"
+	"slices"
+
 	"ivybank/balance"
 	"ivybank/http1"
 )
@@ -22,7 +26,24 @@
 	ended      bool
 }
 
-func (p *Proxy) admit(c *client, call http1.Call, at int64) {
+// admit is the second stage. What no host could use goes no further: a host that turns it away, or closes on
+// it, would seem to be at fault. Two open reqs with one id would run as one.
+func (p *Proxy) admit(c *client, call http1.Call, at int64) error {
+	terms := &p.start.Terms
+	set := slices.IndexFunc(terms.RuleSets, func(s balance.RuleSet) bool { return s.Name == call.RuleSet })
+	tenant := slices.IndexFunc(terms.Tenants, func(t balance.Tenant) bool { return t.Name == call.Tenant })
+	switch {
+	case call.ID == "" || p.ids[call.ID]:
+		return errors.New("no id of its own")
+	case call.Timeout <= 0:
+		return errors.New("no client timeout")
+	case set < 0 || tenant < 0 && len(terms.Tenants) > 0:
+		return errors.New("rule set or tenant not known")
+	case call.Method == http.MethodGet && terms.RuleSets[set].Effect == balance.Replayable:
+	case call.Method != http.MethodPost && call.Method != http.MethodPut:
+		return errors.New("method does not go with the rule set")
+	}
+	p.ids[call.ID] = true
 	p.lastReq++
 	r := &req{id: p.lastReq, call: call, client: c, taken: at}
 	c.req = r
@@ -30,6 +51,7 @@
 	p.count.Taken++
 	p.module.Req(balance.Arrival{ID: r.id, RuleSet: call.RuleSet, Tenant: call.Tenant, Key: call.Key,
 		Budget: max(1, call.Timeout-wayMargin), Work: call.Work}, at)
+	return nil
 }
 
 // withdraw ends a req whose client has gone.
@@ -43,5 +65,6 @@
 func (p *Proxy) forget(r *req) {
 	if r.ended && r.outs == 0 {
 		delete(p.reqs, r.id)
+		delete(p.ids, r.call.ID)
 	}
 }
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -15,6 +15,8 @@
 	switch {
 	case a.Status == http.StatusOK:
 		return balance.Served
+	case a.Status >= http.StatusBadRequest && a.Status < http.StatusInternalServerError:
+		return balance.Unknown // speaks against the req, not against the host
 	case (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusGatewayTimeout) && a.NotStarted:
 		return balance.Refused
 	}
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -46,20 +46,20 @@
 	_ = w.nb.Close()
 }
 
-// ended says whether the other side has ended an idle connection, or sent what nobody asked for, though
-// the poller has not told so yet.
-func (w *wire) ended() bool {
-	over := true
+// nothing says whether the other side has neither sent anything more nor ended the connection, also what
+// the poller has not told yet.
+func (w *wire) nothing() bool {
+	none := false
 	raw, err := w.nb.SyscallConn()
 	if err != nil {
-		return over
+		return none
 	}
 	_ = raw.Control(func(fd uintptr) {
 		var one [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		over = err != syscall.EAGAIN
+		none = err == syscall.EAGAIN
 	})
-	return over
+	return none
 }
 
 // dial opens a connection; made tells what it is, and up, on the owner, that it is up or why it is not.
@@ -98,7 +98,7 @@
 	}
 	cl := newClient(c)
 	c.SetSession(cl)
-	p.post(p.now(), &cl.wire, func(int64) { p.welcome(cl) })
+	p.post(p.now(), &cl.wire, func(at int64) { p.welcome(cl, at) })
 }
 
 // data hands over what was read, with the time at which it was.
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -12,11 +12,11 @@
 
 // Counters is what the proxy has taken in, sent and answered since its start.
 type Counters struct {
-	Taken, Done, Denied, Aborted, Withdrawn, Malformed, Crowded int
-	Sent, Dialled, Reused                                       int
-	Outcomes                                                    [balance.Unknown + 1]int
-	Watches, WatchesLost, Lines, BadLines                       int
-	Panics                                                      int
+	Taken, Done, Denied, Aborted, Withdrawn, Malformed, Crowded, Rested int
+	Sent, Dialled, Reused                                               int
+	Outcomes                                                            [balance.Unknown + 1]int
+	Watches, WatchesLost, Lines, BadLines                               int
+	Panics                                                              int
 	// How long done reqs took, and how late the owner came to what was read, in microseconds.
 	took, lag *hdrhistogram.Histogram
 }
@@ -36,7 +36,7 @@
 // Fields gives every counter by its name.
 func (c *Counters) Fields() map[string]any {
 	m := map[string]any{"taken": c.Taken, "done": c.Done, "denied": c.Denied, "aborted": c.Aborted,
-		"withdrawn": c.Withdrawn, "malformed": c.Malformed, "crowded": c.Crowded,
+		"withdrawn": c.Withdrawn, "malformed": c.Malformed, "crowded": c.Crowded, "rested": c.Rested,
 		"sent": c.Sent, "dialled": c.Dialled, "reused": c.Reused,
 		"watches": c.Watches, "watches_lost": c.WatchesLost, "lines": c.Lines, "bad_lines": c.BadLines,
 		"panics": c.Panics}
--- a/proxy/intake.go
+++ b/proxy/intake.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"sync/atomic"
 
 	"github.com/lesismal/nbio"
 
@@ -15,20 +16,31 @@
 )
 
 const (
-	badWait     = 5e8 // a client may still be sending what was refused: closed at once, it would not see the answer
-	mostWaiting = 16  // calls that a client may send ahead on one connection
-	extraWait   = 1e9 // time in which a client that there is no descriptor for may be told so
+	badWait     = 5e8   // a client may still be sending what was refused: closed at once, it would not see the answer
+	mostWaiting = 16    // calls that a client may send ahead on one connection
+	extraWait   = 1e9   // time in which a client that there is no descriptor for may be told so
+	callWait    = 2.5e9 // time in which a call has to come whole, from the connection's start or its own first byte
+	rest        = 2e9   // a connection without an open req may be closed from then on
+	clientPart  = 3     // clients at rest are kept while all clients hold no more than one in so many descriptors
+	hostPart    = 4     // one in so many descriptors is left to hosts, however many clients come
 )
 
+var errLate = errors.New("call never came whole")
+
 var jsonType = []http1.Field{{Name: "Content-Type", Value: "application/json"}}
 
 // client is one connection from the application.
 type client struct {
 	wire
 	calls   *http1.Calls // the poller's
+	begun   bool         // the poller's: a part of a call is held
 	waiting []sentAhead  // emptied as they are taken in turn
 	req     *req         // the one that is being answered
-	bad     error        // what was sent is no call: answered once all before it are
+	due     *timer       // when a call that is not whole yet, or has not begun, has taken too long
+	rests   int64        // since when no req is open: its start, or its last answer
+	asked   bool         // has sent a whole call
+	spoke   atomic.Bool  // has sent anything
+	bad     error        // what was sent is no call
 	last    bool         // no call is taken any more: closed once the answer has left
 	extra   bool         // there is no descriptor to serve it with
 }
@@ -43,17 +55,75 @@
 	return &client{wire: wire{nb: c}, calls: http1.NewCalls()}
 }
 
-// welcome counts a client in. Clients come before idle connections to hosts; when only clients are left
-// one more is turned away with a deny, which is harmless as nothing of its call has run.
-func (p *Proxy) welcome(c *client) {
+// welcome counts a client in. When there is no room for it, it is turned away with a deny, which is
+// harmless as nothing of its call has run.
+func (p *Proxy) welcome(c *client, at int64) {
+	c.rests = at
+	p.await(c, at)
+	for len(p.clients) >= p.start.Sockets/clientPart && p.closeResting(p.now(), rest) {
+	}
+	hosts := max(p.start.Sockets/hostPart, p.pool.conns+p.pool.dials)
+	if len(p.clients)+hosts >= p.start.Sockets-spareSockets && !p.closeResting(p.now(), 0) {
+		c.extra = !p.roomForOne()
+	}
 	p.clients = append(p.clients, c)
-	if c.extra = !p.roomForOne(); c.extra {
+	if c.extra {
 		// One that sends nothing would keep the descriptor from those that do.
 		p.after(p.now(), extraWait, func(now int64) { p.endClient(c, now) })
 	}
 }
 
+// closeResting closes the client's connection that has been without an open req for longest, and at least
+// for so long: some are kept for good by clients that ask once, others are opened by hundreds and say
+// nothing. A client whose first call crosses the close has failed, so what the kernel holds is looked at.
+func (p *Proxy) closeResting(now, least int64) bool {
+	var longest *client
+	for _, c := range p.clients {
+		resting := c.req == nil && len(c.waiting) == 0 && (!c.last || c.written())
+		if c.asked && !c.last {
+			resting = resting && now-c.rests >= rest
+		}
+		if resting && now-c.rests >= least && (longest == nil || c.rests < longest.rests) && c.nothing() {
+			longest = c
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	p.count.Rested++
+	p.dismiss(longest)
+	return true
+}
+
+// dismiss closes a client's connection and counts it off at once: its descriptor is free.
+func (p *Proxy) dismiss(c *client) {
+	c.shut()
+	p.stop(c.due)
+	p.clients = slices.DeleteFunc(p.clients, func(x *client) bool { return x == c })
+}
+
+// await gives a client its time to send a whole call.
+func (p *Proxy) await(c *client, now int64) {
+	p.stop(c.due)
+	c.due = p.after(now, callWait, func(now int64) { p.overdue(c, now) })
+}
+
+// overdue ends a connection on which half a call was sent, or nothing at all. No other timer would.
+func (p *Proxy) overdue(c *client, now int64) {
+	switch {
+	case c.closed || c.last:
+	case !c.nothing(): // what has just come is read first
+		c.due = p.after(now, glance, func(now int64) { p.overdue(c, now) })
+	case c.spoke.Load():
+		p.malformed(c, errLate)
+	default:
+		p.count.Rested++
+		p.dismiss(c)
+	}
+}
+
 func (c *client) read(p *Proxy, at int64, b []byte) {
+	c.spoke.Store(true)
 	c.calls.Feed(b)
 	for {
 		call, ok, err := c.calls.Next()
@@ -62,17 +132,34 @@
 			return
 		}
 		if !ok {
+			if c.calls.Begun() != c.begun {
+				c.begun = !c.begun
+				begun := c.begun
+				p.post(at, &c.wire, func(at int64) { p.begins(c, begun, at) })
+			}
 			return
 		}
+		c.begun = false
 		p.post(at, &c.wire, func(at int64) { p.take(c, call, at) })
 	}
 }
 
+// begins notes that a further call has begun, or that what looked like one was nothing.
+func (p *Proxy) begins(c *client, begun bool, at int64) {
+	if !begun {
+		p.stop(c.due)
+	} else if c.asked && !c.closed {
+		p.await(c, at)
+	}
+}
+
 // take is the first stage: calls wait for their turn here.
 func (p *Proxy) take(c *client, call http1.Call, at int64) {
 	if c.bad != nil || c.closed {
 		return
 	}
+	c.asked = true
+	p.stop(c.due)
 	if len(c.waiting) >= mostWaiting {
 		p.malformed(c, http1.ErrTooLarge)
 		return
@@ -81,11 +168,25 @@
 	p.turn(c)
 }
 
+// malformed turns away what is no call, at once: a client that breaks off its own req for it has given that up.
 func (p *Proxy) malformed(c *client, err error) {
-	if c.bad == nil && !c.closed {
-		c.bad = err
-		p.turn(c)
+	if c.bad != nil || c.closed || c.last {
+		return
 	}
+	c.bad, c.waiting = err, nil
+	if r := c.req; r != nil {
+		c.req = nil
+		p.withdraw(r)
+	}
+	p.count.Malformed++
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, http1.ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errLate):
+		status = http.StatusRequestTimeout
+	}
+	p.answer(c, http1.Answer{Status: status}, true)
 }
 
 // turn takes the next call of a client whose connection is free.
@@ -101,27 +202,18 @@
 			p.answer(c, http1.Answer{Status: http.StatusOK}, call.Close)
 		case call.Method == http.MethodGet && call.Target == "/_counters":
 			p.answer(c, http1.Answer{Status: http.StatusOK, Fields: jsonType, Body: p.count.JSON()}, call.Close)
-		case call.Method == http.MethodHead || call.ID == "" || call.Timeout <= 0:
-			// An answer to HEAD has no body, whatever its length says: no host of ours gives one.
-			p.count.Malformed++
-			p.answer(c, http1.Answer{Status: http.StatusBadRequest}, true)
 		default:
-			p.admit(c, call, at)
-		}
-	}
-	if c.req == nil && c.bad != nil && !c.closed && !c.last {
-		p.count.Malformed++
-		status := http.StatusBadRequest
-		if errors.Is(c.bad, http1.ErrTooLarge) {
-			status = http.StatusRequestEntityTooLarge
+			if err := p.admit(c, call, at); err != nil {
+				p.malformed(c, err)
+			}
 		}
-		p.answer(c, http1.Answer{Status: status}, true)
 	}
 }
 
 // gone is the end of a client's connection: what it waited for is withdrawn.
 func (c *client) gone(p *Proxy, _ int64) {
 	p.clients = slices.DeleteFunc(p.clients, func(x *client) bool { return x == c })
+	p.stop(c.due)
 	if r := c.req; r != nil {
 		c.req = nil
 		p.withdraw(r)
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -48,6 +48,7 @@
 	timers  timers          // emptied as they fall due or are stopped
 	wake    *timer          // the module's
 	reqs    map[uint64]*req // emptied when a req has ended and nothing of it is out
+	ids     map[string]bool // the ids of those reqs; emptied with them
 	lastReq uint64          // counts up; a req's number in the module
 	hosts   []*host         // by id; emptied when a host is off the list and has no connection
 	clients []*client       // in order of arrival; emptied when a client's connection ends
@@ -121,7 +122,7 @@
 
 // New makes a proxy that does not listen yet.
 func New(s Start) *Proxy {
-	p := &Proxy{start: s, base: time.Now(), bell: make(chan struct{}, 1), reqs: map[uint64]*req{},
+	p := &Proxy{start: s, base: time.Now(), bell: make(chan struct{}, 1), reqs: map[uint64]*req{}, ids: map[string]bool{},
 		count: newCounters()}
 	p.module = balance.New(s.Terms, p.now())
 	p.known(s.Known, p.now())
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -52,7 +52,7 @@
 func (p *Proxy) idle(h *host) *hostConn {
 	for len(h.idle) > 0 {
 		c := h.idle[len(h.idle)-1]
-		if !c.closed && !c.ended() {
+		if !c.closed && c.nothing() {
 			p.unpark(c)
 			return c
 		}
@@ -89,7 +89,8 @@
 	}
 }
 
-// roomForOne closes the longest idle connection where descriptors run short; false when none is idle.
+// roomForOne closes the longest idle connection to a host, or else a client's at rest, where descriptors run
+// short; false when there is none.
 func (p *Proxy) roomForOne() bool {
 	for len(p.clients)+p.pool.conns+p.pool.dials >= p.start.Sockets-spareSockets {
 		var oldest *hostConn
@@ -99,7 +100,10 @@
 			}
 		}
 		if oldest == nil {
-			return false
+			if !p.closeResting(p.now(), rest) {
+				return false
+			}
+			continue
 		}
 		p.retire(oldest)
 		p.uncount(oldest)
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -26,7 +26,7 @@
 	if c.closed {
 		return
 	}
-	c.last = c.last || last || p.drain.ending
+	c.last, c.rests = c.last || last || p.drain.ending, p.now()
 	a.Close = c.last
 	c.write(http1.AppendAnswer(nil, a))
 	switch {
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -111,6 +111,8 @@
 		return
 	}
 	switch {
+	case errors.Is(err, errSockets) || errors.Is(err, errDrained) || errors.Is(err, errUnknown):
+		p.book(d, balance.NotSent, nil, now) // no fault of the host's
 	case err.reached < allWritten:
 		p.book(d, balance.NoConnection, nil, now)
 	case errors.Is(err, errAnswer):
