SIGHUP is caught from the start; a new discovery is watched at once

At fault: cmd/ivybank/main.go caught SIGTERM and SIGINT alone, and the address of discovery was fixed at start. Now SIGHUP is caught before the file is read first and also while it drains; the file is read again, an unreadable one warned of once and ignored; another discovery gets a watch in place of the old one.

--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -1,4 +1,4 @@
-// Command ivybank is one client proxy on sockets. This file owns configuration, start, SIGTERM and exit;
+// Command ivybank is one client proxy on sockets. This file owns configuration, start, signals and exit;
 // it must never decide anything, and takes no tunables.
 package main
 
@@ -103,7 +103,11 @@
 func (library) Error(format string, v ...any) { logrus.Errorf(format, v...) }
 
 func main() {
-	o, start, err := load(os.Getenv("GW_CONFIG"))
+	// Caught from the first moment: uncaught it ends the program. One that comes before the file is read waits.
+	reread := make(chan os.Signal, 1)
+	signal.Notify(reread, syscall.SIGHUP)
+	path := os.Getenv("GW_CONFIG")
+	o, start, err := load(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "ivybank:", err)
 		os.Exit(2)
@@ -122,6 +126,15 @@
 		<-term
 		p.Drain()
 	}()
+	go func() {
+		for range reread {
+			if _, next, err := load(path); err != nil {
+				logrus.Warnf("new configuration ignored: %v", err)
+			} else {
+				p.Rediscover(next.Discovery)
+			}
+		}
+	}()
 	if err := p.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "ivybank:", err)
 		os.Exit(2)
--- a/cmd/ivybank/main_test.go
+++ b/cmd/ivybank/main_test.go
@@ -247,6 +247,47 @@
 	}
 }
 
+// SIGHUP never ends the program: the new file's discovery is watched at once, a file that cannot be read changes nothing.
+func TestReload(t *testing.T) {
+	one, two := newHost(t, saying(text(200, "", "one"), true)), newHost(t, saying(text(200, "", "two"), true))
+	old, next := newRegistry(t), newRegistry(t)
+	p := begin(t, old.addr, 1024, entry("s-1", one.Addr().String(), "ready"))
+	<-old.asked
+	text, err := os.ReadFile(p.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hup := func(file string) {
+		if err := os.WriteFile(p.config, []byte(file), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hup("{")
+	served := func(want string) func() bool {
+		return func() bool { _, body := p.ask(t, call("GET", "x", "again", "")); return body == want }
+	}
+	eventually(t, "the old list serves", served("one"))
+	hup(strings.Replace(string(text), old.addr, next.addr, 1))
+	if from := <-next.asked; from != "1" {
+		t.Fatalf("asked from %q, want the version held", from)
+	}
+	next.lines <- list(2, true, entry("s-2", two.Addr().String(), "ready"))
+	eventually(t, "the new list serves", served("two"))
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	hup(string(text)) // also while it drains
+	if err := p.Wait(); err != nil {
+		t.Fatalf("got %v, want exit 0: %s", err, p.out)
+	}
+	if n := strings.Count(p.out.String(), "new configuration ignored"); n != 1 {
+		t.Errorf("got %d warnings, want one: %s", n, p.out)
+	}
+}
+
 func TestDrain(t *testing.T) {
 	release := make(chan bool)
 	h := newHost(t, func(c net.Conn, r *http.Request) bool {
