The first backoff goes by the response target: short targets, short first ejections

At fault: balance.go eject, firstBackoff as a figure without regard to how fast the deployment is. Now 6 response targets, 5 s at the most: 4.8 s at 800 ms, as it was; 1.2 s here. It grows as before, to 30 s.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,11 +17,12 @@
 const (
 	ms, sec = int64(1e6), int64(1e9)
 
-	alpha        = 0.3  // weight of the newest outcome in a server's health (design)
-	floor        = 0.05 // health never falls below it (design)
-	streakLimit  = 2    // consecutive failures that eject (design)
-	jitter       = 0.2  // fraction of a backoff that is left to chance (design)
-	firstBackoff = 5 * sec
+	alpha        = 0.3     // weight of the newest outcome in a server's health (design)
+	floor        = 0.05    // health never falls below it (design)
+	streakLimit  = 2       // consecutive failures that eject (design)
+	jitter       = 0.2     // fraction of a backoff that is left to chance (design)
+	firstBackoff = 5 * sec // at the most, and this multiple of the shortest response target:
+	backoffPace  = 6       // where reqs come faster two failures in a row come by chance more often
 	mostBackoff  = 30 * sec
 	recovered    = 0.9 // health at which a server's backoff starts anew
 
@@ -90,7 +91,7 @@
 	todo              []Decision      // emptied by Next
 	dice              draw.Dice
 	askAt             int64 // when the list is to be asked again; 0: subscribed
-	wake, begun       int64
+	wake, begun, pace int64 // pace: the shortest response target
 	inflight, healthy int
 	late              [2]float64   // part of dispatches that time out, over connections in use and rested
 	jam               float64      // mean time of dispatches of late over their response target
@@ -105,6 +106,10 @@
 func New(t Terms, now int64) *Balancer {
 	b := &Balancer{t: t, reqs: map[uint64]*req{}, served: make([]fade.Count, len(t.Tenants)), begun: now}
 	b.dice.Seed = t.Seed
+	b.pace = firstBackoff
+	for _, x := range t.RuleSets {
+		b.pace = min(b.pace, x.ResponseTarget)
+	}
 	if t.MustAsk {
 		b.askAt = now + 1 + int64(b.dice.Next()*b.apart())
 	}
@@ -158,8 +163,7 @@
 	if r == nil || attempt < 0 || attempt >= len(r.sends) || !r.sends[attempt].out {
 		return
 	}
-	d := r.sends[attempt]
-	s := d.srv
+	d, s := r.sends[attempt], r.sends[attempt].srv
 	d.out = false
 	r.outs--
 	b.inflight--
@@ -230,10 +234,9 @@
 }
 
 func (b *Balancer) eject(s *server, now int64) {
-	back := min(mostBackoff, firstBackoff<<min(s.ejections, 10))
+	back := min(mostBackoff, min(firstBackoff, backoffPace*b.pace)<<min(s.ejections, 10))
 	back = int64(float64(back) * (1 + jitter*(2*b.dice.Next()-1)))
-	s.ejections++
-	s.ejected, s.until = true, now+back
+	s.ejected, s.until, s.ejections = true, now+back, s.ejections+1
 	b.log("ejected %s for %d ms: streak %d, health %.2f", s.ID, back/ms, s.streak, s.health)
 }
 
@@ -357,11 +360,9 @@
 
 // tend looks after the servers: warmth, silence, the end of ejections, the dazed mode.
 func (b *Balancer) tend(now int64) int64 {
-	next, usable := int64(math.MaxInt64), 0
+	next, usable, units, n := int64(math.MaxInt64), 0, 0.0, 0.0
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return !s.known && len(s.out) == 0 })
-	b.healthy = 0
-	units, n := 0.0, 0.0
-	b.mean = 0
+	b.healthy, b.mean = 0, 0
 	for _, s := range b.servers {
 		b.mean += s.health / float64(len(b.servers))
 		if s.unit > 0 {
@@ -552,8 +553,7 @@
 
 // room says whether a server may take one more: by rate times time, and by its share of what is in flight.
 func (b *Balancer) room(s *server, r *req, total float64, now int64) bool {
-	share := s.ready / total
-	limit := min(s.grow, skipOver*share*float64(b.inflight+1)+skipSlack)
+	limit := min(s.grow, skipOver*s.ready/total*float64(b.inflight+1)+skipSlack)
 	limit = min(limit, max(1, aimShare*float64(r.rules.ResponseTarget)/s.unit)) // unit 0: no limit by time
 	return now >= s.full && float64(len(s.out)) < limit
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -166,6 +166,11 @@
 		}
 		near(t, "floor", s.health, floor, 1e-12)
 	})
+	t.Run("where targets are short a first ejection is", func(t *testing.T) {
+		b := fleet(1, func(t *Terms) { t.RuleSets = append(t.RuleSets, RuleSet{ResponseTarget: 200 * ms}) })
+		b.eject(b.servers[0], 0)
+		near(t, "backoff, s", float64(b.servers[0].until)/float64(sec), 1.2, 1.2*jitter)
+	})
 	t.Run("two failures eject, with growing jittered backoff", func(t *testing.T) {
 		b := fleet(2, nil)
 		s := b.servers[0]
