A good answer with more behind it is served; odd fields and late copies spoil nothing

At fault: proxy/pool.go read (an answer with bytes behind it went to spoilt), answered (a copy that the poller read just before the next call was written would have answered that call: written() is true by then); http1/parse.go one (a control character in any field, so also in a load report, made the whole answer malformed). Now: served, and the connection closed; a read from before the call's writing is never its answer; a connection that had an answer is looked at for 1 ms before it carries a call again; an answer's odd field is left out, unless it tells the length.

--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -117,6 +117,8 @@
 		"refused":    {"HTTP/1.1 503 X\r\nNot-Started: 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n", Answer{Status: 503, NotStarted: true, RetryAfter: 15e8}, nil},
 		"no content": {"HTTP/1.1 204 X\r\nConnection: close\r\n\r\n", Answer{Status: 204, Close: true}, nil},
 		"continue":   {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", Answer{Status: 200, Body: []byte("hi")}, nil},
+		"odd field":  {"HTTP/1.1 200 OK\r\nServer-Load: TEXT \x00\x01\xff=\r\nContent-Length: 2\r\n\r\nhi", Answer{Status: 200, Body: []byte("hi")}, nil},
+		"odd length": {"HTTP/1.1 200 OK\r\nContent-Length: 2\x00\r\n\r\nhi", Answer{}, ErrMalformed},
 		// Its end would be the end of the connection, which may be a break: half a body must not become 200.
 		"no length":  {"HTTP/1.1 200 OK\r\n\r\nhi", Answer{}, ErrMalformed},
 		"bad status": {"HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n", Answer{}, ErrMalformed},
--- a/http1/parse.go
+++ b/http1/parse.go
@@ -68,6 +68,7 @@
 type parser struct {
 	most    int // longest body
 	stream  bool
+	lenient bool   // a field with an odd value is left out
 	buf     []byte // what has come and is not used up; emptied message by message
 	scanned int    // no line end begins before it
 	at      stage
@@ -253,6 +254,10 @@
 	}
 	value = strings.Trim(value, " \t")
 	if strings.ContainsFunc(value, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
+		if p.lenient && !strings.ContainsAny(value, "\r\n") && !strings.EqualFold(name, "content-length") &&
+			!strings.EqualFold(name, "transfer-encoding") {
+			return nil // a field that cannot be read, say a load report, does not spoil a sound answer
+		}
 		return ErrMalformed
 	}
 	switch low := strings.ToLower(name); low {
@@ -377,7 +382,7 @@
 // chunk as it comes.
 func NewAnswers(most int, stream bool) *Answers {
 	a := &Answers{}
-	a.most, a.stream, a.first, a.parser.meaning = most, stream, a.start, a.meaning
+	a.most, a.stream, a.lenient, a.first, a.parser.meaning = most, stream, true, a.start, a.meaning
 	return a
 }
 
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -16,6 +16,7 @@
 
 const (
 	spareSockets = 32   // descriptors for the listener, pollers, discovery and what nbio holds twice for a moment
+	settle       = 1e6  // what comes behind an answer comes within this time of it: no call is written sooner
 	idlePart     = 0.75 // part of the hosts' idle time after which a connection is closed
 )
 
@@ -156,9 +157,10 @@
 	c.begun.Store(true)
 	c.answers.Feed(b)
 	a, ok, err := c.answers.Next()
-	if err != nil || ok && c.answers.Begun() { // more than the one answer that was asked for
+	if err != nil {
 		p.post(at, &c.wire, func(at int64) { p.spoilt(c, at) })
 	} else if ok {
+		a.Close = a.Close || c.answers.Begun() // a copy or noise behind it: it is sound, the connection is not
 		c.begun.Store(false)
 		p.post(at, &c.wire, func(at int64) { p.answered(c, a, at) })
 	}
@@ -176,7 +178,9 @@
 // answered takes a whole answer off a connection.
 func (p *Proxy) answered(c *hostConn, a http1.Answer, now int64) {
 	d := c.carries
-	if d == nil || !c.written() { // nobody asked, or it came before all was asked
+	// Nobody asked, or it came before all was asked. A late copy of the answer before, read just before this
+	// call was written, must not answer it: the kernel may have taken the call by now.
+	if d == nil || !c.written() || now <= d.wrote {
 		p.spoilt(c, now)
 		return
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -121,6 +121,38 @@
 	}
 }
 
+// A copy of an answer that was read before the next call was written on its connection never answers that call.
+func TestLateCopy(t *testing.T) {
+	p := testProxy(t)
+	c, _ := parked(t, p, 1)
+	d := &dispatch{req: &req{outs: 1, ended: true}, host: p.host("s"), out: true}
+	p.unpark(c)
+	c.carries, d.conn, d.wrote = d, c, 100
+	p.answered(c, http1.Answer{Status: 200}, 99)
+	if p.count.Outcomes[balance.Errored] != 1 || !c.closed {
+		t.Fatalf("got %v, closed %v, want an error and the connection closed", p.count.Outcomes, c.closed)
+	}
+}
+
+// A connection that just had an answer waits for what may come behind it.
+func TestSettled(t *testing.T) {
+	p := testProxy(t)
+	c, other := parked(t, p, 1000)
+	p.reqs[1] = &req{id: 1}
+	p.send(p.reqs[1], "s", 1e9, 1001)
+	d := p.reqs[1].dispatches[0]
+	if c.given != 0 || d.conn != nil || len(p.timers) != 2 {
+		t.Fatalf("written at once, %d timers", len(p.timers))
+	}
+	_, _ = other.Write([]byte("HTTP/1.1 200 OK"))
+	for end := time.Now().Add(10 * time.Second); c.nothing() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if p.settled(d, c, 1000+settle); !c.closed || d.conn != nil || p.pool.dials != 1 {
+		t.Fatalf("closed %v, %d dials, want the call on a new connection", c.closed, p.pool.dials)
+	}
+}
+
 // A connection that the other side has ended must not carry a req, which would end as a reset that may have run.
 func TestIdle(t *testing.T) {
 	for name, spoil := range map[string]func(net.Conn){
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -46,6 +46,7 @@
 	host  *host
 	conn  *hostConn // nil until one is up
 	sent  int64
+	wrote int64 // when it was handed to its connection
 	until int64
 	limit *timer
 	out   bool
@@ -64,15 +65,31 @@
 	d.limit = p.after(now, until-now, func(now int64) { p.giveUp(d, balance.TimedOut, now) })
 	if c := p.idle(d.host); c != nil {
 		p.count.Reused++
-		p.write(d, c)
+		if fresh := settle - (now - c.used); fresh > 0 {
+			p.after(now, fresh, func(now int64) { p.settled(d, c, now) })
+		} else {
+			p.write(d, c)
+		}
 		return
 	}
 	p.connect(d, now)
 }
 
+// settled uses a connection that had an answer just before, unless more came on it.
+func (p *Proxy) settled(d *dispatch, c *hostConn, now int64) {
+	if c.closed || !c.nothing() {
+		c.shut()
+		if d.out {
+			p.connect(d, now)
+		}
+		return
+	}
+	p.connected(d, c, now)
+}
+
 // write puts the dispatch on a connection that is up.
 func (p *Proxy) write(d *dispatch, c *hostConn) {
-	d.conn, c.carries = c, d
+	d.conn, c.carries, d.wrote = c, d, p.now()
 	c.write(http1.AppendCall(nil, d.req.call, d.host.addr, max(1, d.until-p.now())))
 }
 
