More failures in a row eject while they strike nearly all servers alike

Probe: outcomes by server and 2 s there: 3 to 12 resets in some 90 dispatches at each of ten servers, on new and kept connections alike; two in a row come by chance, and the third of servers that is out crowds the rest. Ruled out: dead or slow servers (34 time-outs, no refused connection), descriptors (73 of 384), CPU.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,9 +17,11 @@
 const (
 	ms, sec = int64(1e6), int64(1e9)
 
-	alpha        = 0.3     // weight of the newest outcome in a server's health (design)
-	floor        = 0.05    // health never falls below it (design)
-	streakLimit  = 2       // consecutive failures that eject (design)
+	alpha        = 0.3  // weight of the newest outcome in a server's health (design)
+	floor        = 0.05 // health never falls below it (design)
+	streakLimit  = 2    // consecutive failures that eject (design),
+	mostStreak   = 4    // up to so many while they come by chance more often than this
+	chance       = 1e-4
 	jitter       = 0.2     // fraction of a backoff that is left to chance (design)
 	firstBackoff = 5 * sec // at the most, and this multiple of the shortest response target:
 	backoffPace  = 6       // where reqs come faster two failures in a row come by chance more often
@@ -81,6 +83,7 @@
 	unit, lat              float64     // time for each place in flight, and of an answer; 0: not measured
 	grow, spent            float64     // in-flight cap that grows with answers; budget of a cold server, in reqs
 	cold, ready, score     float64     // part of its capacity by age; weight and score now
+	blips                  float64     // part of its answers that followed a failure, which they refute
 }
 
 type Balancer struct { // one instance
@@ -131,8 +134,7 @@
 	r.giveUp -= 2 * b.t.Tick
 	r.luck = b.dice.Next()
 	r.Key = cmp.Or(r.Key, fmt.Sprint(r.luck)) // without a key chance decides
-	b.reqs[a.ID] = r
-	b.open = append(b.open, r)
+	b.reqs[a.ID], b.open = r, append(b.open, r)
 }
 
 // Withdrawn tells that a req has ended without the balancer.
@@ -164,12 +166,9 @@
 		return
 	}
 	d, s := r.sends[attempt], r.sends[attempt].srv
-	d.out = false
-	r.outs--
-	b.inflight--
+	d.out, r.outs, b.inflight = false, r.outs-1, b.inflight-1
 	s.out = slices.DeleteFunc(s.out, func(x *dispatch) bool { return x == d })
-	s.used = now
-	d.maybe = o != Refused && o != NoConnection && o != NotSent
+	s.used, d.maybe = now, o != Refused && o != NoConnection && o != NotSent
 	r.ended = r.ended || final
 	b.drop(r)
 	if s.Since <= d.sent { // what was sent to an earlier process tells nothing of this one
@@ -191,6 +190,7 @@
 		b.rate.Add(now, span)
 		s.unit, s.lat = s.follow(s.unit, float64(took)/d.rank), s.follow(s.lat, float64(took))
 		s.grow += 0.5
+		s.blips += 0.05 * (float64(min(1, s.streak)) - s.blips)
 		if s.streak = 0; s.health > recovered {
 			s.ejections = 0
 		}
@@ -206,8 +206,7 @@
 			s.failed()
 		}
 	case Refused: // back-pressure
-		s.answered = now
-		s.full = now + max(20*ms, int64(s.unit))
+		s.answered, s.full = now, now+max(20*ms, int64(s.unit))
 		s.grow = max(1, math.Min(s.grow, float64(len(s.out))))
 	}
 }
@@ -227,15 +226,27 @@
 	return 0.9*old + 0.1*newest
 }
 
-// failed counts a failure; tend ejects a server that has two in a row.
+// failed counts a failure; tend ejects a server that has enough in a row.
 func (s *server) failed() {
 	s.learn(false)
 	s.streak++
 }
 
+// streak is how many failures in a row eject. Where failures strike nearly all servers alike, say as what
+// lies between breaks connections, they tell nothing of one, and two come in a row by chance all the time.
+func (b *Balancer) streak() int {
+	rates := make([]float64, len(b.servers))
+	for i, s := range b.servers {
+		rates[i] = s.blips
+	}
+	slices.Sort(rates)
+	byChance := math.Log(chance) / math.Log(max(1e-9, rates[len(rates)/4])) // most servers have more
+	return int(min(mostStreak, max(streakLimit, math.Ceil(byChance))))
+}
+
 func (b *Balancer) eject(s *server, now int64) {
-	back := min(mostBackoff, min(firstBackoff, backoffPace*b.pace)<<min(s.ejections, 10))
-	back = int64(float64(back) * (1 + jitter*(2*b.dice.Next()-1)))
+	most := min(mostBackoff, min(firstBackoff, backoffPace*b.pace)<<min(s.ejections, 10))
+	back := int64(float64(most) * (1 + jitter*(2*b.dice.Next()-1)))
 	s.ejected, s.until, s.ejections = true, now+back, s.ejections+1
 	b.log("ejected %s for %d ms: streak %d, health %.2f", s.ID, back/ms, s.streak, s.health)
 }
@@ -246,8 +257,7 @@
 
 func byID(s *server, id string) int { return cmp.Compare(s.ID, id) }
 
-// apart spreads calls for the list, as a service of fixed size serves all balancers, but keeps them well
-// within the time after which this one is deemed told.
+// apart spreads calls for the list, but keeps them well within the time after which this one is deemed told.
 func (b *Balancer) apart() float64 {
 	return min(0.5*float64(sec)+askApart*float64(b.t.Copies), float64(b.t.AskWithin)/2)
 }
@@ -257,8 +267,7 @@
 	if form == Unavailable {
 		b.askAt = now + int64((0.5+b.dice.Next())*b.apart())
 		return
-	}
-	if form != Restored {
+	} else if form != Restored {
 		b.askAt = 0
 	}
 	for _, s := range b.servers {
@@ -269,8 +278,7 @@
 	}
 }
 
-// enter takes one entry. A new server or a new process starts at the mean health of the others; what
-// was known of an old process is void.
+// enter takes one entry. A new server or process starts at the mean health; what was known before is void.
 func (b *Balancer) enter(e Server, now int64) {
 	i, had := slices.BinarySearchFunc(b.servers, e.ID, byID)
 	if !had {
@@ -378,9 +386,9 @@
 		usable++
 		if s.ejected && now >= s.until {
 			// It comes back through the fresh host's cap, one failure away from the next ejection.
-			s.ejected, s.streak, s.grow = false, streakLimit-1, 1
+			s.ejected, s.streak, s.grow = false, b.streak()-1, 1
 			b.log("returned %s: health %.2f", s.ID, s.health)
-		} else if !s.ejected && s.streak >= streakLimit {
+		} else if !s.ejected && s.streak >= streakLimit && s.streak >= b.streak() {
 			b.eject(s, now)
 		}
 		if s.ejected {
@@ -443,8 +451,7 @@
 func (b *Balancer) finish(r *req) {
 	d := Decision{Kind: Abort, Req: r.ID}
 	if b.canDeny(r) {
-		d.Kind = Deny
-		d.Time = min(b.t.MaxAdvice, r.rules.ResponseTarget/5)
+		d.Kind, d.Time = Deny, min(b.t.MaxAdvice, r.rules.ResponseTarget/5)
 	}
 	b.do(d)
 	r.ended = true
@@ -513,8 +520,7 @@
 		}
 		h := draw.Hash(r.Key, s.ID)
 		if s.cold < 1 && many {
-			// Hundreds of balancers, each with a budget of less than one req, would push it over with one
-			// popular key, their zone's weight or what others have no room for: it gets its part of each key.
+			// Hundreds of balancers would push it over with one popular key: it gets its part of each key.
 			h = draw.Hash(lot, s.ID)
 		}
 		s.score = -w / math.Log(h)
@@ -529,8 +535,7 @@
 	return nil
 }
 
-// bound is what may be in flight: answers a second times a part of the response target. It guards
-// against many balancers that crowd every server at once, each with little there.
+// bound is what may be in flight, by rate and response target: many balancers could crowd all servers.
 func (b *Balancer) bound(r *req, now int64) float64 {
 	past := min(span, max(now-b.begun, sec/10))
 	least := b.part()
@@ -558,8 +563,7 @@
 	return now >= s.full && float64(len(s.out)) < limit
 }
 
-// afford says whether a cold server's budget leaves room. All balancers together must not push it over:
-// each sends it no more than its own mean rate at warm servers, scaled down by how warm it is.
+// afford keeps all balancers from pushing a cold server over: each sends its rate at warm ones, by warmth.
 func (b *Balancer) afford(s *server, share float64, now int64) bool {
 	if s.cold >= 1 {
 		return true
@@ -581,12 +585,9 @@
 	} else if rested {
 		d.rested = 1
 	}
-	r.sends = append(r.sends, d)
-	r.outs++
-	s.out = append(s.out, d)
+	r.sends, s.out = append(r.sends, d), append(s.out, d)
 	d.rank = float64(len(s.out))
-	b.inflight++
-	s.spent++
+	r.outs, b.inflight, s.spent = r.outs+1, b.inflight+1, s.spent+1
 	if r.tenant >= 0 {
 		b.served[r.tenant].Add(now, span)
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -166,6 +166,32 @@
 		}
 		near(t, "floor", s.health, floor, 1e-12)
 	})
+	t.Run("failures that strike nearly all servers alike eject less soon", func(t *testing.T) {
+		for _, c := range []struct {
+			alike, want int
+			part        float64
+		}{{0, 2, 0.09}, {2, 2, 0.09}, {6, 4, 0.09}, {8, 4, 0.09}, {8, 3, 0.03}, {8, 2, 0.005}, {8, 4, 0.9}} {
+			b := fleet(8, nil)
+			for _, s := range b.servers[:c.alike] {
+				s.blips = c.part
+			}
+			if got := b.streak(); got != c.want {
+				t.Errorf("%d of 8 with %v: got %d in a row, want %d", c.alike, c.part, got, c.want)
+			}
+			b.servers[7].streak = c.want - 1
+			if b.tend(0); b.servers[7].ejected {
+				t.Errorf("%d of 8 with %v: ejected by %d", c.alike, c.part, c.want-1)
+			}
+		}
+		b := fleet(1, nil)
+		s, d := b.servers[0], &dispatch{req: take(b, 1, "once", "k"), rank: 1}
+		for range 200 { // every second answer follows a failure, which it refutes
+			s.streak = 1
+			b.judge(s, d, Served, ms, 0)
+			b.judge(s, d, Served, ms, 0)
+		}
+		near(t, "blips", s.blips, 0.5, 0.05)
+	})
 	t.Run("where targets are short a first ejection is", func(t *testing.T) {
 		b := fleet(1, func(t *Terms) { t.RuleSets = append(t.RuleSets, RuleSet{ResponseTarget: 200 * ms}) })
 		b.eject(b.servers[0], 0)
