While servers are out, few balancers may fill more of what the others can answer in time

Probe: of refused picks nearly all fail for room (11,000 to 17,000 looks in half a second), next to none for bound; at the servers left one to three are in flight for each balancer, answered in 30 to 40 ms of 200. Ruled out: descriptors, the bound in flight (4 of 9 to 14 used), dazed. At fault: balance.go room, aimShare found with three to five balancers; two leave a server idle between answers.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,7 +30,8 @@
 
 	skipOver    = 1.6     // a server is skipped past this multiple of its share of what is in flight,
 	skipSlack   = 2.0     // and this many dispatches more
-	aimShare    = 0.14    // part of the response target that a server's own in-flight may fill
+	aimShare    = 0.14    // part of the response target that a server's own in-flight may fill,
+	few         = 4.0     // balancers; where there are fewer, each may fill more while servers are out
 	leastShare  = 1.5     // servers for each balancer times this may always be in flight,
 	flightShare = 0.3     // part of the response target whose worth of answers may be in flight
 	spill       = 3       // servers of its own rank order that a req may go to
@@ -108,8 +109,7 @@
 // New makes an instance; the list follows as Listed(Restored).
 func New(t Terms, now int64) *Balancer {
 	b := &Balancer{t: t, reqs: map[uint64]*req{}, served: make([]fade.Count, len(t.Tenants)), begun: now}
-	b.dice.Seed = t.Seed
-	b.pace = firstBackoff
+	b.dice.Seed, b.pace = t.Seed, firstBackoff
 	for _, x := range t.RuleSets {
 		b.pace = min(b.pace, x.ResponseTarget)
 	}
@@ -302,15 +302,14 @@
 }
 
 // Next gives the next decision; false when there is none.
-func (b *Balancer) Next(now int64) (Decision, bool) {
+func (b *Balancer) Next(now int64) (d Decision, ok bool) {
 	if !b.planned {
 		b.plan(now)
 	}
 	if b.planned = len(b.todo) > 0; !b.planned {
 		return Decision{}, false
 	}
-	d := b.todo[0]
-	b.todo = b.todo[1:]
+	d, b.todo = b.todo[0], b.todo[1:]
 	return d, true
 }
 
@@ -559,7 +558,9 @@
 // room says whether a server may take one more: by rate times time, and by its share of what is in flight.
 func (b *Balancer) room(s *server, r *req, total float64, now int64) bool {
 	limit := min(s.grow, skipOver*s.ready/total*float64(b.inflight+1)+skipSlack)
-	limit = min(limit, max(1, aimShare*float64(r.rules.ResponseTarget)/s.unit)) // unit 0: no limit by time
+	// While servers are out the others may fill more, unless many balancers would do so at once.
+	more := max(1, min(few/float64(max(2, b.t.Copies)), float64(len(b.servers))/float64(max(1, b.healthy))))
+	limit = min(limit, max(1, more*aimShare*float64(r.rules.ResponseTarget)/s.unit)) // unit 0: no limit
 	return now >= s.full && float64(len(s.out)) < limit
 }
 
@@ -578,8 +579,7 @@
 	d := &dispatch{req: r, srv: s, sent: now, out: true, maybe: true}
 	rested := s.used > 0 && now-s.used > restFrom && len(s.out) == 0
 	if rested && b.late[1] > restLoss+b.late[0] {
-		// What lies between may forget connections at rest and swallow what comes over them: they are closed
-		// while that is seen, and tried again after some time.
+		// What lies between may swallow what comes over connections at rest: they go while that is seen.
 		b.late[1] *= 0.98
 		b.do(Decision{Kind: Close, Server: s.ID})
 	} else if rested {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -378,6 +378,24 @@
 }
 
 func TestLimits(t *testing.T) {
+	t.Run("while servers are out few balancers may fill more of the others", func(t *testing.T) {
+		for _, c := range []struct {
+			copies, out int
+			want        bool
+		}{{2, 0, false}, {2, 4, true}, {8, 4, false}} {
+			b := fleet(8, func(t *Terms) { t.Copies = c.copies })
+			for _, s := range b.servers[:c.out] {
+				s.ejected, s.until = true, sec
+			}
+			b.tend(0)
+			s, r := b.servers[7], take(b, 1, "once", "k")
+			s.ready, s.grow, s.unit = 1, 100, 0.1*float64(sec)
+			s.out = []*dispatch{{req: r}, {req: r}}
+			if got := b.room(s, r, 1, 0); got != c.want {
+				t.Errorf("%d balancers, %d of 8 out: got room %v, want %v", c.copies, c.out, got, c.want)
+			}
+		}
+	})
 	t.Run("nothing new to a draining server", func(t *testing.T) {
 		b := fleet(2, nil)
 		b.Listed(Changes, []Server{{ID: "a", Zone: "z", State: Draining}}, 0)
