Tidy-up: one place to count a client off, to withdraw its req, to say a dispatch was never tried

Read over once more; behaviour as it was, tests keep their assertions. - gone and dismiss took a client off the list each in their own lines, gone and malformed withdrew its req likewise: countOff and withdraw serve both. - broke asked for three errors by name to tell what was no fault of the host's: `unsent` is a step of how far an attempt came. - closeResting compared a rest twice; roomForOne went round by a continue; a field's name was lowered twice in the parser; the clock was read twice for one write; two tests had the same wait.

--- a/http1/parse.go
+++ b/http1/parse.go
@@ -253,14 +253,14 @@
 		return ErrMalformed
 	}
 	value = strings.Trim(value, " \t")
+	low := strings.ToLower(name)
 	if strings.ContainsFunc(value, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
-		if p.lenient && !strings.ContainsAny(value, "\r\n") && !strings.EqualFold(name, "content-length") &&
-			!strings.EqualFold(name, "transfer-encoding") {
+		if p.lenient && !strings.ContainsAny(value, "\r\n") && low != "content-length" && low != "transfer-encoding" {
 			return nil // a field that cannot be read, say a load report, does not spoil a sound answer
 		}
 		return ErrMalformed
 	}
-	switch low := strings.ToLower(name); low {
+	switch low {
 	case "content-length":
 		n, err := strconv.ParseUint(value, 10, 31)
 		if errors.Is(err, strconv.ErrRange) {
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -54,8 +54,13 @@
 	return nil
 }
 
-// withdraw ends a req whose client has gone.
-func (p *Proxy) withdraw(r *req) {
+// withdraw ends the open req, if any, of a client that has gone or broken it off.
+func (p *Proxy) withdraw(c *client) {
+	r := c.req
+	if r == nil {
+		return
+	}
+	c.req = nil
 	r.ended = true
 	p.count.Withdrawn++
 	p.module.Withdrawn(r.id)
--- a/proxy/intake.go
+++ b/proxy/intake.go
@@ -1,8 +1,8 @@
 package proxy
 
 // This file owns the clients' connections: it parses what they send, one call at a time, and answers what
-// is no req. It must never let a malformed call any further, nor close a connection that still owes an
-// answer.
+// is no req. It must never let a malformed call any further, nor close a connection on which an open
+// req waits for its answer.
 
 import (
 	"errors"
@@ -83,11 +83,11 @@
 func (p *Proxy) closeResting(now, least int64) bool {
 	var longest *client
 	for _, c := range p.clients {
-		resting := c.req == nil && len(c.waiting) == 0 && (!c.last || c.written())
+		resting, need := c.req == nil && len(c.waiting) == 0 && (!c.last || c.written()), least
 		if c.asked && !c.last {
-			resting = resting && now-c.rests >= rest
+			need = rest
 		}
-		if resting && now-c.rests >= least && (longest == nil || c.rests < longest.rests) && c.nothing() {
+		if resting && now-c.rests >= need && (longest == nil || c.rests < longest.rests) && c.nothing() {
 			longest = c
 		}
 	}
@@ -102,6 +102,10 @@
 // dismiss closes a client's connection and counts it off at once: its descriptor is free.
 func (p *Proxy) dismiss(c *client) {
 	c.shut()
+	p.countOff(c)
+}
+
+func (p *Proxy) countOff(c *client) {
 	p.stop(c.due)
 	p.clients = slices.DeleteFunc(p.clients, func(x *client) bool { return x == c })
 }
@@ -178,10 +182,7 @@
 		return
 	}
 	c.bad, c.waiting = err, nil
-	if r := c.req; r != nil {
-		c.req = nil
-		p.withdraw(r)
-	}
+	p.withdraw(c)
 	p.count.Malformed++
 	status := http.StatusBadRequest
 	switch {
@@ -216,10 +217,6 @@
 
 // gone is the end of a client's connection: what it waited for is withdrawn.
 func (c *client) gone(p *Proxy, _ int64) {
-	p.clients = slices.DeleteFunc(p.clients, func(x *client) bool { return x == c })
-	p.stop(c.due)
-	if r := c.req; r != nil {
-		c.req = nil
-		p.withdraw(r)
-	}
+	p.countOff(c)
+	p.withdraw(c)
 }
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -100,14 +100,12 @@
 				oldest = h.idle[0]
 			}
 		}
-		if oldest == nil {
-			if !p.closeResting(p.now(), rest) {
-				return false
-			}
-			continue
+		if oldest != nil {
+			p.retire(oldest)
+			p.uncount(oldest)
+		} else if !p.closeResting(p.now(), rest) {
+			return false
 		}
-		p.retire(oldest)
-		p.uncount(oldest)
 	}
 	return true
 }
@@ -116,7 +114,7 @@
 func (p *Proxy) connect(d *dispatch, now int64) {
 	h := d.host
 	if !p.roomForOne() {
-		p.post(now, nil, func(at int64) { p.broke(d, &broken{unconnected, errSockets}, at) })
+		p.post(now, nil, func(at int64) { p.broke(d, &broken{unsent, errSockets}, at) })
 		return
 	}
 	p.count.Dialled++
@@ -146,7 +144,7 @@
 	case !d.out:
 		p.park(c, now)
 	case !c.host.ready: // told meanwhile that it drains: nothing new begins there
-		p.broke(d, &broken{unconnected, errDrained}, now)
+		p.broke(d, &broken{unsent, errDrained}, now)
 		c.shut()
 	default:
 		p.write(d, c)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -56,6 +56,13 @@
 	return c, other
 }
 
+// notice waits until the kernel shows what the other side did.
+func notice(c *hostConn) {
+	for end := time.Now().Add(10 * time.Second); c.nothing() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // What the kernel did not take never ran; all else may have. The count is nbio's, which queues writes.
 func TestHowFar(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -145,9 +152,7 @@
 		t.Fatalf("written at once, %d timers", len(p.timers))
 	}
 	_, _ = other.Write([]byte("HTTP/1.1 200 OK"))
-	for end := time.Now().Add(10 * time.Second); c.nothing() && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
+	notice(c)
 	if p.settled(d, c, 1000+settle); !c.closed || d.conn != nil || p.pool.dials != 1 {
 		t.Fatalf("closed %v, %d dials, want the call on a new connection", c.closed, p.pool.dials)
 	}
@@ -164,9 +169,7 @@
 			good, _ := parked(t, p, 1)
 			bad, other := parked(t, p, 2)
 			spoil(other)
-			for end := time.Now().Add(10 * time.Second); bad.nothing() && time.Now().Before(end); {
-				time.Sleep(time.Millisecond)
-			}
+			notice(bad)
 			if got := p.idle(p.host("s")); got != good {
 				t.Fatalf("got %p, want the good one", got)
 			}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -16,7 +16,8 @@
 type reached int
 
 const (
-	unconnected reached = iota
+	unsent reached = iota // the proxy itself could not or would not: no fault of the host's
+	unconnected
 	partWritten
 	allWritten
 	answerBegun
@@ -59,7 +60,7 @@
 	r.outs++
 	p.count.Sent++
 	if d.host == nil {
-		p.post(now, nil, func(at int64) { p.broke(d, &broken{unconnected, errUnknown}, at) })
+		p.post(now, nil, func(at int64) { p.broke(d, &broken{unsent, errUnknown}, at) })
 		return
 	}
 	d.limit = p.after(now, until-now, func(now int64) { p.giveUp(d, balance.TimedOut, now) })
@@ -90,7 +91,7 @@
 // write puts the dispatch on a connection that is up.
 func (p *Proxy) write(d *dispatch, c *hostConn) {
 	d.conn, c.carries, d.wrote = c, d, p.now()
-	c.write(http1.AppendCall(nil, d.req.call, d.host.addr, max(1, d.until-p.now())))
+	c.write(http1.AppendCall(nil, d.req.call, d.host.addr, max(1, d.until-d.wrote)))
 }
 
 // progress says how far a dispatch has come. It is asked after its connection was closed: until then the
@@ -128,8 +129,8 @@
 		return
 	}
 	switch {
-	case errors.Is(err, errSockets) || errors.Is(err, errDrained) || errors.Is(err, errUnknown):
-		p.book(d, balance.NotSent, nil, now) // no fault of the host's
+	case err.reached == unsent:
+		p.book(d, balance.NotSent, nil, now)
 	case err.reached < allWritten:
 		p.book(d, balance.NoConnection, nil, now)
 	case errors.Is(err, errAnswer):
