An empty line does not stop a client's time for its first call

Found by reading: proxy/intake.go begins stopped the timer whenever a part that was held turned out to be nothing, also before the first call; a client that sent an empty line in two pieces was then kept until descriptors ran short. The test fails without the change.

--- a/proxy/intake.go
+++ b/proxy/intake.go
@@ -152,12 +152,15 @@
 	}
 }
 
-// begins notes that a further call has begun, or that what looked like one was nothing.
+// begins notes that a further call has begun, or that what looked like one was nothing. The time for the first
+// runs from the connection's start, whatever comes before it: an empty line in two pieces must not stop it.
 func (p *Proxy) begins(c *client, begun bool, at int64) {
-	if !begun {
-		p.stop(c.due)
-	} else if c.asked && !c.closed {
+	switch {
+	case !c.asked || c.closed:
+	case begun:
 		p.await(c, at)
+	default:
+		p.stop(c.due)
 	}
 }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -128,6 +128,20 @@
 	}
 }
 
+// A client that sent nothing but an empty line is still owed its end.
+func TestBegins(t *testing.T) {
+	p := testProxy(t)
+	c := &client{}
+	p.await(c, 1)
+	if p.begins(c, false, 2); c.due.index < 0 {
+		t.Fatal("an empty line ended the wait for the first call")
+	}
+	c.asked = true
+	if p.begins(c, false, 3); c.due.index >= 0 {
+		t.Fatal("a client between calls is waited for")
+	}
+}
+
 // A copy of an answer that was read before the next call was written on its connection never answers that call.
 func TestLateCopy(t *testing.T) {
 	p := testProxy(t)
