--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,16 +11,21 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 
 	"github.com/lesismal/nbio/logging"
 	"github.com/sirupsen/logrus"
 
+	"ivybank/door"
+	"ivybank/holds"
 	"ivybank/proxy"
 	"ivybank/terms"
+	"ivybank/twin"
 )
 
 const (
@@ -37,6 +43,7 @@
 		Memory  float64 `json:"memory_mb"`
 		Sockets int     `json:"sockets"`
 	} `json:"limits"`
+	Admin    string          `json:"admin_addr"` // absent: no door
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
@@ -76,7 +83,7 @@
 		return o, s, fmt.Errorf("settings: %w", err)
 	}
 	s = proxy.Start{Listen: o.Listen, Discovery: o.Discovery, Sockets: o.Limits.Sockets, Pollers: pollers,
-		Known: o.Known, Terms: terms.Read(v, seed),
+		Memory: int64(o.Limits.Memory * heapPart * (1 << 20)), Known: o.Known, Terms: terms.Read(v, seed),
 		DialTimeout: v.Int("Ceilings.DialTimeoutNs"), ConnIdle: v.Int("Ceilings.ConnIdleNs")}
 	s.Terms.MustAsk = true // on sockets discovery tells nothing unasked
 	for i := range v.Int("RuleSets.count") {
@@ -94,6 +101,36 @@
 	return o, s, nil
 }
 
+// open adds what the process finds around it: a listener that it inherits, a folder shared with the process before or
+// after it, the operators' door.
+func open(o orders, start proxy.Start) (*proxy.Proxy, error) {
+	if text := os.Getenv("GW_SOCKET_FD"); text != "" {
+		fd, err := strconv.Atoi(text)
+		if err != nil || fd < 3 {
+			return nil, fmt.Errorf("GW_SOCKET_FD=%q: expected the number of a descriptor", text)
+		}
+		if start.Inherited, err = proxy.Inherit(fd); err != nil {
+			return nil, err
+		}
+	}
+	// Several proxies may share the folder; the processes of one share the address.
+	base := filepath.Join(os.TempDir(), "ivybank-"+strings.NewReplacer(":", "-", "/", "-").Replace(start.Listen))
+	var err error
+	if start.Seat, err = twin.Take(base + ".seats"); err != nil {
+		logrus.Warnf("other processes of this proxy are not seen: %v", err)
+	}
+	if start.Holds, err = holds.Open(base + ".holds"); err != nil {
+		logrus.Warnf("hosts out by hand: %v", err)
+	}
+	p := proxy.New(start)
+	if addr := cmp.Or(os.Getenv("GW_ADMIN_ADDR"), o.Admin); addr != "" {
+		if _, err := door.Open(addr, p.Operate); err != nil {
+			return nil, fmt.Errorf("admin_addr: %w", err)
+		}
+	}
+	return p, nil
+}
+
 // library sends nbio's log to logrus.
 type library struct{}
 
@@ -116,10 +153,14 @@
 	// A poller that waits in the kernel holds a processor of Go's until it is taken away from it, so the
 	// pollers come on top of the cores.
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(o.Limits.Cores))) + pollers)
-	if o.Limits.Memory > 0 {
-		debug.SetMemoryLimit(int64(o.Limits.Memory * heapPart * (1 << 20)))
+	if start.Memory > 0 {
+		debug.SetMemoryLimit(start.Memory)
+	}
+	p, err := open(o, start)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "ivybank:", err)
+		os.Exit(2)
 	}
-	p := proxy.New(start)
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	go func() {
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -19,6 +19,7 @@
 	took   atomic.Int64 // bytes that the kernel took
 	given  int64        // bytes handed to nbio; the owner's
 	closed bool         // the owner's
+	told   atomic.Int32 // events of it that the owner has not come to
 }
 
 // end is what a connection is to its callbacks.
@@ -46,6 +47,9 @@
 	_ = w.nb.Close()
 }
 
+// silent is nothing, and nothing that was read either waits for the owner.
+func (w *wire) silent() bool { return w.nothing() && w.told.Load() == 0 }
+
 // nothing says whether the other side has neither sent anything more nor ended the connection, also what
 // the poller has not told yet.
 func (w *wire) nothing() bool {
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -106,8 +106,11 @@
 		default:
 			s.State = balance.Draining // also a state not known here: nothing new goes there
 		}
+		p.remember(e.ID)
+		if h := p.place(e, s); h != nil {
+			s = p.show(h)
+		}
 		servers = append(servers, s)
-		p.place(e, s)
 	}
 	for _, h := range slices.Clone(p.hosts) { // tidy takes hosts off
 		if !h.ready {
@@ -118,25 +121,33 @@
 	p.module.Listed(form, servers, now)
 }
 
-// place keeps where a host is. Connections to another address or to an earlier process are of no use.
-func (p *Proxy) place(e entry, s balance.Server) {
+// place keeps where a host is and what the list says of it; nil where it is gone and nothing is known of it.
+func (p *Proxy) place(e entry, s balance.Server) *host {
 	i, had := p.find(e.ID)
 	if !had {
 		if s.State == balance.Gone {
-			return
+			return nil
 		}
 		p.hosts = slices.Insert(p.hosts, i, &host{id: e.ID})
 	}
 	h := p.hosts[i]
+	if h.told = s; e.Addr != "" && e.Addr != h.addr {
+		h.addr = e.Addr
+		p.closeIdle(h)
+	}
+	return h
+}
+
+// show brings a host up to date and gives it as the module is to see it. Connections to an earlier process or to
+// a host that wants nothing new are of no use.
+func (p *Proxy) show(h *host) balance.Server {
+	s := p.shown(h.told)
 	h.ready, h.listed = s.State == balance.Running, s.State != balance.Gone
 	moved := h.since != s.Since
-	if e.Addr != "" && e.Addr != h.addr {
-		h.addr, moved = e.Addr, true
-	}
-	h.since = s.Since
-	if moved {
+	if h.shown, h.since = s, s.Since; moved || !h.ready {
 		p.closeIdle(h)
 	}
+	return s
 }
 
 // Rediscover follows discovery to another address, with a watch at once; it may be called from any goroutine.
@@ -240,6 +251,7 @@
 		return
 	}
 	p.count.Lines++
+	defer p.letIn()
 	if err != nil {
 		p.count.BadLines++
 		logrus.Warnf("line of the list ignored: %v", err)
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -1,21 +1,31 @@
 package proxy
 
-// This file owns the end of the program's life: after SIGTERM it serves on while clients still come, then
-// ends their connections one by one, each after its answer, and stops. It must never leave a req that was
-// taken without its answer.
+// This file owns how clients are sent away: for good after SIGTERM, when the proxy serves on while clients still come, then
+// ends their connections one by one, each after its answer, and stops; or by an operator's call, when it does the
+// same, lives on and may take clients again. It must never leave a req that was taken without its answer.
 
-import "github.com/sirupsen/logrus"
+import (
+	"slices"
+
+	"github.com/sirupsen/logrus"
+)
 
 const (
-	comeOn = 5e8 // new connections go on coming for a while after SIGTERM
+	comeOn = 5e8 // new connections go on coming for a while after SIGTERM or the call
 	linger = 3e8 // nothing may be left for so long before the program ends
 	glance = 5e6 // between looks at what is left
+
+	// Once clients no longer come, those in use end with an answer and those at rest one by one within this time;
+	// before it is over one that was used within still counts as in use.
+	leaving = 1e9
+	still   = 3e8
 )
 
-// drain is how far the end has come.
+// drain is how far either has come.
 type drain struct {
 	begun, ending bool
 	quietFrom     int64
+	emptied       int64 // since when an operator has had the clients sent away; 0 when they are taken
 }
 
 // Drain begins the end; it may be called from any goroutine.
@@ -26,7 +36,15 @@
 		}
 		p.drain.begun = true
 		logrus.Info("draining")
-		p.after(at, comeOn, p.ending)
+		if p.start.Inherited == nil {
+			p.after(at, comeOn, p.ending)
+			return
+		}
+		// Whoever comes now is for the process that shares the listener.
+		p.accept.stop()
+		p.drain.ending = true
+		p.sendAway(at, at, func() bool { return true })
+		p.after(at, still, p.awaitEnd)
 	})
 }
 
@@ -39,6 +57,10 @@
 			p.endClient(c, now)
 		}
 	}
+	p.awaitEnd(now)
+}
+
+func (p *Proxy) awaitEnd(now int64) {
 	p.drain.quietFrom = now
 	p.finish(now, now+p.start.LongestTimeout)
 }
@@ -54,3 +76,46 @@
 	}
 	p.after(now, glance, func(now int64) { p.finish(now, latest) })
 }
+
+// empty sends the clients away. Called again it changes nothing.
+func (p *Proxy) empty(now int64) {
+	if p.drain.emptied != 0 {
+		return
+	}
+	logrus.Info("emptied by hand: clients are sent away")
+	p.drain.emptied = now
+	p.after(now, comeOn, func(at int64) {
+		p.sendAway(at, at, func() bool { return p.drain.emptied == now })
+	})
+}
+
+// refill takes clients again.
+func (p *Proxy) refill() {
+	if p.drain.emptied != 0 {
+		logrus.Info("clients are taken again")
+		p.drain.emptied = 0
+	}
+}
+
+// sendAway closes clients' connections at rest as long as it is wanted: those not used for a while first, a few at a
+// time, as one that is closed while a call is on its way costs its client a second try.
+func (p *Proxy) sendAway(now, from int64, wanted func() bool) {
+	if !wanted() || p.done {
+		return
+	}
+	least, left := int64(still), from+leaving-now
+	if left <= 0 {
+		least, left = 0, 0
+	}
+	var resting []*client
+	for _, c := range p.clients {
+		if c.req == nil && len(c.waiting) == 0 && !c.last && !c.coming && now-c.rests >= least && c.silent() {
+			resting = append(resting, c)
+		}
+	}
+	slices.SortStableFunc(resting, func(x, y *client) int { return int(x.rests - y.rests) })
+	for _, c := range resting[:(len(resting)+int(left/glance))/(1+int(left/glance))] {
+		p.dismiss(c)
+	}
+	p.after(now, glance, func(now int64) { p.sendAway(now, from, wanted) })
+}
--- a/proxy/intake.go
+++ b/proxy/intake.go
@@ -37,6 +37,7 @@
 	begun   bool         // the poller's: a part of a call is held
 	waiting []sentAhead  // emptied as they are taken in turn
 	req     *req         // the one that is being answered
+	coming  bool         // a part of a call has come
 	due     *timer       // when a call that is not whole yet, or has not begun, has taken too long
 	rests   int64        // since when no req is open: its start, or its last answer
 	asked   bool         // has sent a whole call
@@ -61,10 +62,10 @@
 func (p *Proxy) welcome(c *client, at int64) {
 	c.rests = at
 	p.await(c, at)
-	for len(p.clients) >= p.start.Sockets/clientPart && p.closeResting(p.now(), rest) {
+	for len(p.clients) >= p.sockets/clientPart && p.closeResting(p.now(), rest) {
 	}
-	hosts := max(p.start.Sockets/hostPart, p.pool.conns+p.pool.dials)
-	for len(p.clients)+hosts >= p.start.Sockets-spareSockets { // hundreds may have come since the last look
+	hosts := max(p.sockets/hostPart, p.pool.conns+p.pool.dials)
+	for len(p.clients)+hosts >= p.sockets-spareSockets { // hundreds may have come since the last look
 		if !p.closeResting(p.now(), 0) {
 			c.extra = !p.roomForOne()
 			break
@@ -87,7 +88,7 @@
 		if c.asked && !c.last {
 			need = rest
 		}
-		if resting && now-c.rests >= need && (longest == nil || c.rests < longest.rests) && c.nothing() {
+		if resting && now-c.rests >= need && (longest == nil || c.rests < longest.rests) && c.silent() {
 			longest = c
 		}
 	}
@@ -155,6 +156,7 @@
 // begins notes that a further call has begun, or that what looked like one was nothing. The time for the first
 // runs from the connection's start, whatever comes before it: an empty line in two pieces must not stop it.
 func (p *Proxy) begins(c *client, begun bool, at int64) {
+	c.coming = begun
 	switch {
 	case !c.asked || c.closed:
 	case begun:
@@ -169,7 +171,7 @@
 	if c.bad != nil || c.closed {
 		return
 	}
-	c.asked = true
+	c.asked, c.coming = true, false
 	p.stop(c.due)
 	if len(c.waiting) >= mostWaiting {
 		p.malformed(c, http1.ErrTooLarge)
@@ -207,7 +209,11 @@
 			p.count.Crowded++
 			p.answer(c, http1.Answer{Status: http.StatusServiceUnavailable}, true)
 		case call.Method == http.MethodGet && call.Target == "/_health":
-			p.answer(c, http1.Answer{Status: http.StatusOK}, call.Close)
+			status := http.StatusOK
+			if p.drain.emptied != 0 {
+				status = http.StatusServiceUnavailable
+			}
+			p.answer(c, http1.Answer{Status: status}, call.Close)
 		case call.Method == http.MethodGet && call.Target == "/_counters":
 			p.answer(c, http1.Answer{Status: http.StatusOK, Fields: jsonType, Body: p.count.JSON()}, call.Close)
 		default:
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -9,14 +9,18 @@
 
 import (
 	"container/heap"
+	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/sirupsen/logrus"
 
 	"ivybank/balance"
+	"ivybank/holds"
+	"ivybank/twin"
 )
 
 // mostUnsent bounds the bytes of answers that a client does not read; past it its connection is closed.
@@ -29,9 +33,13 @@
 	Pollers           int
 	Known             []byte // the list of hosts as it was last held, in discovery's form
 	Terms             balance.Terms
-	DialTimeout       int64 // a connection not up by then counts as failed
-	ConnIdle          int64 // hosts close a connection that stood idle for so long
-	LongestTimeout    int64 // the longest client timeout of any rule set
+	DialTimeout       int64        // a connection not up by then counts as failed
+	ConnIdle          int64        // hosts close a connection that stood idle for so long
+	LongestTimeout    int64        // the longest client timeout of any rule set
+	Inherited         net.Listener // shared with other processes; nil where the address is bound here
+	Memory            int64        // bytes for Go's heap, 0 where none are told
+	Holds             *holds.Store
+	Seat              *twin.Seat // nil where there is no folder to meet in
 }
 
 // Proxy is one running client proxy. Everything but the event queue belongs to the owner loop.
@@ -55,6 +63,13 @@
 	pool    pool
 	list    discovery
 	drain   drain
+	sockets int             // descriptors that this process may hold now
+	held    holds.Table     // hosts out by hand
+	seen    map[string]bool // ids that were listed; the oldest go past mostSeen
+	order   []string        // the same, oldest first
+	accept  *listener
+	open    bool        // clients are let in
+	other   atomic.Bool // another process lives beside this one
 	count   Counters
 	done    bool
 }
@@ -111,6 +126,9 @@
 
 // post hands an event to the owner. It never blocks, as the owner itself may be within nbio's locks.
 func (p *Proxy) post(at int64, on *wire, do func(at int64)) {
+	if on != nil {
+		on.told.Add(1)
+	}
 	p.mu.Lock()
 	p.events = append(p.events, event{at, on, do})
 	p.mu.Unlock()
@@ -123,7 +141,10 @@
 // New makes a proxy that does not listen yet.
 func New(s Start) *Proxy {
 	p := &Proxy{start: s, base: time.Now(), bell: make(chan struct{}, 1), reqs: map[uint64]*req{}, ids: map[string]bool{},
-		count: newCounters()}
+		count: newCounters(), sockets: s.Sockets, seen: map[string]bool{}}
+	if s.Holds != nil {
+		p.held = s.Holds.Table()
+	}
 	p.module = balance.New(s.Terms, p.now())
 	p.known(s.Known, p.now())
 	return p
@@ -131,9 +152,18 @@
 
 // Run listens and serves until a drain has ended.
 func (p *Proxy) Run() error {
+	l := p.start.Inherited
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", p.start.Listen); err != nil {
+			return err
+		}
+	}
+	p.accept = newListener(l)
 	nbio.MaxOpenFiles = max(p.start.Sockets, 1024)
 	p.engine = nbio.NewEngine(nbio.Config{Name: "ivybank", Network: "tcp", Addrs: []string{p.start.Listen},
-		NPoller: p.start.Pollers, MaxWriteBufferSize: mostUnsent})
+		NPoller: p.start.Pollers, MaxWriteBufferSize: mostUnsent,
+		Listen: func(string, string) (net.Listener, error) { return p.accept, nil }})
 	p.engine.OnOpen(p.opened)
 	p.engine.OnData(p.data)
 	p.engine.OnClose(p.closed)
@@ -142,7 +172,17 @@
 	if err := p.engine.Start(); err != nil {
 		return err
 	}
-	logrus.Infof("serving on %s", p.start.Listen)
+	if p.start.Seat != nil && p.start.Seat.Other() {
+		// The other knows of drains that the list handed over at start is too old for.
+		p.other.Store(true)
+		p.beside(true)
+		p.after(p.now(), listWait, func(int64) { p.letIn() })
+	} else {
+		p.letIn()
+	}
+	if p.start.Holds != nil {
+		go p.follow()
+	}
 	alarm := time.NewTimer(0)
 	for !p.done {
 		select {
@@ -157,6 +197,15 @@
 	return nil
 }
 
+// letIn begins to take clients.
+func (p *Proxy) letIn() {
+	if !p.open {
+		p.open = true
+		close(p.accept.opened)
+		logrus.Infof("serving on %s", p.start.Listen)
+	}
+}
+
 // round handles what has come and what is due, and then carries out what the module decides. Events come
 // before timers: an answer that was read before its dispatch timed out counts.
 func (p *Proxy) round() {
@@ -167,6 +216,9 @@
 	for _, e := range events {
 		record(p.count.lag, e.at, p.now())
 		p.guard(e.on, func() { e.do(e.at) })
+		if e.on != nil {
+			e.on.told.Add(-1)
+		}
 	}
 	now := p.now()
 	for len(p.timers) > 0 && p.timers[0].at <= now {
--- /dev/null
+++ b/proxy/operate.go
@@ -0,0 +1,161 @@
+package proxy
+
+// This file owns what operators do to a running proxy: calls of the door, hosts out by hand, the other process of an
+// upgrade. It must never keep the door's callers waiting on anything but the owner.
+
+import (
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ivybank/balance"
+	"ivybank/door"
+	"ivybank/holds"
+)
+
+const (
+	replyWait = 800 * time.Millisecond // a caller waits no longer than a second
+	lookApart = 100 * time.Millisecond // between looks at what the other process has changed
+	mostSeen  = 1 << 14                // ids of the list that are remembered
+	listWait  = 15e8                   // beside another process clients are taken once the list was told, or then
+)
+
+// Operate answers a call of the door; it may be called from any goroutine.
+func (p *Proxy) Operate(c door.Call) door.Reply {
+	switch c.Kind {
+	case door.Out, door.Back:
+		return p.hold(c)
+	}
+	return p.ask(func(now int64) door.Reply { return p.operate(c, now) })
+}
+
+// ask has the owner answer. It may still do so after the caller was told that it did not.
+func (p *Proxy) ask(do func(now int64) door.Reply) door.Reply {
+	told := make(chan door.Reply, 1)
+	p.post(p.now(), nil, func(int64) { told <- do(p.now()) })
+	select {
+	case r := <-told:
+		return r
+	case <-time.After(replyWait):
+		return door.No(http.StatusServiceUnavailable, "no answer in time; it may still be carried out")
+	}
+}
+
+func (p *Proxy) operate(c door.Call, now int64) door.Reply {
+	switch {
+	case p.drain.begun:
+		return door.No(http.StatusServiceUnavailable, "the process ends")
+	case c.Kind == door.Empty:
+		p.empty(now)
+		return door.Yes("clients are sent away")
+	case c.Kind == door.Refill:
+		p.refill()
+	}
+	if !p.taking() {
+		return door.No(http.StatusServiceUnavailable, "no clients are taken")
+	}
+	return door.Yes("clients are taken")
+}
+
+// hold takes a host out or puts it back: known to the owner, written to the file, then in force.
+func (p *Proxy) hold(c door.Call) door.Reply {
+	if r := p.ask(func(int64) door.Reply {
+		if _, held := p.held.Hosts[c.Host]; !held && !p.seen[c.Host] {
+			return door.No(http.StatusNotFound, "no host with this id was ever listed")
+		}
+		return door.Yes("")
+	}); r.Status != http.StatusOK {
+		return r
+	}
+	text := "the host is in use"
+	if c.Kind == door.Out {
+		text = "nothing more goes to the host"
+	}
+	table, err := p.start.Holds.Set(c.Host, c.Kind == door.Out, p.now())
+	if err != nil {
+		logrus.Warnf("hosts out by hand are not kept: %v", err)
+		text += ", in this process alone"
+	}
+	return p.ask(func(now int64) door.Reply {
+		p.holding(table, now)
+		return door.Yes(text)
+	})
+}
+
+// holding puts a table of holds in force. An older one than that in force says nothing.
+func (p *Proxy) holding(t holds.Table, now int64) {
+	if t.Version <= p.held.Version {
+		return
+	}
+	p.held = t
+	var changed []balance.Server
+	for _, h := range p.hosts {
+		if !h.listed || p.shown(h.told) == h.shown {
+			continue
+		}
+		changed = append(changed, p.show(h))
+		logrus.Infof("host %s by hand: out %v", h.id, t.Hosts[h.id].Out)
+	}
+	if len(changed) > 0 {
+		p.module.Listed(balance.Changes, changed, now)
+	}
+}
+
+// shown is a host as the module is told of it. What was put back has most likely been restarted, which the list is
+// late to tell: unless it tells of a start since, the host counts as started when it was put back.
+func (p *Proxy) shown(s balance.Server) balance.Server {
+	h, held := p.held.Hosts[s.ID]
+	switch {
+	case held && h.Out && s.State == balance.Running:
+		s.State = balance.Draining
+	case held && !h.Out && s.Since < h.From:
+		s.Since = h.Back
+	}
+	return s
+}
+
+// remember notes that an id was listed.
+func (p *Proxy) remember(id string) {
+	if p.seen[id] {
+		return
+	}
+	if len(p.order) >= mostSeen {
+		delete(p.seen, p.order[0])
+		p.order = p.order[1:]
+	}
+	p.seen[id] = true
+	p.order = append(p.order, id)
+}
+
+// taking says whether clients are taken.
+func (p *Proxy) taking() bool { return p.open && !p.drain.begun && p.drain.emptied == 0 }
+
+// follow looks, beside the owner, at what another process does: its being there, and the hosts it takes out.
+func (p *Proxy) follow() {
+	for ; ; time.Sleep(lookApart) {
+		if t, changed := p.start.Holds.Follow(); changed {
+			p.post(p.now(), nil, func(int64) { p.holding(t, p.now()) })
+		}
+		if s := p.start.Seat; s != nil {
+			if other := s.Other(); other != p.other.Load() {
+				p.other.Store(other)
+				p.post(p.now(), nil, func(int64) { p.beside(other) })
+			}
+		}
+	}
+}
+
+// beside shares what the platform gives with another process, as long as it lives.
+func (p *Proxy) beside(other bool) {
+	part := 1
+	if other {
+		part = 2
+	}
+	p.sockets = p.start.Sockets / part
+	if p.start.Memory > 0 {
+		debug.SetMemoryLimit(p.start.Memory / int64(part))
+	}
+	logrus.Infof("another process beside this one: %v", other)
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/lesismal/nbio"
 
+	"ivybank/balance"
 	"ivybank/http1"
 )
 
@@ -23,6 +24,8 @@
 // host is one server as the list tells of it, with this proxy's connections to it.
 type host struct {
 	id, addr string
+	told     balance.Server // as the list has it
+	shown    balance.Server // as the module has it
 	since    int64
 	ready    bool
 	listed   bool
@@ -93,7 +96,7 @@
 // roomForOne closes the longest idle connection to a host, or else a client's at rest, where descriptors run
 // short; false when there is none.
 func (p *Proxy) roomForOne() bool {
-	for len(p.clients)+p.pool.conns+p.pool.dials >= p.start.Sockets-spareSockets {
+	for len(p.clients)+p.pool.conns+p.pool.dials >= p.sockets-spareSockets {
 		var oldest *hostConn
 		for _, h := range p.hosts {
 			if len(h.idle) > 0 && (oldest == nil || h.idle[0].used < oldest.used) {
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -19,7 +19,7 @@
 	c.req = nil
 	// Past their part of the descriptors a client's connection ends with its answer, which it says: no call can
 	// cross that, and clients that ask once and stay do not crowd out those that come next.
-	p.answer(c, a, r.call.Close || len(p.clients) > p.start.Sockets/keepPart)
+	p.answer(c, a, r.call.Close || len(p.clients) > p.sockets/keepPart)
 	p.turn(c)
 }
 
@@ -28,7 +28,7 @@
 	if c.closed {
 		return
 	}
-	c.last, c.rests = c.last || last || p.drain.ending, p.now()
+	c.last, c.rests = c.last || last || p.drain.ending || p.drain.emptied != 0, p.now()
 	a.Close = c.last
 	c.write(http1.AppendAnswer(nil, a))
 	switch {
