--- a/balance/balance.go
+++ b/balance/balance.go
@@ -69,6 +69,7 @@
 	sends            []*dispatch
 	tenant, outs     int
 	ended, streaming bool
+	most             int     // dispatches that its terms allow
 	luck             float64 // a random number below 1
 }
 
@@ -108,20 +109,39 @@
 
 // New makes an instance; the list follows as Listed(Restored).
 func New(t Terms, now int64) *Balancer {
-	b := &Balancer{t: t, reqs: map[uint64]*req{}, served: make([]fade.Count, len(t.Tenants)), begun: now}
-	b.dice.Seed, b.pace = t.Seed, firstBackoff
-	for _, x := range t.RuleSets {
-		b.pace = min(b.pace, x.ResponseTarget)
-	}
+	b := &Balancer{reqs: map[uint64]*req{}, begun: now}
+	b.dice.Seed = t.Seed
+	b.Retune(t)
 	if t.MustAsk {
 		b.askAt = now + 1 + int64(b.dice.Next()*b.apart())
 	}
 	return b
 }
 
+// Retune takes new terms. What is known of servers stays, and open reqs keep the rules they came with.
+func (b *Balancer) Retune(t Terms) {
+	served := make([]fade.Count, len(t.Tenants))
+	for _, r := range b.open {
+		if r.tenant >= 0 {
+			name := b.t.Tenants[r.tenant].Name
+			r.tenant = slices.IndexFunc(t.Tenants, func(x Tenant) bool { return x.Name == name })
+		}
+	}
+	for i, x := range t.Tenants {
+		if was := slices.IndexFunc(b.t.Tenants, func(o Tenant) bool { return o.Name == x.Name }); was >= 0 {
+			served[i] = b.served[was]
+		}
+	}
+	b.t, b.served, b.pace = t, served, firstBackoff
+	for _, x := range t.RuleSets {
+		b.pace = min(b.pace, x.ResponseTarget)
+	}
+}
+
 // Req takes a req.
 func (b *Balancer) Req(a Arrival, now int64) {
 	r := &req{Arrival: a, rules: &RuleSet{Effect: NonReplayable, ResponseTarget: a.Budget}, taken: now}
+	r.most = b.t.MaxDispatches
 	if i := slices.IndexFunc(b.t.RuleSets, func(x RuleSet) bool { return x.Name == a.RuleSet }); i >= 0 {
 		r.rules = &b.t.RuleSets[i]
 	}
@@ -464,7 +484,7 @@
 
 // canSend says whether the rules leave room for a further dispatch to some server.
 func (b *Balancer) canSend(r *req) bool {
-	return len(r.sends) < b.t.MaxDispatches && (r.outs == 0 || b.t.Parallel) &&
+	return len(r.sends) < r.most && (r.outs == 0 || b.t.Parallel) &&
 		(r.rules.Effect != NonReplayable || b.canDeny(r))
 }
 
--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -92,6 +92,9 @@
 	if v.Err != nil {
 		return o, s, fmt.Errorf("settings: %w", v.Err)
 	}
+	if err := terms.Check(v); err != nil {
+		return o, s, fmt.Errorf("settings: %w", err)
+	}
 	if s.DialTimeout <= 0 || s.ConnIdle <= 0 || s.LongestTimeout <= 0 || s.Terms.Tick <= 0 {
 		return o, s, errors.New("settings: expected DialTimeoutNs, ConnIdleNs, ClientTimeoutNs and TickNs above 0")
 	}
@@ -101,6 +104,19 @@
 	return o, s, nil
 }
 
+// follows says whether a new configuration may take the place of the running one: whatever that one names has to be
+// there, as a file that was cut or lost a name in editing still reads as one.
+func follows(old, next orders) error {
+	if old.Listen != next.Listen {
+		return fmt.Errorf("listen=%q: it was %q, which takes a new start", next.Listen, old.Listen)
+	}
+	if (next.Limits.Cores <= 0 && old.Limits.Cores > 0) || (next.Limits.Memory <= 0 && old.Limits.Memory > 0) ||
+		(next.Limits.Sockets <= 0 && old.Limits.Sockets > 0) {
+		return errors.New("limits: expected cores, memory_mb and sockets above 0")
+	}
+	return terms.Follows(old.Settings, next.Settings)
+}
+
 // open adds what the process finds around it: a listener that it inherits, a folder shared with the process before or
 // after it, the operators' door.
 func open(o orders, start proxy.Start) (*proxy.Proxy, error) {
@@ -169,11 +185,16 @@
 	}()
 	go func() {
 		for range reread {
-			if _, next, err := load(path); err != nil {
+			next, start, err := load(path)
+			if err == nil {
+				err = follows(o, next)
+			}
+			if err != nil {
 				logrus.Warnf("new configuration ignored: %v", err)
-			} else {
-				p.Rediscover(next.Discovery)
+				continue
 			}
+			o = next
+			p.Retune(start)
 		}
 	}()
 	if err := p.Run(); err != nil {
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -29,7 +29,7 @@
 // admit is the second stage. What no host could use goes no further: a host that turns it away, or closes on
 // it, would seem to be at fault. Two open reqs with one id would run as one.
 func (p *Proxy) admit(c *client, call http1.Call, at int64) error {
-	terms := &p.start.Terms
+	terms := p.terms
 	set := slices.IndexFunc(terms.RuleSets, func(s balance.RuleSet) bool { return s.Name == call.RuleSet })
 	tenant := slices.IndexFunc(terms.Tenants, func(t balance.Tenant) bool { return t.Name == call.Tenant })
 	switch {
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -150,16 +150,13 @@
 	return s
 }
 
-// Rediscover follows discovery to another address, with a watch at once; it may be called from any goroutine.
-// What else a new configuration holds is for the next start.
-func (p *Proxy) Rediscover(addr string) {
-	p.post(p.now(), nil, func(now int64) {
-		if addr != p.start.Discovery {
-			logrus.Infof("discovery moves from %s to %s", p.start.Discovery, addr)
-			p.start.Discovery = addr
-			p.watch(now)
-		}
-	})
+// rediscover follows discovery to another address, with a watch at once.
+func (p *Proxy) rediscover(addr string, now int64) {
+	if addr != p.start.Discovery {
+		logrus.Infof("discovery moves from %s to %s", p.start.Discovery, addr)
+		p.start.Discovery = addr
+		p.watch(now)
+	}
 }
 
 // watch opens a watch, in place of one that is still up.
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -63,6 +63,7 @@
 	pool    pool
 	list    discovery
 	drain   drain
+	terms   *balance.Terms  // replaced whole, never changed
 	sockets int             // descriptors that this process may hold now
 	held    holds.Table     // hosts out by hand
 	seen    map[string]bool // ids that were listed; the oldest go past mostSeen
@@ -145,6 +146,7 @@
 	if s.Holds != nil {
 		p.held = s.Holds.Table()
 	}
+	p.terms = &s.Terms
 	p.module = balance.New(s.Terms, p.now())
 	p.known(s.Known, p.now())
 	return p
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -147,15 +147,38 @@
 	}
 }
 
+// Retune takes a new configuration, all of it at once; it may be called from any goroutine. What the process is bound
+// to stays: its listener, its seed, its list.
+func (p *Proxy) Retune(s Start) {
+	p.post(p.now(), nil, func(int64) {
+		now := p.now()
+		s.Terms.Seed = p.terms.Seed
+		p.terms = &s.Terms
+		p.start.DialTimeout, p.start.ConnIdle, p.start.Memory = s.DialTimeout, s.ConnIdle, s.Memory
+		p.start.Sockets = s.Sockets
+		// What is open may still wait by the old rules.
+		p.start.LongestTimeout = max(p.start.LongestTimeout, s.LongestTimeout)
+		p.shares()
+		p.module.Retune(s.Terms)
+		p.count.Reloads++
+		logrus.Infof("new configuration: %d rule sets, %d dispatches at most", len(s.Terms.RuleSets), s.Terms.MaxDispatches)
+		p.rediscover(s.Discovery, now)
+	})
+}
+
 // beside shares what the platform gives with another process, as long as it lives.
 func (p *Proxy) beside(other bool) {
+	logrus.Infof("another process beside this one: %v", other)
+	p.shares()
+}
+
+func (p *Proxy) shares() {
 	part := 1
-	if other {
+	if p.other.Load() {
 		part = 2
 	}
 	p.sockets = p.start.Sockets / part
 	if p.start.Memory > 0 {
 		debug.SetMemoryLimit(p.start.Memory / int64(part))
 	}
-	logrus.Infof("another process beside this one: %v", other)
 }
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -8,7 +8,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -119,6 +122,88 @@
 	}
 }
 
+// Check says whether rule sets and ceilings can be served by.
+func Check(v *Values) error {
+	if v.Int("Ceilings.MaxDispatches") <= 0 {
+		v.Fail("Ceilings.MaxDispatches", "a number above 0")
+	}
+	n := v.Int("RuleSets.count")
+	if n <= 0 {
+		v.Fail("RuleSets", "one rule set at least")
+	}
+	names := map[string]bool{}
+	for i := range n {
+		p := fmt.Sprintf("RuleSets.%d.", i)
+		for _, name := range []string{"ClientTimeoutNs", "ResponseTargetNs"} {
+			if v.Int(p+name) <= 0 {
+				v.Fail(p+name, "a number above 0")
+			}
+		}
+		name := v.At[p+"Name"]
+		if name == "" || names[name] {
+			v.Fail(p+"Name", "a name of its own")
+		}
+		names[name] = true
+	}
+	return v.Err
+}
+
+// Follows says whether settings name all that those before them named. Items of a list are told by what all items
+// of the list before have in common, as rule sets and tenants come and go.
+func Follows(old, next []byte) error {
+	before, err := Flatten(old)
+	if err != nil {
+		return err
+	}
+	after, err := Flatten(next)
+	if err != nil {
+		return err
+	}
+	for _, key := range slices.Sorted(maps.Keys(before.At)) {
+		if _, ok := after.At[key]; ok || item.MatchString(key) {
+			continue
+		}
+		if _, ok := after.At[key+".count"]; ok {
+			continue
+		}
+		if list, ok := strings.CutSuffix(key, ".count"); ok {
+			if _, ok := after.At[list]; ok {
+				continue
+			}
+		}
+		return fmt.Errorf("%s: missing", key)
+	}
+	for _, list := range []string{"RuleSets", "Tenants"} {
+		common := fields(before, list, 0)
+		for i := range before.Int(list + ".count") {
+			here := fields(before, list, i)
+			common = slices.DeleteFunc(common, func(f string) bool { return !slices.Contains(here, f) })
+		}
+		for i := range after.Int(list + ".count") {
+			here := fields(after, list, i)
+			for _, f := range common {
+				if !slices.Contains(here, f) {
+					return fmt.Errorf("%s.%d.%s: missing", list, i, f)
+				}
+			}
+		}
+	}
+	return after.Err
+}
+
+var item = regexp.MustCompile(`\.[0-9]+(\.|$)`)
+
+// fields names what one item of a list has.
+func fields(v *Values, list string, i int64) (names []string) {
+	p := fmt.Sprintf("%s.%d.", list, i)
+	for _, key := range slices.Sorted(maps.Keys(v.At)) {
+		if name, ok := strings.CutPrefix(key, p); ok {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Read decodes the settings that the module reads.
 func Read(v *Values, seed uint64) balance.Terms {
 	t := balance.Terms{
