--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -315,7 +315,7 @@
 	tally := func(b *Balancer) map[string]float64 {
 		n := map[string]float64{}
 		for i := range 20000 {
-			n[b.pick(&req{rules: &b.t.RuleSets[0], Arrival: Arrival{Key: fmt.Sprint("key-", i)}}, 0).ID] += 1.0 / 20000
+			n[b.pick(&req{most: 3, rules: &b.t.RuleSets[0], Arrival: Arrival{Key: fmt.Sprint("key-", i)}}, 0).ID] += 1.0 / 20000
 		}
 		return n
 	}
@@ -348,7 +348,7 @@
 		same := 0.0
 		last := ""
 		for i := range 20000 {
-			r := &req{rules: &b.t.RuleSets[0], Arrival: Arrival{Key: fmt.Sprint("key-", i)}}
+			r := &req{most: 3, rules: &b.t.RuleSets[0], Arrival: Arrival{Key: fmt.Sprint("key-", i)}}
 			was, is := b.pick(r, 0).ID, c.pick(r, 0).ID
 			if was != "e" && was != is {
 				t.Fatalf("key %d moved from %s to %s", i, was, is)
@@ -400,7 +400,7 @@
 		b := fleet(2, nil)
 		b.Listed(Changes, []Server{{ID: "a", Zone: "z", State: Draining}}, 0)
 		for i := range 100 {
-			if s := b.pick(&req{rules: &b.t.RuleSets[0], Arrival: Arrival{Key: fmt.Sprint(i)}}, 0); s.ID == "a" {
+			if s := b.pick(&req{most: 3, rules: &b.t.RuleSets[0], Arrival: Arrival{Key: fmt.Sprint(i)}}, 0); s.ID == "a" {
 				t.Fatal("a draining server was picked")
 			}
 		}
@@ -490,7 +490,7 @@
 	t.Run("an over-share tenant waits behind", func(t *testing.T) {
 		b := fleet(1, func(t *Terms) { t.Tenants = []Tenant{{"x", 0.5}, {"y", 0.5}} })
 		b.rate.N, b.served[0].N, b.served[1].N = 10, 8, 2
-		x, y := &req{rules: &b.t.RuleSets[0]}, &req{rules: &b.t.RuleSets[0], tenant: 1}
+		x, y := &req{most: 3, rules: &b.t.RuleSets[0]}, &req{rules: &b.t.RuleSets[0], tenant: 1}
 		if b.value(x, 0) >= b.value(y, 0) {
 			t.Errorf("got %.2f for x, %.2f for y", b.value(x, 0), b.value(y, 0))
 		}
@@ -520,3 +520,32 @@
 		t.Error("a call that was never answered is not repeated")
 	}
 }
+
+// New terms must not reach reqs that are open, nor cost what is known of servers.
+func TestRetune(t *testing.T) {
+	b := fleet(2, func(t *Terms) { t.Tenants = []Tenant{{"x", 0.5}, {"y", 0.5}} })
+	b.servers[0].health, b.servers[1].streak = 0.4, 1
+	b.served[1].Add(0, span)
+	old := take(b, 1, "once", "k")
+	old.tenant = 1
+	next := b.t
+	next.MaxDispatches, next.Tenants = 1, []Tenant{{"y", 1}}
+	next.RuleSets = []RuleSet{{Name: "once", Effect: Replayable, ResponseTarget: sec / 5, BillingValue: 1}}
+	b.Retune(next)
+	if old.rules.Effect != NonReplayable || old.rules.ResponseTarget != sec || old.most != 3 || old.tenant != 0 {
+		t.Errorf("got %+v, most %d, tenant %d for the open req, want its own rules and its tenant's new place", old.rules, old.most, old.tenant)
+	}
+	if now := take(b, 2, "once", "k"); now.rules.Effect != Replayable || now.most != 1 {
+		t.Errorf("got %+v, most %d for a new req, want the new rules", now.rules, now.most)
+	}
+	if b.servers[0].health != 0.4 || b.servers[1].streak != 1 || b.pace != sec/5 {
+		t.Error("servers were forgotten, or the pace was not taken")
+	}
+	near(t, "the tenant's part", b.served[0].Now(0, span), 1, 1e-9)
+	for _, d := range pull(b, 0, Dispatch) {
+		b.Finished(d.Req, 0, Errored, false, 1, 0)
+	}
+	if got := pull(b, 1, -1); len(got) != 2 || got[0].Kind != Abort || got[1].Kind != Deny {
+		t.Errorf("got %v, want the old req aborted as it may have run, the new one denied", got)
+	}
+}
