Tests of the daily parts; an accept on a listener that was made to block no longer holds up the stop

Found by the upgrade's test: the owner stood still for 20 s after SIGTERM and 8 reqs ran without an answer. Whether the shared listener blocks belongs to all its holders, and starting the next process set it to block, so an accept hung in the kernel and closing the listener waited for it. Ruled out: the drain's own steps (they never ran), the host (2 ms an answer). Now the close waits beside the owner, and the listener has a time limit for accepts, 50 ms.

--- a/cmd/ivybank/helpers_test.go
+++ b/cmd/ivybank/helpers_test.go
@@ -180,7 +180,9 @@
 type program struct {
 	*exec.Cmd
 	addr, config string
-	out          *bytes.Buffer
+	admin        string   // the operators' door
+	listener     *os.File // inherited where it is set
+	out          *output
 }
 
 func freeAddr(t *testing.T) string {
@@ -197,34 +199,110 @@
 // begin starts a proxy that knows the entries, and waits until it is ready.
 func begin(t *testing.T, discovery string, sockets int, entries ...string) *program {
 	t.Helper()
-	p := &program{addr: freeAddr(t), config: filepath.Join(t.TempDir(), "config.json")}
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`,
-		p.addr, discovery, sockets, list(1, true, entries...), settings)
-	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	p := prepare(t, discovery, sockets, entries...)
 	p.start(t)
 	return p
 }
 
 func (p *program) start(t *testing.T) {
 	t.Helper()
-	p.Cmd, p.out = exec.Command(binary), &bytes.Buffer{}
-	p.Env, p.Stdout, p.Stderr = append(os.Environ(), "GW_CONFIG="+p.config), p.out, p.out
+	p.Cmd, p.out = exec.Command(binary), &output{}
+	p.Env = append(os.Environ(), "GW_CONFIG="+p.config, "GW_ADMIN_ADDR="+p.admin, "TMPDIR="+filepath.Dir(p.config))
+	p.Stdout, p.Stderr = p.out, p.out
+	if p.listener != nil {
+		p.ExtraFiles, p.Env = []*os.File{p.listener}, append(p.Env, "GW_SOCKET_FD=3")
+	}
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
 	cmd := p.Cmd
 	t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
-	eventually(t, "the program is ready", func() bool {
-		r, err := http.Get("http://" + p.addr + "/_health")
-		if err != nil {
-			return false
-		}
-		_ = r.Body.Close()
-		return r.StatusCode == http.StatusOK
-	})
+	eventually(t, "the program is ready", func() bool { return p.operate(t, "GET", "/healthcheck") == 200 })
+}
+
+// output is what a program has written so far.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(b)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+func (o *output) count(what string) int { return strings.Count(o.String(), what) }
+
+// fails runs the program where it cannot start.
+func (p *program) fails(t *testing.T, env ...string) (string, int) {
+	t.Helper()
+	cmd := exec.Command(binary)
+	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+p.config, "TMPDIR="+filepath.Dir(p.config)), env...)
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// operate makes one call at the door; 0 where there is none.
+func (p *program) operate(t *testing.T, method, path string) int {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+p.admin+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0
+	}
+	_ = a.Body.Close()
+	return a.StatusCode
+}
+
+// inherit has the test hold the clients' listener, as the platform would.
+func inherit(t *testing.T, addr string) *os.File {
+	t.Helper()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	t.Cleanup(func() { _ = f.Close() })
+	return f
+}
+
+// beside is a second process of the same proxy, with a door of its own; it is not started.
+func (p *program) beside(t *testing.T) *program {
+	t.Helper()
+	return &program{addr: p.addr, admin: freeAddr(t), config: p.config, listener: p.listener}
+}
+
+// prepare is begin without the start.
+func prepare(t *testing.T, discovery string, sockets int, entries ...string) *program {
+	t.Helper()
+	p := &program{addr: freeAddr(t), admin: freeAddr(t), config: filepath.Join(t.TempDir(), "config.json")}
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`,
+		p.addr, discovery, sockets, list(1, true, entries...), settings)
+	p.rewrite(t, text)
+	return p
+}
+
+// rewrite replaces the configuration.
+func (p *program) rewrite(t *testing.T, text string) {
+	t.Helper()
+	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
 }
 
 func eventually(t *testing.T, what string, ok func() bool) {
--- /dev/null
+++ b/door/door_test.go
@@ -0,0 +1,120 @@
+package door
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestRead(t *testing.T) {
+	for _, c := range []struct {
+		method, path string
+		call         Call
+		status       int // 0: a call
+	}{
+		{"GET", "/healthcheck", Call{Kind: Health}, 0},
+		{"PUT", "/healthcheck/fail", Call{Kind: Empty}, 0},
+		{"PUT", "/healthcheck/ok", Call{Kind: Refill}, 0},
+		{"PUT", "/hosts/s-1/maint", Call{Out, "s-1"}, 0},
+		{"PUT", "/hosts/s-1/ready", Call{Back, "s-1"}, 0},
+		{"PUT", "/hosts/a%2Fb/ready", Call{Back, "a/b"}, 0},
+		{"PUT", "/hosts/%zz/ready", Call{}, 400},
+		{"PUT", "/hosts//ready", Call{}, 404},
+		{"PUT", "/hosts/s-1", Call{}, 404},
+		{"PUT", "/hosts/s-1/gone", Call{}, 404},
+		{"PUT", "/hosts/s-1/maint/", Call{}, 404},
+		{"GET", "/", Call{}, 404},
+		{"GET", "/healthcheck/", Call{}, 404},
+		{"PUT", "/healthcheck", Call{}, 405},
+		{"GET", "/healthcheck/fail", Call{}, 405},
+		{"POST", "/hosts/s-1/maint", Call{}, 405},
+	} {
+		t.Run(c.method+" "+c.path, func(t *testing.T) {
+			call, reply := Read(c.method, c.path)
+			if reply.Status != c.status || reply.Status == 0 && call != c.call {
+				t.Errorf("got %+v, %+v, want %+v, %d", call, reply, c.call, c.status)
+			}
+		})
+	}
+}
+
+func open(t *testing.T, ask func(Call) Reply) *Door {
+	t.Helper()
+	d, err := Open("127.0.0.1:0", ask)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d
+}
+
+func say(t *testing.T, d *Door, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", d.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(c, text)
+	return c, bufio.NewReader(c)
+}
+
+func TestDoor(t *testing.T) {
+	d := open(t, func(c Call) Reply {
+		if c.Host == "none" {
+			return No(404, "not listed")
+		}
+		return Yes(fmt.Sprint(c.Kind))
+	})
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"yes":           {"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n", 200},
+		"no host field": {"GET /healthcheck HTTP/1.1\r\n\r\n", 400},
+		"no":            {"PUT /hosts/none/maint HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 404},
+		"unknown path":  {"PUT /hosts//../x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 404},
+		"other method":  {"DELETE /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n", 405},
+		"no call":       {"hello\r\n\r\n", 400},
+		"endless head":  {"GET /healthcheck HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 64<<10) + "\r\n\r\n", 431},
+		"with a body":   {"PUT /hosts/s/maint HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, in := say(t, d, c.text)
+			r, err := http.ReadResponse(in, nil)
+			if err != nil || r.StatusCode != c.status {
+				t.Fatalf("got %v, %v, want %d", r, err, c.status)
+			}
+			if !r.Close {
+				t.Error("got a connection that stays, want one call to a connection")
+			}
+		})
+	}
+}
+
+// Callers that stall must not keep the others out, however many: the longest there makes room.
+func TestStalled(t *testing.T) {
+	d := open(t, func(Call) Reply { return Yes("") })
+	first, _ := say(t, d, "PUT /hosts/s")
+	for range 3 * mostOpen {
+		say(t, d, "GET /heal")
+	}
+	_, in := say(t, d, "GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n")
+	if r, err := http.ReadResponse(in, nil); err != nil || r.StatusCode != 200 {
+		t.Fatalf("got %v, %v beside callers that stall, want yes", r, err)
+	}
+	if _, err := first.Read(make([]byte, 1)); err == nil {
+		t.Error("got an answer to half a call, want its connection ended")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.open) > mostOpen {
+		t.Errorf("got %d connections, want %d at most", len(d.open), mostOpen)
+	}
+}
--- a/proxy/listen.go
+++ b/proxy/listen.go
@@ -8,8 +8,11 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 )
 
+const acceptWait = 5e7 // an accept on a listener that was made to block takes no longer
+
 // listener accepts from when it is opened until it is stopped. nbio tries again after every error of Accept, so one that
 // has stopped does not come back.
 type listener struct {
@@ -33,7 +36,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
 	}
-	return l, nil
+	t, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil, fmt.Errorf("descriptor %d: no listener of TCP", fd)
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return l, raw.Control(func(fd uintptr) {
+		// Whether it blocks belongs to all who share it: who starts a further process may make it block again. An accept that
+		// is caught in there comes back by this time, and is not left to take a connection after the stop.
+		wait := syscall.NsecToTimeval(acceptWait)
+		_ = syscall.SetsockoptTimeval(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &wait)
+	})
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -57,6 +73,6 @@
 func (l *listener) stop() {
 	l.once.Do(func() {
 		close(l.stopped)
-		_ = l.Close()
+		go func() { _ = l.Close() }() // it waits for an accept that is under way
 	})
 }
--- /dev/null
+++ b/twin/twin_test.go
@@ -0,0 +1,58 @@
+package twin
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// TestMain is also the other process: it takes a place, says so and waits to be killed.
+func TestMain(m *testing.M) {
+	if path := os.Getenv("TWIN_OTHER"); path != "" {
+		if _, err := Take(path); err != nil {
+			panic(err)
+		}
+		fmt.Println("here")
+		select {}
+	}
+	os.Exit(m.Run())
+}
+
+func TestOther(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "seats")
+	s, err := Take(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if s.Other() {
+			t.Fatal("got another process where there is none")
+		}
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "TWIN_OTHER="+path)
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		if line, err := bufio.NewReader(out).ReadString('\n'); line != "here\n" {
+			t.Fatalf("got %q, %v", line, err)
+		}
+		if !s.Other() {
+			t.Error("got no other process beside one that lives")
+		}
+		_ = cmd.Process.Kill() // its place is free however it ends
+		_ = cmd.Wait()
+	}
+}
+
+func TestNowhere(t *testing.T) {
+	if _, err := Take(filepath.Join(t.TempDir(), "gone", "seats")); err == nil {
+		t.Error("got a place in a folder that is not there")
+	}
+}
