--- a/balance/balance.go
+++ b/balance/balance.go
@@ -58,6 +58,8 @@
 	rank       float64 // this balancer's dispatches at the server, itself counted
 	out, maybe bool    // still out; may have run
 	rested     int     // 1: over a connection that had rested
+	passed     bool    // its answer has begun
+	counts     bool    // in flight at the server: its body is whole, its answer not begun
 }
 
 // req is one request; it is dropped once it has ended and nothing of it is out.
@@ -121,14 +123,8 @@
 // Retune takes new terms. What is known of servers stays, and open reqs keep the rules they came with.
 func (b *Balancer) Retune(t Terms) {
 	served := make([]fade.Count, len(t.Tenants))
-	for _, r := range b.open {
-		if r.tenant >= 0 {
-			name := b.t.Tenants[r.tenant].Name
-			r.tenant = slices.IndexFunc(t.Tenants, func(x Tenant) bool { return x.Name == name })
-		}
-	}
 	for i, x := range t.Tenants {
-		if was := slices.IndexFunc(b.t.Tenants, func(o Tenant) bool { return o.Name == x.Name }); was >= 0 {
+		if was := b.tenant(x.Name); was >= 0 {
 			served[i] = b.served[was]
 		}
 	}
@@ -136,6 +132,13 @@
 	for _, x := range t.RuleSets {
 		b.pace = min(b.pace, x.ResponseTarget)
 	}
+	for _, r := range b.open {
+		r.tenant = b.tenant(r.Tenant)
+	}
+}
+
+func (b *Balancer) tenant(name string) int {
+	return slices.IndexFunc(b.t.Tenants, func(x Tenant) bool { return x.Name == name })
 }
 
 // Req takes a req.
@@ -145,18 +148,68 @@
 	if i := slices.IndexFunc(b.t.RuleSets, func(x RuleSet) bool { return x.Name == a.RuleSet }); i >= 0 {
 		r.rules = &b.t.RuleSets[i]
 	}
-	r.tenant = slices.IndexFunc(b.t.Tenants, func(x Tenant) bool { return x.Name == a.Tenant })
-	// What comes past the response target is worth little: the req ends before it and before its budget.
-	r.giveUp = now + a.Budget
-	if r.rules.OverdueValue <= 0 {
-		r.giveUp = min(r.giveUp, now+r.rules.ResponseTarget)
+	r.tenant = b.tenant(a.Tenant)
+	if r.giveUp = math.MaxInt64; !a.Open {
+		b.start(r, now)
 	}
-	r.giveUp -= 2 * b.t.Tick
 	r.luck = b.dice.Next()
 	r.Key = cmp.Or(r.Key, fmt.Sprint(r.luck)) // without a key chance decides
 	b.reqs[a.ID], b.open = r, append(b.open, r)
 }
 
+// start starts a req's time. What comes past the response target is worth little: it ends before it.
+func (b *Balancer) start(r *req, now int64) {
+	r.taken, r.giveUp = now, now+r.Budget
+	if r.rules.OverdueValue <= 0 {
+		r.giveUp = min(r.giveUp, now+r.rules.ResponseTarget)
+	}
+	r.giveUp -= 2 * b.t.Tick
+}
+
+// Whole tells that an open req's body has come whole. Its time and that of its dispatch count from here.
+func (b *Balancer) Whole(id uint64, now int64) {
+	if r := b.reqs[id]; r != nil && r.Open {
+		r.Open = false
+		b.start(r, now)
+		for i, d := range r.sends {
+			if d.out {
+				d.sent = now
+				b.enter(d)
+				b.do(Decision{Kind: Limit, Req: id, Attempt: i, Time: r.giveUp})
+			}
+		}
+	}
+}
+
+// Spent tells that a req's body is no longer held: it cannot be dispatched again.
+func (b *Balancer) Spent(id uint64) {
+	if r := b.reqs[id]; r != nil {
+		r.most = 0
+	}
+}
+
+// Passed tells that a streaming answer has begun: the server has done its work.
+func (b *Balancer) Passed(id uint64, attempt int, took, now int64) {
+	if r := b.reqs[id]; r != nil && attempt < len(r.sends) && r.sends[attempt].out {
+		b.leave(r.sends[attempt])
+		r.sends[attempt].passed = true
+		b.judge(r.sends[attempt].srv, r.sends[attempt], Served, took, now)
+	}
+}
+
+func (b *Balancer) enter(d *dispatch) {
+	d.counts, d.srv.out = true, append(d.srv.out, d)
+	b.inflight++
+	d.rank = float64(len(d.srv.out))
+}
+
+func (b *Balancer) leave(d *dispatch) {
+	if d.counts {
+		d.counts, b.inflight = false, b.inflight-1
+		d.srv.out = slices.DeleteFunc(d.srv.out, func(x *dispatch) bool { return x == d })
+	}
+}
+
 // Withdrawn tells that a req has ended without the balancer.
 func (b *Balancer) Withdrawn(id uint64) {
 	if r := b.reqs[id]; r != nil {
@@ -186,12 +239,12 @@
 		return
 	}
 	d, s := r.sends[attempt], r.sends[attempt].srv
-	d.out, r.outs, b.inflight = false, r.outs-1, b.inflight-1
-	s.out = slices.DeleteFunc(s.out, func(x *dispatch) bool { return x == d })
+	d.out, r.outs = false, r.outs-1
+	b.leave(d)
 	s.used, d.maybe = now, o != Refused && o != NoConnection && o != NotSent
 	r.ended = r.ended || final
 	b.drop(r)
-	if s.Since <= d.sent { // what was sent to an earlier process tells nothing of this one
+	if s.Since <= d.sent && (o != Served || !d.passed) { // an earlier process tells nothing of this one
 		b.judge(s, d, o, took, now)
 	}
 }
@@ -294,12 +347,12 @@
 		s.known = s.known && form == Changes
 	}
 	for _, e := range entries {
-		b.enter(e, now)
+		b.list(e, now)
 	}
 }
 
-// enter takes one entry. A new server or process starts at the mean health; what was known before is void.
-func (b *Balancer) enter(e Server, now int64) {
+// list takes one entry. A new server or process starts at the mean health; what was known before is void.
+func (b *Balancer) list(e Server, now int64) {
 	i, had := slices.BinarySearchFunc(b.servers, e.ID, byID)
 	if !had {
 		b.servers = slices.Insert(b.servers, i, &server{Server: Server{Since: -1}})
@@ -451,7 +504,11 @@
 	if r.outs > 0 {
 		return min(r.giveUp, max(again, now+4*b.t.Tick))
 	}
-	if now >= r.taken+int64(holdShare*float64(r.rules.ResponseTarget)) || !b.canSend(r) {
+	hold := holdShare
+	if r.Open {
+		hold = 1 // its time has not begun
+	}
+	if now >= r.taken+int64(hold*float64(r.rules.ResponseTarget)) || !b.canSend(r) {
 		b.finish(r)
 		return math.MaxInt64
 	}
@@ -605,9 +662,10 @@
 	} else if rested {
 		d.rested = 1
 	}
-	r.sends, s.out = append(r.sends, d), append(s.out, d)
-	d.rank = float64(len(s.out))
-	r.outs, b.inflight, s.spent = r.outs+1, b.inflight+1, s.spent+1
+	if r.sends = append(r.sends, d); !r.Open {
+		b.enter(d)
+	}
+	r.outs, s.spent = r.outs+1, s.spent+1
 	if r.tenant >= 0 {
 		b.served[r.tenant].Add(now, span)
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -113,6 +113,7 @@
 	Key     string
 	Budget  int64 // time left before the client gives up this try
 	Work    int64 // expected work, 0 when not told
+	Open    bool  // its body is still coming: its time counts from Whole
 }
 
 // Kind is what a Decision asks of the host.
@@ -121,6 +122,7 @@
 // The kinds of decision.
 const (
 	Dispatch Kind = iota
+	Limit
 	Deny
 	Abort
 	Cancel
@@ -135,7 +137,7 @@
 	Kind    Kind
 	Req     uint64
 	Server  string
-	Attempt int   // Cancel
-	Time    int64 // Dispatch: abandon then; Deny: advised wait; Wake: wait
+	Attempt int   // Cancel, Limit
+	Time    int64 // Dispatch, Limit: abandon then; Deny: advised wait; Wake: wait
 	Text    string
 }
--- a/http1/encode.go
+++ b/http1/encode.go
@@ -23,6 +23,9 @@
 		b = append(b, "\r\nRequest-Timeout: "...)
 		b = appendSeconds(b, wait)
 	}
+	if c.Piece == First {
+		return piece(b, c.Length, c.Body)
+	}
 	if len(c.Body) > 0 || c.Method != http.MethodGet {
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(c.Body)), 10)
@@ -31,8 +34,38 @@
 	return append(b, c.Body...)
 }
 
-// AppendAnswer writes an answer as it goes to a client.
-func AppendAnswer(b []byte, a Answer) []byte {
+// piece ends the head of a message that comes in pieces and writes the first.
+func piece(b []byte, length int, body []byte) []byte {
+	if length < 0 {
+		b = append(b, "\r\nTransfer-Encoding: chunked\r\n\r\n"...)
+	} else {
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(length), 10)
+		b = append(b, "\r\n\r\n"...)
+	}
+	return AppendPiece(b, length < 0, body, false)
+}
+
+// AppendPiece writes a further piece of a body, in a chunk or plain.
+func AppendPiece(b []byte, chunked bool, body []byte, last bool) []byte {
+	switch {
+	case !chunked:
+		return append(b, body...)
+	case len(body) > 0:
+		b = strconv.AppendInt(b, int64(len(body)), 16)
+		b = append(b, "\r\n"...)
+		b = append(b, body...)
+		b = append(b, "\r\n"...)
+	}
+	if last {
+		b = append(b, "0\r\n\r\n"...)
+	}
+	return b
+}
+
+// AppendAnswer writes an answer as it goes to a client. One whose length is not told goes to an old client to the end of the
+// connection.
+func AppendAnswer(b []byte, a Answer, old bool) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(a.Status), 10)
 	b = append(b, ' ')
@@ -47,6 +80,15 @@
 	if a.Close {
 		b = append(b, "\r\nConnection: close"...)
 	}
+	switch {
+	case a.Piece == First && a.Length < 0 && old:
+		b = append(b, "\r\n\r\n"...)
+		return append(b, a.Body...)
+	case a.Piece == First:
+		return piece(b, a.Length, a.Body)
+	case a.Status == http.StatusNoContent || a.Status == http.StatusNotModified:
+		return append(b, "\r\n\r\n"...)
+	}
 	b = append(b, "\r\nContent-Length: "...)
 	b = strconv.AppendInt(b, int64(len(a.Body)), 10)
 	b = append(b, "\r\n\r\n"...)
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -24,11 +24,14 @@
 	dispatches []*dispatch
 	outs       int
 	ended      bool
+	flow       *flow     // its body, where that comes in pieces
+	relay      *hostConn // whose answer is being passed on
 }
 
 // admit is the second stage. What no host could use goes no further: a host that turns it away, or closes on
 // it, would seem to be at fault. Two open reqs with one id would run as one.
-func (p *Proxy) admit(c *client, call http1.Call, at int64) error {
+func (p *Proxy) admit(c *client, call sentAhead) error {
+	at := call.at
 	terms := p.terms
 	set := slices.IndexFunc(terms.RuleSets, func(s balance.RuleSet) bool { return s.Name == call.RuleSet })
 	tenant := slices.IndexFunc(terms.Tenants, func(t balance.Tenant) bool { return t.Name == call.Tenant })
@@ -45,12 +48,12 @@
 	}
 	p.ids[call.ID] = true
 	p.lastReq++
-	r := &req{id: p.lastReq, call: call, client: c, taken: at}
+	r := &req{id: p.lastReq, call: call.Call, client: c, taken: at, flow: call.flow}
 	c.req = r
 	p.reqs[r.id] = r
 	p.count.Taken++
 	p.module.Req(balance.Arrival{ID: r.id, RuleSet: call.RuleSet, Tenant: call.Tenant, Key: call.Key,
-		Budget: max(1, call.Timeout-wayMargin), Work: call.Work}, at)
+		Budget: max(1, call.Timeout-wayMargin), Work: call.Work, Open: r.flow != nil && !r.flow.whole}, at)
 	return nil
 }
 
@@ -63,7 +66,13 @@
 	c.req = nil
 	r.ended = true
 	p.count.Withdrawn++
+	p.drop(r.flow)
 	p.module.Withdrawn(r.id)
+	for _, d := range r.dispatches {
+		if d.out && (r.relay != nil || !d.allSent()) { // what no longer comes or nobody takes is not waited for
+			p.giveUp(d, balance.Cancelled, p.now())
+		}
+	}
 	p.forget(r)
 }
 
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -16,6 +16,7 @@
 	Sent, Dialled, Reused                                               int
 	Outcomes                                                            [balance.Unknown + 1]int
 	Watches, WatchesLost, Lines, BadLines                               int
+	Streamed, Cut                                                       int // answers passed on in pieces; broken off
 	Panics, Reloads                                                     int
 	// How long done reqs took, and how late the owner came to what was read, in microseconds.
 	took, lag *hdrhistogram.Histogram
@@ -39,7 +40,7 @@
 		"withdrawn": c.Withdrawn, "malformed": c.Malformed, "crowded": c.Crowded, "rested": c.Rested,
 		"sent": c.Sent, "dialled": c.Dialled, "reused": c.Reused,
 		"watches": c.Watches, "watches_lost": c.WatchesLost, "lines": c.Lines, "bad_lines": c.BadLines,
-		"panics": c.Panics, "reloads": c.Reloads}
+		"panics": c.Panics, "reloads": c.Reloads, "streamed": c.Streamed, "cut": c.Cut}
 	for o, n := range c.Outcomes {
 		m["outcome_"+outcomeNames[o]] = n
 	}
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -165,7 +165,7 @@
 	if w := p.list.watch; w != nil {
 		p.endWatch(w, now, false)
 	}
-	w := &watch{answers: http1.NewAnswers(mostList, true)}
+	w := &watch{answers: http1.NewChunks(mostList)}
 	p.list.watch = w
 	made := func(nb *nbio.Conn) end {
 		w.nb = nb
@@ -261,4 +261,6 @@
 	p.listed(form, r, now)
 }
 
+func (w *watch) eof(*Proxy, int64) {}
+
 func (w *watch) gone(p *Proxy, now int64) { p.endWatch(w, now, true) }
--- a/proxy/intake.go
+++ b/proxy/intake.go
@@ -19,7 +19,8 @@
 	badWait     = 5e8   // a client may still be sending what was refused: closed at once, it would not see the answer
 	mostWaiting = 16    // calls that a client may send ahead on one connection
 	extraWait   = 1e9   // time in which a client that there is no descriptor for may be told so
-	callWait    = 2.5e9 // time in which a call has to come whole, from the connection's start or its own first byte
+	callWait    = 2.5e9 // time in which a head has to come whole, from the connection's start or its own first byte,
+	leastBody   = 16e3  // and so many bytes of a body in each such time
 	rest        = 2e9   // a connection without an open req may be closed from then on
 	clientPart  = 3     // clients at rest are kept while all clients hold no more than one in so many descriptors
 	keepPart    = 6     // past one in so many descriptors a client's connection ends with its answer
@@ -35,6 +36,12 @@
 	wire
 	calls   *http1.Calls // the poller's
 	begun   bool         // the poller's: a part of a call is held
+	headIn  bool         // the poller's: its head has come
+	piece   *flow        // the poller's: the body that comes in pieces
+	flow    *flow        // the same, as far as the owner has come
+	body    bool         // the owner's headIn
+	lately  int64        // bytes heard when the body was last looked at
+	expects bool         // waits for a word before it sends the body
 	waiting []sentAhead  // emptied as they are taken in turn
 	req     *req         // the one that is being answered
 	coming  bool         // a part of a call has come
@@ -49,8 +56,9 @@
 
 // sentAhead is a call that waits for its turn, and when it was read.
 type sentAhead struct {
-	call http1.Call
+	http1.Call
 	at   int64
+	flow *flow // the body, where it comes in pieces
 }
 
 func newClient(c *nbio.Conn) *client {
@@ -119,9 +127,13 @@
 
 // overdue ends a connection on which half a call was sent, or nothing at all. No other timer would.
 func (p *Proxy) overdue(c *client, now int64) {
+	heard := c.heard.Load()
 	switch {
-	case c.closed || c.last:
-	case !c.nothing(): // what has just come is read first
+	case c.closed || c.last && c.flow == nil:
+	case c.body && (heard-c.lately >= leastBody || c.stalled.Load()): // it gets on, or it is held back here
+		c.lately = heard
+		p.await(c, now)
+	case !c.nothing() && !c.stalled.Load(): // what has just come is read first
 		c.due = p.after(now, glance, func(now int64) { p.overdue(c, now) })
 	case c.spoke.Load():
 		p.malformed(c, errLate)
@@ -136,29 +148,54 @@
 	c.calls.Feed(b)
 	for {
 		call, ok, err := c.calls.Next()
-		if err != nil {
+		switch {
+		case err != nil:
 			p.post(at, &c.wire, func(int64) { p.malformed(c, err) })
 			return
-		}
-		if !ok {
-			if c.calls.Begun() != c.begun {
-				c.begun = !c.begun
-				begun := c.begun
-				p.post(at, &c.wire, func(at int64) { p.begins(c, begun, at) })
+		case !ok:
+			if begun, head := c.calls.Begun(), c.calls.HeadIn(); begun != c.begun || head != c.headIn {
+				c.begun, c.headIn = begun, head
+				expects := c.calls.Expects()
+				p.post(at, &c.wire, func(at int64) { p.comes(c, begun, head, expects, at) })
 			}
 			return
+		case call.Piece == http1.Whole:
+			c.begun, c.headIn = false, false
+			p.post(at, &c.wire, func(at int64) { p.take(c, sentAhead{call, at, nil}) })
+		case call.Piece == http1.First:
+			f := &flow{from: c, length: call.Length, held: [][]byte{call.Body}}
+			c.piece, call.Body = f, nil
+			c.transit.Add(int64(len(f.held[0])))
+			p.post(at, &c.wire, func(at int64) { p.take(c, sentAhead{call, at, f}) })
+		default:
+			f := c.piece
+			c.transit.Add(int64(len(call.Body)))
+			if call.Piece == http1.Last {
+				c.begun, c.headIn, c.piece = false, false, nil
+			}
+			p.post(at, &c.wire, func(at int64) { p.flows(c, f, call, at) })
 		}
-		c.begun = false
-		p.post(at, &c.wire, func(at int64) { p.take(c, call, at) })
 	}
 }
 
-// begins notes that a further call has begun, or that what looked like one was nothing. The time for the first
-// runs from the connection's start, whatever comes before it: an empty line in two pieces must not stop it.
-func (p *Proxy) begins(c *client, begun bool, at int64) {
-	c.coming = begun
+// eof is the end of a client's sending: it has gone away.
+func (c *client) eof(*Proxy, int64) {}
+
+// comes notes that a further call has begun, or that what looked like one was nothing, or that its head is in and the
+// body has its own time. The time for the first runs from the connection's start, whatever comes before it: an empty
+// line in two pieces must not stop it.
+func (p *Proxy) comes(c *client, begun, head, expects bool, at int64) {
+	headIn := head && !c.body
+	c.coming, c.body = begun, head
+	if c.expects = expects; expects {
+		p.word(c)
+	}
 	switch {
-	case !c.asked || c.closed:
+	case c.closed:
+	case headIn:
+		c.lately = c.heard.Load()
+		p.await(c, at)
+	case !c.asked:
 	case begun:
 		p.await(c, at)
 	default:
@@ -167,27 +204,48 @@
 }
 
 // take is the first stage: calls wait for their turn here.
-func (p *Proxy) take(c *client, call http1.Call, at int64) {
-	if c.bad != nil || c.closed {
+func (p *Proxy) take(c *client, call sentAhead) {
+	c.flow = call.flow
+	if c.bad != nil || c.closed || c.last {
+		p.drop(call.flow)
 		return
 	}
-	c.asked, c.coming = true, false
-	p.stop(c.due)
+	c.asked, c.coming, c.expects = true, call.flow != nil, false
+	c.body = c.coming
+	if p.stop(c.due); c.body {
+		c.lately = c.heard.Load()
+		p.await(c, p.now())
+	}
 	if len(c.waiting) >= mostWaiting {
+		p.drop(call.flow)
 		p.malformed(c, http1.ErrTooLarge)
 		return
 	}
-	c.waiting = append(c.waiting, sentAhead{call, at})
+	c.waiting = append(c.waiting, call)
 	p.turn(c)
 }
 
+// word tells a client that waits for it to send its body, unless an answer is due before.
+func (p *Proxy) word(c *client) {
+	if c.expects && c.req == nil && len(c.waiting) == 0 && !c.closed && !c.last {
+		c.expects = false
+		c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+}
+
 // malformed turns away what is no call, at once: a client that breaks off its own req for it has given that up.
 func (p *Proxy) malformed(c *client, err error) {
 	if c.bad != nil || c.closed || c.last {
 		return
 	}
 	c.bad, c.waiting = err, nil
+	p.drop(c.flow)
+	relayed := c.req != nil && c.req.relay != nil
 	p.withdraw(c)
+	if relayed { // no answer fits behind the part of one
+		c.shut()
+		return
+	}
 	p.count.Malformed++
 	status := http.StatusBadRequest
 	switch {
@@ -202,7 +260,7 @@
 // turn takes the next call of a client whose connection is free.
 func (p *Proxy) turn(c *client) {
 	for c.req == nil && !c.closed && !c.last && len(c.waiting) > 0 {
-		call, at := c.waiting[0].call, c.waiting[0].at
+		call := c.waiting[0]
 		c.waiting = c.waiting[1:]
 		switch {
 		case c.extra:
@@ -217,11 +275,15 @@
 		case call.Method == http.MethodGet && call.Target == "/_counters":
 			p.answer(c, http1.Answer{Status: http.StatusOK, Fields: jsonType, Body: p.count.JSON()}, call.Close)
 		default:
-			if err := p.admit(c, call, at); err != nil {
+			if err := p.admit(c, call); err != nil {
 				p.malformed(c, err)
 			}
 		}
+		if c.req == nil {
+			p.drop(call.flow)
+		}
 	}
+	p.word(c)
 }
 
 // gone is the end of a client's connection: what it waited for is withdrawn.
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -164,12 +164,12 @@
 	p.accept = newListener(l)
 	nbio.MaxOpenFiles = max(p.start.Sockets, 1024)
 	p.engine = nbio.NewEngine(nbio.Config{Name: "ivybank", Network: "tcp", Addrs: []string{p.start.Listen},
-		NPoller: p.start.Pollers, MaxWriteBufferSize: mostUnsent,
+		NPoller: p.start.Pollers, MaxWriteBufferSize: mostUnsent, EpollMod: nbio.EPOLLET,
 		Listen: func(string, string) (net.Listener, error) { return p.accept, nil }})
 	p.engine.OnOpen(p.opened)
-	p.engine.OnData(p.data)
+	p.engine.OnRead(p.readable)
 	p.engine.OnClose(p.closed)
-	p.engine.OnWrittenSize(taken)
+	p.engine.OnWrittenSize(p.taken)
 	p.engine.OnAcceptError(func(error) { time.Sleep(5 * time.Millisecond) }) // nbio tries again at once
 	if err := p.engine.Start(); err != nil {
 		return err
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -5,6 +5,7 @@
 // ended or that carries something.
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -45,6 +46,7 @@
 	expires *timer
 	used    int64
 	counted bool // among the pool's connections
+	chunks  bool // the answer that is being passed on goes out in chunks
 }
 
 // pool counts what is open towards hosts.
@@ -124,7 +126,7 @@
 	addr, since := h.addr, h.since
 	h.conns++
 	made := func(nb *nbio.Conn) end {
-		return &hostConn{wire: wire{nb: nb}, answers: http1.NewAnswers(http1.MostBody, false), host: h,
+		return &hostConn{wire: wire{nb: nb}, answers: http1.NewAnswers(), host: h,
 			addr: addr, since: since}
 	}
 	p.dial(addr, p.start.DialTimeout, made, func(e end, now int64, err error) {
@@ -161,9 +163,33 @@
 	if err != nil {
 		p.post(at, &c.wire, func(at int64) { p.spoilt(c, at) })
 	} else if ok {
+		p.hands(c, a, at)
+	}
+}
+
+// hands over an answer or a piece of one; on whoever reads.
+func (p *Proxy) hands(c *hostConn, a http1.Answer, at int64) {
+	if a.Piece == http1.Whole || a.Piece == http1.Last {
 		a.Close = a.Close || c.answers.Begun() // a copy or noise behind it: it is sound, the connection is not
 		c.begun.Store(false)
-		p.post(at, &c.wire, func(at int64) { p.answered(c, a, at) })
+	}
+	do := p.passes
+	switch a.Piece {
+	case http1.Whole:
+		do = p.answered
+	case http1.First:
+		do = p.begins
+		fallthrough
+	default:
+		c.transit.Add(int64(len(a.Body)))
+	}
+	p.post(at, &c.wire, func(at int64) { do(c, a, at) })
+}
+
+// eof is the end of a host's sending: it makes whole what no length was told for.
+func (c *hostConn) eof(p *Proxy, at int64) {
+	if a, ok := c.answers.End(); ok {
+		p.hands(c, a, at)
 	}
 }
 
@@ -172,6 +198,10 @@
 	c.shut()
 	if d := c.carries; d != nil {
 		c.carries = nil
+		if d.req.relay == c {
+			p.passed(d, balance.Errored, now)
+			return
+		}
 		p.broke(d, &broken{answerBegun, errAnswer}, now)
 	}
 }
@@ -181,12 +211,12 @@
 	d := c.carries
 	// Nobody asked, or it came before all was asked. A late copy of the answer before, read just before this
 	// call was written, must not answer it: the kernel may have taken the call by now.
-	if d == nil || !c.written() || now <= d.wrote {
+	if d == nil || now <= d.wrote || !d.allSent() && (d.req.flow == nil || a.Status == http.StatusOK) {
 		p.spoilt(c, now)
 		return
 	}
 	c.carries = nil
-	if a.Close {
+	if a.Close || !d.allSent() { // a host may turn a body away before all of it has come
 		c.shut()
 	} else {
 		p.park(c, now)
@@ -201,6 +231,10 @@
 	defer p.tidy(c.host)
 	if d := c.carries; d != nil {
 		c.carries = nil
+		if d.req.relay == c {
+			p.passed(d, balance.Reset, now)
+			return
+		}
 		p.broke(d, &broken{d.progress(), errEnded}, now)
 	}
 }
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -14,15 +14,20 @@
 	}
 	*kind++
 	r.ended = true
+	p.drop(r.flow)
 	p.forget(r)
 	c := r.client
 	c.req = nil
-	// Past their part of the descriptors a client's connection ends with its answer, which it says: no call can
-	// cross that, and clients that ask once and stay do not crowd out those that come next.
-	p.answer(c, a, r.call.Close || len(p.clients) > p.sockets/keepPart)
+	p.answer(c, a, p.lastAnswer(r))
 	p.turn(c)
 }
 
+// lastAnswer says whether a req's connection ends with its answer. Past their part of the descriptors clients' do, and are
+// told so: no call can cross that, and clients that ask once and stay do not crowd out those that come next.
+func (p *Proxy) lastAnswer(r *req) bool {
+	return r.call.Close || len(p.clients) > p.sockets/keepPart || p.drain.ending || p.drain.emptied != 0
+}
+
 // answer writes to a client; after the last answer its connection is closed once all of it has left.
 func (p *Proxy) answer(c *client, a http1.Answer, last bool) {
 	if c.closed {
@@ -30,7 +35,7 @@
 	}
 	c.last, c.rests = c.last || last || p.drain.ending || p.drain.emptied != 0, p.now()
 	a.Close = c.last
-	c.write(http1.AppendAnswer(nil, a))
+	c.write(http1.AppendAnswer(nil, a, false))
 	switch {
 	case c.bad != nil:
 		p.after(p.now(), badWait, func(now int64) { p.endClient(c, now) })
@@ -42,15 +47,20 @@
 // endClient closes a client's connection when the kernel has all that was written to it, as nbio drops what
 // it still holds, or when the client has not read that for as long as any client waits.
 func (p *Proxy) endClient(c *client, now int64) {
-	p.closeWritten(c, now, now+p.start.LongestTimeout)
+	p.closeWritten(c, c.took.Load()+c.heard.Load(), now, now+p.start.LongestTimeout)
 }
 
-func (p *Proxy) closeWritten(c *client, now, latest int64) {
+// closeWritten waits as long as it gets on. A body that still comes is read out first: closing on it would reset the
+// client before it has seen its answer.
+func (p *Proxy) closeWritten(c *client, moved, now, latest int64) {
+	if is := c.took.Load() + c.heard.Load(); is != moved && c.bad == nil {
+		moved, latest = is, now+p.start.LongestTimeout
+	}
 	switch {
 	case c.closed:
-	case c.written() || now >= latest:
+	case c.written() && (c.flow == nil || c.bad != nil) || now >= latest:
 		c.shut()
 	default:
-		p.after(now, glance, func(now int64) { p.closeWritten(c, now, latest) })
+		p.after(now, glance, func(now int64) { p.closeWritten(c, moved, now, latest) })
 	}
 }
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -25,6 +25,10 @@
 			if r := p.reqs[d.Req]; r != nil && d.Attempt < len(r.dispatches) {
 				p.giveUp(r.dispatches[d.Attempt], balance.Cancelled, now)
 			}
+		case balance.Limit:
+			if r := p.reqs[d.Req]; r != nil && d.Attempt < len(r.dispatches) && r.dispatches[d.Attempt].out {
+				p.limit(r.dispatches[d.Attempt], d.Time, now)
+			}
 		case balance.Watch:
 			p.watch(now)
 		case balance.Close:
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -63,7 +63,9 @@
 		p.post(now, nil, func(at int64) { p.broke(d, &broken{unsent, errUnknown}, at) })
 		return
 	}
-	d.limit = p.after(now, until-now, func(now int64) { p.giveUp(d, balance.TimedOut, now) })
+	if r.flow == nil || r.flow.whole { // else the module tells once its body is whole
+		p.limit(d, until, now)
+	}
 	if c := p.idle(d.host); c != nil {
 		p.count.Reused++
 		if fresh := settle - (now - c.used); fresh > 0 {
@@ -76,6 +78,18 @@
 	p.connect(d, now)
 }
 
+// limit is how long a dispatch is waited for.
+func (p *Proxy) limit(d *dispatch, until, now int64) {
+	p.stop(d.limit)
+	d.until = until
+	d.limit = p.after(now, until-now, func(now int64) { p.giveUp(d, balance.TimedOut, now) })
+}
+
+// allSent says whether all of the call was written and taken by the kernel.
+func (d *dispatch) allSent() bool {
+	return d.conn != nil && d.conn.written() && (d.req.flow == nil || d.req.flow.sent)
+}
+
 // settled uses a connection that had an answer just before, unless more came on it.
 func (p *Proxy) settled(d *dispatch, c *hostConn, now int64) {
 	if c.closed || !c.nothing() {
@@ -91,7 +105,15 @@
 // write puts the dispatch on a connection that is up.
 func (p *Proxy) write(d *dispatch, c *hostConn) {
 	d.conn, c.carries, d.wrote = c, d, p.now()
-	c.write(http1.AppendCall(nil, d.req.call, d.host.addr, max(1, d.until-d.wrote)))
+	wait := d.until - d.wrote
+	if f := d.req.flow; f != nil && !f.whole {
+		wait = d.req.call.Timeout // counted from its last byte
+	}
+	c.write(http1.AppendCall(nil, d.req.call, d.host.addr, max(1, wait)))
+	if d.req.flow != nil {
+		p.pour(d)
+		p.stuck(d, c.took.Load(), d.wrote)
+	}
 }
 
 // progress says how far a dispatch has come. It is asked after its connection was closed: until then the
@@ -102,7 +124,7 @@
 		return unconnected
 	case c.begun.Load():
 		return answerBegun
-	case c.written():
+	case d.allSent():
 		return allWritten
 	}
 	return partWritten
@@ -116,6 +138,10 @@
 	if c := d.conn; c != nil {
 		c.carries = nil
 		c.shut()
+		if d.req.relay == c {
+			p.passed(d, o, now)
+			return
+		}
 	}
 	if d.progress() < allWritten {
 		o = balance.NotSent // its last byte surely never left
