Slow takers judged by what reached them; tests of pieces each way, slow heads and half-way stops

Found by a test: a client that takes 64 kB a second was cut off after 3 s. The kernel says that there is room only when a third of what it holds has gone, and it held 2.5 MB, so nothing seemed to move. Ruled out: the host (it had written all it could), the bound in transit (a part moved whenever the kernel took one). Now the send buffer of a connection that carries pieces is 64 KiB, and what counts is what the other side has acknowledged.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -549,3 +549,46 @@
 		t.Errorf("got %v, want the old req aborted as it may have run, the new one denied", got)
 	}
 }
+
+// A req whose body is still coming has no time and no place in flight yet; one whose answer has begun has none any more.
+func TestPieces(t *testing.T) {
+	b := fleet(1, nil)
+	b.Req(Arrival{ID: 1, RuleSet: "once", Budget: 2 * sec, Open: true}, 0)
+	if got := pull(b, 0, Dispatch); len(got) != 1 || b.inflight != 0 || len(b.servers[0].out) != 0 {
+		t.Fatalf("got %v, %d in flight, want one dispatch that takes no place", got, b.inflight)
+	}
+	if got := pull(b, 10*sec, -1); len(got) != 0 || b.servers[0].silent {
+		t.Fatalf("got %v while the body comes", got)
+	}
+	b.Whole(1, 10*sec)
+	b.Whole(1, 11*sec) // counts once
+	if got := pull(b, 10*sec, Limit); len(got) != 1 || got[0].Time != 11*sec-2*b.t.Tick || b.inflight != 1 {
+		t.Fatalf("got %v, %d in flight, want the time to run from the last byte", got, b.inflight)
+	}
+	b.Started(1)
+	b.Passed(1, 0, sec/10, 10*sec+sec/10)
+	if b.inflight != 0 || b.servers[0].lat != float64(sec)/10 {
+		t.Fatalf("%d in flight, answer time %v, want the server judged by the answer's begin", b.inflight, b.servers[0].lat)
+	}
+	if got := pull(b, 30*sec, -1); len(got) != 0 {
+		t.Fatalf("got %v for an answer that is the client's", got)
+	}
+	b.Finished(1, 0, Served, true, 20*sec, 30*sec)
+	if b.inflight != 0 || len(b.reqs) != 0 || b.servers[0].lat != float64(sec)/10 {
+		t.Fatalf("%d in flight, %d reqs, answer time %v, want it counted once", b.inflight, len(b.reqs), b.servers[0].lat)
+	}
+}
+
+// What is no longer held must not be dispatched again, however harmless that would be.
+func TestSpent(t *testing.T) {
+	for rules, want := range map[string]Kind{"again": Deny, "once": Deny} {
+		b := fleet(2, nil)
+		b.Req(Arrival{ID: 1, RuleSet: rules, Budget: 2 * sec, Open: true}, 0)
+		pull(b, 0, Dispatch)
+		b.Spent(1)
+		b.Finished(1, 0, NoConnection, false, 1, 1)
+		if got := pull(b, 1, -1); len(got) != 1 || got[0].Kind != want {
+			t.Errorf("%s: got %v, want it denied", rules, got)
+		}
+	}
+}
--- a/cmd/ivybank/helpers_test.go
+++ b/cmd/ivybank/helpers_test.go
@@ -57,6 +57,9 @@
 	}
 	h := &standin{Listener: l}
 	t.Cleanup(func() { _ = l.Close() })
+	if reply == nil {
+		return h // the test accepts
+	}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -365,3 +368,13 @@
 	}
 	return m
 }
+
+// asks sends bytes on a connection of their own and leaves the answer to be read.
+func (p *program) asks(t *testing.T, text string) net.Conn {
+	t.Helper()
+	c, _ := p.dial(t)
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
--- a/http1/http1_test.go
+++ b/http1/http1_test.go
@@ -210,3 +210,112 @@
 		}
 	})
 }
+
+// A message past what is given whole comes in pieces that are all of it, in order, and says when it has ended.
+func TestPieces(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 20000)
+	t.Run("call", func(t *testing.T) {
+		for name, text := range map[string]string{
+			"length":  "POST / HTTP/1.1\r\nContent-Length: 320000\r\n\r\n" + long,
+			"chunked": "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4E200\r\n" + long + "\r\n0\r\nX: 1\r\n\r\n",
+		} {
+			p, body, pieces := NewCalls(), "", []Piece{}
+			for rest := text + post; len(rest) > 0; {
+				n := min(len(rest), 30000)
+				p.Feed([]byte(rest[:n]))
+				rest = rest[n:]
+				for c, ok, err := p.Next(); ok || err != nil; c, ok, err = p.Next() {
+					if err != nil {
+						t.Fatal(err)
+					}
+					if pieces = append(pieces, c.Piece); c.Piece != Whole {
+						body += string(c.Body)
+					}
+					if want := map[string]int{"length": 320000, "chunked": -1}[name]; c.Piece == First && c.Length != want {
+						t.Errorf("%s: got length %d, want %d", name, c.Length, want)
+					}
+				}
+			}
+			n := len(pieces)
+			if body != long || n < 6 || pieces[0] != First || pieces[n-2] != Last || pieces[n-1] != Whole {
+				t.Errorf("%s: got %d bytes, pieces %v", name, len(body), pieces)
+			}
+		}
+	})
+	t.Run("answer of a told length begins with its head", func(t *testing.T) {
+		p := NewAnswers()
+		p.Feed([]byte("HTTP/1.1 200 OK\r\nContent-Length: 320000\r\n\r\n"))
+		if a, ok, err := p.Next(); !ok || err != nil || a.Piece != First || a.Length != 320000 || len(a.Body) != 0 {
+			t.Fatalf("got %+v, %v, %v", a, ok, err)
+		}
+		if _, ok, _ := p.Next(); ok {
+			t.Fatal("got a piece that has not come")
+		}
+	})
+	t.Run("to the end", func(t *testing.T) {
+		p := NewAnswers()
+		p.Feed([]byte("HTTP/1.1 200 OK\r\nX: y\r\n\r\nab"))
+		if _, ok, err := p.Next(); ok || err != nil {
+			t.Fatalf("got %v, %v before the end", ok, err)
+		}
+		a, ok := p.End()
+		if !ok || string(a.Body) != "ab" || a.Piece != Whole || !a.Close || len(a.Fields) != 1 {
+			t.Fatalf("got %+v, %v", a, ok)
+		}
+		if _, ok := p.End(); ok {
+			t.Fatal("got an answer out of nothing")
+		}
+		p = NewAnswers()
+		p.Feed([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab"))
+		if _, ok := p.End(); ok {
+			t.Fatal("got an answer that was broken off")
+		}
+	})
+	t.Run("no body by its kind", func(t *testing.T) {
+		p := NewAnswers()
+		p.Feed([]byte("HTTP/1.1 103 X\r\nContent-Length: 9\r\n\r\nHTTP/1.1 304 X\r\nContent-Length: 9\r\n\r\n"))
+		if a, ok, err := p.Next(); !ok || err != nil || a.Status != 304 || len(a.Body) != 0 {
+			t.Fatalf("got %+v, %v, %v", a, ok, err)
+		}
+	})
+	t.Run("written and read again", func(t *testing.T) {
+		for _, length := range []int{320000, -1} {
+			call := Call{Method: "POST", Target: "/", Host: "x", Piece: First, Length: length, Body: []byte(long[:100000])}
+			b := AppendCall(nil, call, "x", 0)
+			b = AppendPiece(b, length < 0, []byte(long[100000:]), false)
+			b = AppendPiece(b, length < 0, nil, true)
+			if got, err := calls(b[:70000], b[70000:]); err != nil || len(got) != 1 || string(got[0].Body) != long {
+				t.Errorf("length %d: got %d calls, %v", length, len(got), err)
+			}
+		}
+		old := AppendAnswer(nil, Answer{Status: 200, Piece: First, Length: -1, Body: []byte("ab"), Close: true}, true)
+		if text := string(old); strings.Contains(text, "chunked") || !strings.HasSuffix(text, "\r\n\r\nab") {
+			t.Errorf("got %q for an old client", text)
+		}
+	})
+}
+
+func TestHeads(t *testing.T) {
+	t.Run("expects", func(t *testing.T) {
+		p := NewCalls()
+		p.Feed([]byte("POST / HTTP/1.1\r\nExpect: 100-Continue\r\nContent-Length: 2\r\n\r\n"))
+		if _, ok, err := p.Next(); ok || err != nil || !p.Expects() || !p.HeadIn() {
+			t.Fatalf("got %v, %v, expects %v", ok, err, p.Expects())
+		}
+		p.Feed([]byte("a"))
+		if _, _, err := p.Next(); err != nil || p.Expects() {
+			t.Fatal("a sender that has begun its body waits for nothing")
+		}
+	})
+	for target, want := range map[string][2]string{
+		"http://a:1/b?c": {"a:1", "/b?c"}, "http://a": {"a", "/"}, "http://a?c": {"a", "/?c"}, "/b": {"h", "/b"},
+	} {
+		got, err := calls([]byte("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n"))
+		if err != nil || len(got) != 1 || got[0].Host != want[0] || got[0].Target != want[1] {
+			t.Errorf("%s: got %+v, %v, want %v", target, got, err, want)
+		}
+	}
+	if _, err := calls([]byte("GET http:///b HTTP/1.1\r\nHost: h\r\n\r\n")); !errors.Is(err, ErrMalformed) {
+		t.Errorf("got %v for a target without its server", err)
+	}
+}
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -68,6 +68,20 @@
 
 func (w *wire) unsent() int64 { return w.given.Load() - w.took.Load() }
 
+// acked counts what has reached the other side. The kernel tells of room for more only when a third of what it holds has
+// gone, which takes a slow peer many seconds; this moves with each packet.
+func (w *wire) acked() int64 {
+	n := w.took.Load()
+	if raw, err := w.nb.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+				n -= int64(queued)
+			}
+		})
+	}
+	return n
+}
+
 // shut closes the connection; after it the kernel takes nothing more.
 func (w *wire) shut() {
 	w.closed = true
--- a/proxy/flow.go
+++ b/proxy/flow.go
@@ -93,7 +93,7 @@
 		return
 	}
 	if c := d.conn; c != nil {
-		if is := c.took.Load(); is != took || c.written() {
+		if is := c.acked(); is != took || c.written() {
 			took = is
 		} else {
 			p.giveUp(d, balance.TimedOut, now)
@@ -129,7 +129,8 @@
 	c.chunks = a.Length < 0 && !r.call.Old
 	cl.write(http1.AppendAnswer(nil, a, r.call.Old))
 	p.moved(c, n, &cl.wire)
-	p.watchOver(r, c.heard.Load(), cl.took.Load(), now)
+	_ = cl.nb.SetWriteBuffer(lowUnsent) // else the kernel would take megabytes ahead of a slow client
+	p.watchOver(r, c.heard.Load(), cl.acked(), now)
 }
 
 // passes takes a further piece of an answer that is being passed on.
@@ -193,7 +194,7 @@
 		if r.ended || c == nil || c.carries == nil || c.carries.req != r {
 			return
 		}
-		h, t := c.heard.Load(), r.client.took.Load()
+		h, t := c.heard.Load(), r.client.acked()
 		if h == heard && t == took {
 			d := c.carries
 			c.carries = nil
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -112,7 +112,7 @@
 	c.write(http1.AppendCall(nil, d.req.call, d.host.addr, max(1, wait)))
 	if d.req.flow != nil {
 		p.pour(d)
-		p.stuck(d, c.took.Load(), d.wrote)
+		p.stuck(d, c.acked(), d.wrote)
 	}
 }
 
