--- a/cmd/ivybank/main_test.go
+++ b/cmd/ivybank/main_test.go
@@ -193,6 +193,17 @@
 	if ended < 100 {
 		t.Errorf("got %d of 200 ended with their answer, want most", ended)
 	}
+	// Those that ask for health alone are no different.
+	for i := range 200 {
+		conn, in := p.dial(t)
+		_, _ = io.WriteString(conn, "GET /_health HTTP/1.1\r\n\r\n")
+		if r, _ := answer(t, in); r.StatusCode != 200 {
+			t.Fatalf("health %d: got %d, want 200", i, r.StatusCode)
+		}
+	}
+	if r, _ := p.ask(t, call("POST", "e", "once", "")); r.StatusCode != 200 {
+		t.Errorf("got %d beside clients that asked for health and stay, want 200", r.StatusCode)
+	}
 	eventually(t, "silent ones are closed", func() bool { return p.counters(t)["rested"] >= 200 })
 }
 
--- a/proxy/flow.go
+++ b/proxy/flow.go
@@ -123,8 +123,7 @@
 	p.module.Started(r.id)
 	p.module.Passed(r.id, d.index, now-d.sent, now)
 	cl := r.client
-	last := p.lastAnswer(r)
-	a.Close = last || a.Length < 0 && r.call.Old
+	a.Close = r.call.Close || p.lastAnswer(cl) || a.Length < 0 && r.call.Old
 	cl.last = cl.last || a.Close
 	c.chunks = a.Length < 0 && !r.call.Old
 	cl.write(http1.AppendAnswer(nil, a, r.call.Old))
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -18,14 +18,15 @@
 	p.forget(r)
 	c := r.client
 	c.req = nil
-	p.answer(c, a, p.lastAnswer(r))
+	p.answer(c, a, r.call.Close)
 	p.turn(c)
 }
 
-// lastAnswer says whether a req's connection ends with its answer. Past their part of the descriptors clients' do, and are
-// told so: no call can cross that, and clients that ask once and stay do not crowd out those that come next.
-func (p *Proxy) lastAnswer(r *req) bool {
-	return r.call.Close || len(p.clients) > p.sockets/keepPart || p.drain.ending || p.drain.emptied != 0
+// lastAnswer says whether a client's connection ends with its next answer, whatever that is to. Past their part of the
+// descriptors clients' do, and are told so: no call can cross that, and clients that ask once and stay, be it for
+// health, do not crowd out those that come next.
+func (p *Proxy) lastAnswer(c *client) bool {
+	return c.last || len(p.clients) > p.sockets/keepPart || p.drain.ending || p.drain.emptied != 0
 }
 
 // answer writes to a client; after the last answer its connection is closed once all of it has left.
@@ -33,7 +34,7 @@
 	if c.closed {
 		return
 	}
-	c.last, c.rests = c.last || last || p.drain.ending || p.drain.emptied != 0, p.now()
+	c.last, c.rests = last || p.lastAnswer(c), p.now()
 	a.Close = c.last
 	c.write(http1.AppendAnswer(nil, a, false))
 	switch {
