--- a/balance/balance.go
+++ b/balance/balance.go
@@ -359,7 +359,7 @@
 	}
 	s := b.servers[i]
 	if e.Since > s.Since {
-		*s = server{out: s.out, health: cmp.Or(b.mean, 1), grow: newcomer, answered: now}
+		*s = server{out: s.out, health: cmp.Or(b.mean, 1), grow: newcomer / float64(1+b.t.Beside), answered: now}
 	}
 	if s.Server, s.known = e, e.State != Gone; s.Share <= 0 {
 		s.Share = 1
@@ -646,7 +646,7 @@
 	if s.cold >= 1 {
 		return true
 	}
-	rate := coldShare * share * b.rate.Now(now, span) * float64(sec) / float64(span)
+	rate := coldShare / float64(1+b.t.Beside) * share * b.rate.Now(now, span) * float64(sec) / float64(span)
 	s.spent, s.spentAt = max(0, s.spent-rate*float64(now-s.spentAt)/float64(sec)), now
 	return s.spent < 1
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -592,3 +592,31 @@
 		}
 	}
 }
+
+// Two processes of one balancer must not send a cold server twice what one may.
+func TestBeside(t *testing.T) {
+	spent := func(beside int) (n int, grow float64) {
+		b := fleet(2, nil)
+		next := b.t
+		next.Beside = beside
+		b.Retune(next)
+		for range 400 {
+			b.rate.Add(sec, span)
+		}
+		b.Listed(Changes, []Server{{ID: "a", Zone: "z", Share: 1, Since: sec}}, sec)
+		s := b.servers[0]
+		s.cold, s.spentAt = 0.2, sec
+		for at := sec; at < 5*sec; at += 10 * ms {
+			if b.afford(s, 0.1, at) {
+				s.spent++
+				n++
+			}
+		}
+		return n, s.grow
+	}
+	one, full := spent(0)
+	two, half := spent(1)
+	if one < 20 || two > one/2+1 || half != full/2 {
+		t.Errorf("got %d dispatches alone and %d beside another, caps %v and %v, want half", one, two, full, half)
+	}
+}
--- /dev/null
+++ b/emu/seat.go
@@ -0,0 +1,300 @@
+package emu
+
+// This file owns virtual mode: balancers in virtual time, with the network between them and the servers, and the clients
+// that ask them. It carries decisions out and must never make one.
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"hash"
+	"math"
+
+	"ivybank/balance"
+	"ivybank/draw"
+)
+
+// Policy is what decides: the module, or what it is compared with.
+type Policy interface {
+	Req(a balance.Arrival, now int64)
+	Finished(id uint64, attempt int, o balance.Outcome, final bool, took, now int64)
+	Withdrawn(id uint64)
+	Listed(form balance.Form, entries []balance.Server, now int64)
+	Next(now int64) (balance.Decision, bool)
+}
+
+// Ask is one req as a client makes it.
+type Ask struct {
+	At      int64 // from the run's start
+	RuleSet string
+	Tenant  string
+	Key     string
+	Work    int64
+}
+
+// Clients is how they behave.
+type Clients struct {
+	Timeout int64 // how long one waits, counted from its ask
+	Retries int   // times that one asks again after a deny
+	Wait    int64 // before it does, unless it was told when to come back
+}
+
+// Kind of a final answer.
+type Kind int
+
+// The kinds; Unanswered is none in time.
+const (
+	Done Kind = iota
+	Denied
+	Aborted
+	Unanswered
+)
+
+// Result is what became of one ask, its retries included.
+type Result struct {
+	Ask
+	Kind  Kind
+	Took  int64
+	Tries int
+}
+
+// Seats are the balancers of one run in virtual time.
+type Seats struct {
+	fleet   *Fleet
+	clock   *Virtual
+	terms   balance.Terms
+	clients Clients
+	result  func(Result)
+	log     hash.Hash // of every decision
+	dice    draw.Dice
+	seats   []*seat
+	reqs    uint64
+	Decided int
+}
+
+type seat struct {
+	*Seats
+	id     int
+	zone   string
+	policy Policy
+	reqs   map[uint64]*asked // emptied when a req has ended and nothing of it is out
+	wake   uint64            // the wake that counts
+	listed bool              // a watch is up
+}
+
+// asked is one try of a client at a balancer.
+type asked struct {
+	Ask
+	id    uint64
+	name  string
+	first int64 // of its first try
+	tries int
+	ended bool
+	sends []*send
+	outs  int
+}
+
+type send struct {
+	job *Job
+	srv *Server
+	at  int64
+	out bool
+}
+
+// NewSeats puts a policy in each balancer's place; terms are those of the deployment.
+func NewSeats(f *Fleet, c *Virtual, zones []string, t balance.Terms, cl Clients, seed uint64,
+	policy func(t balance.Terms, now int64) Policy, result func(Result)) *Seats {
+	s := &Seats{fleet: f, clock: c, terms: t, clients: cl, result: result, log: sha256.New()}
+	s.dice.Seed = seed
+	for i, zone := range zones {
+		t.Seed, t.Zone, t.Copies = seed*1000003+uint64(i)+1, zone, len(zones)
+		st := &seat{Seats: s, id: i, zone: zone, policy: policy(t, c.Now()), reqs: map[uint64]*asked{}}
+		entries, _ := f.List()
+		for _, e := range entries {
+			f.Judge.Told(i, e.ID, e.State)
+		}
+		st.policy.Listed(balance.Restored, entries, c.Now())
+		s.seats = append(s.seats, st)
+		c.At(c.Now(), st.decide)
+	}
+	return s
+}
+
+// Hash is of all decisions so far: two runs are the same when theirs are.
+func (s *Seats) Hash() string { return hex.EncodeToString(s.log.Sum(nil))[:16] }
+
+// Arrive has a client ask a balancer, now.
+func (s *Seats) Arrive(at int, a Ask) { s.seats[at%len(s.seats)].try(a, s.clock.Now(), 0) }
+
+func (st *seat) try(a Ask, first int64, tries int) {
+	st.Seats.reqs++
+	now := st.clock.Now()
+	r := &asked{Ask: a, id: st.Seats.reqs, name: fmt.Sprint(st.Seats.reqs), first: first, tries: tries + 1}
+	st.reqs[r.id] = r
+	st.fleet.Judge.Taken(r.name, now+st.clients.Timeout)
+	st.policy.Req(balance.Arrival{ID: r.id, RuleSet: a.RuleSet, Tenant: a.Tenant, Key: a.Key, Budget: st.clients.Timeout,
+		Work: a.Work}, now)
+	st.clock.At(now+st.clients.Timeout, func() {
+		if !r.ended { // the judge has it open still: a lost req
+			r.ended = true
+			st.policy.Withdrawn(r.id)
+			st.result(Result{r.Ask, Unanswered, st.clock.Now() - r.first, r.tries})
+			st.tidy(r)
+			st.decide()
+		}
+	})
+	st.decide()
+}
+
+func (st *seat) tidy(r *asked) {
+	if r.ended && r.outs == 0 {
+		delete(st.reqs, r.id)
+		st.fleet.Judge.Forget(r.name)
+	}
+}
+
+// final answers a client.
+func (st *seat) final(r *asked, id uint64, kind Kind, back int64) {
+	if r == nil || r.ended {
+		st.fleet.Judge.Final(fmt.Sprint(id)) // a second answer, or one to nobody
+		return
+	}
+	r.ended = true
+	st.fleet.Judge.Final(r.name)
+	now := st.clock.Now()
+	if kind == Denied && r.tries <= st.clients.Retries && now-r.first < st.clients.Timeout {
+		wait := st.clients.Wait
+		if back > 0 {
+			wait = back
+		}
+		st.clock.At(now+max(1, wait), func() { st.try(r.Ask, r.first, r.tries) })
+	} else {
+		st.result(Result{r.Ask, kind, now - r.first, r.tries})
+	}
+	st.tidy(r)
+}
+
+// decide carries out what the policy decides.
+func (st *seat) decide() {
+	now := st.clock.Now()
+	for d, ok := st.policy.Next(now); ok; d, ok = st.policy.Next(now) {
+		if d.Kind != balance.Log {
+			st.Decided++
+			fmt.Fprintf(st.log, "%d %d %d %d %s %d %d\n", now, st.id, d.Kind, d.Req, d.Server, d.Attempt, d.Time)
+		}
+		r := st.reqs[d.Req]
+		switch d.Kind {
+		case balance.Dispatch:
+			st.dispatch(r, d.Server, d.Time)
+		case balance.Deny:
+			st.final(r, d.Req, Denied, d.Time)
+		case balance.Abort:
+			st.final(r, d.Req, Aborted, 0)
+		case balance.Cancel:
+			if r != nil && d.Attempt < len(r.sends) {
+				st.giveUp(r, d.Attempt, balance.Cancelled)
+			}
+		case balance.Watch:
+			st.watch()
+		case balance.Wake:
+			st.wake++
+			mine := st.wake
+			st.clock.At(now+d.Time, func() {
+				if st.wake == mine {
+					st.decide()
+				}
+			})
+		}
+	}
+}
+
+// watch asks discovery for the list and what changes from then on.
+func (st *seat) watch() {
+	st.clock.At(st.clock.Now()+2*st.fleet.Wire.OneWay, func() {
+		if st.fleet.Down() {
+			st.policy.Listed(balance.Unavailable, nil, st.clock.Now())
+			st.decide()
+			return
+		}
+		entries, _ := st.fleet.List()
+		st.told(balance.Whole, entries)
+		if !st.listed {
+			st.listed = true
+			st.fleet.Watch(func(e Entry) { st.told(balance.Changes, []balance.Server{e.Server}) }, func() {
+				st.listed = false
+				st.policy.Listed(balance.Unavailable, nil, st.clock.Now())
+				st.decide()
+			})
+		}
+	})
+}
+
+func (st *seat) told(form balance.Form, entries []balance.Server) {
+	for _, e := range entries {
+		st.fleet.Judge.Told(st.id, e.ID, e.State)
+	}
+	st.policy.Listed(form, entries, st.clock.Now())
+	st.decide()
+}
+
+// dispatch sends a req to a server.
+func (st *seat) dispatch(r *asked, id string, until int64) {
+	now := st.clock.Now()
+	n := len(r.sends)
+	srv := st.fleet.Server(id)
+	s := &send{srv: srv, at: now, out: true}
+	r.sends = append(r.sends, s)
+	r.outs++
+	var rules balance.RuleSet
+	for _, x := range st.terms.RuleSets {
+		if x.Name == r.RuleSet {
+			rules = x
+		}
+	}
+	st.fleet.Judge.Sent(st.id, id, r.name)
+	s.job = &Job{Req: r.name, From: st.id, Sent: now, Work: r.Work, Key: r.Key, Rules: rules, Done: func(o balance.Outcome) {
+		wait, arrives := st.fleet.Way(st.zone, srv)
+		if arrives {
+			st.clock.At(st.clock.Now()+wait, func() { st.finished(r, n, o) })
+		}
+	}}
+	wait, arrives := st.fleet.Way(st.zone, srv)
+	if arrives {
+		st.clock.At(now+wait, func() {
+			if s.out {
+				srv.Offer(s.job)
+			}
+		})
+	}
+	if until < math.MaxInt64 {
+		st.clock.At(until, func() { st.giveUp(r, n, balance.TimedOut) })
+	}
+}
+
+// giveUp stops waiting for an attempt and tells the server, if word gets there.
+func (st *seat) giveUp(r *asked, n int, o balance.Outcome) {
+	s := r.sends[n]
+	if !s.out {
+		return
+	}
+	if wait, arrives := st.fleet.Way(st.zone, s.srv); arrives {
+		st.clock.At(st.clock.Now()+wait, func() { s.srv.Cancel(s.job) })
+	}
+	st.finished(r, n, o)
+}
+
+func (st *seat) finished(r *asked, n int, o balance.Outcome) {
+	s := r.sends[n]
+	if !s.out {
+		return
+	}
+	s.out = false
+	r.outs--
+	now := st.clock.Now()
+	if o == balance.Served && !r.ended {
+		st.final(r, r.id, Done, 0)
+	}
+	st.policy.Finished(r.id, n, o, r.ended, now-s.at, now)
+	st.tidy(r)
+	st.decide()
+}
--- /dev/null
+++ b/lab/experiment.go
@@ -0,0 +1,277 @@
+// Package lab plays experiments against a rehearsed fleet: in virtual time with the decision module, or on loopback with the
+// built program. It keeps what came of them as tables and charts.
+//
+// This file owns the experiment file. It must never take one in part, nor guess what it does not say.
+package lab
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"ivybank/balance"
+	"ivybank/conf"
+	"ivybank/emu"
+	"ivybank/trace"
+)
+
+// Format is what an experiment file says it is.
+const Format = "ivybank/experiment/1"
+
+// Experiment is an experiment file.
+type Experiment struct {
+	Format string        `toml:"format"`
+	Name   string        `toml:"name"`
+	About  string        `toml:"about"`
+	Mode   string        `toml:"mode"` // virtual or sockets
+	Seeds  []uint64      `toml:"seeds"`
+	Length conf.Duration `toml:"length"`
+	Warm   conf.Duration `toml:"warm"` // from the start, left out of the figures
+
+	Fleet struct {
+		Balancers     int           `toml:"balancers"`
+		Zones         []string      `toml:"zones"`
+		Queue         int           `toml:"queue"`
+		OneWay        conf.Duration `toml:"one_way"`
+		Cross         conf.Duration `toml:"cross"`
+		Told          conf.Duration `toml:"told"`
+		Grace         conf.Duration `toml:"grace"`
+		CacheKeys     int           `toml:"cache_keys"`
+		CacheFor      conf.Duration `toml:"cache_for"`
+		CacheSaves    float64       `toml:"cache_saves"`
+		Ramp          conf.Duration `toml:"ramp"`
+		StartCapacity float64       `toml:"start_capacity"`
+		FallOver      float64       `toml:"fall_over"`
+		FallAfter     conf.Duration `toml:"fall_after"`
+		ReportEvery   conf.Duration `toml:"report_every"`
+		Machines      []struct {
+			Count int     `toml:"count"`
+			Cores int     `toml:"cores"`
+			Speed float64 `toml:"speed"`
+			Share float64 `toml:"share"`
+		} `toml:"machine"`
+	} `toml:"fleet"`
+
+	Load struct {
+		Rate    float64       `toml:"rate"` // reqs a second, all balancers together
+		Keys    int           `toml:"keys"`
+		Skew    float64       `toml:"skew"` // of keys: the n-th is asked for as 1 over n to this power
+		Work    conf.Duration `toml:"work"`
+		Spread  string        `toml:"spread"` // of work: fixed, uniform or exponential
+		Timeout conf.Duration `toml:"timeout"`
+		Retries int           `toml:"retries"`
+		Wait    conf.Duration `toml:"wait"`
+		Tenants []struct {
+			Name  string  `toml:"name"`
+			Share float64 `toml:"share"`
+		} `toml:"tenant"`
+	} `toml:"load"`
+
+	RuleSets []struct {
+		Name   string        `toml:"name"`
+		Effect string        `toml:"effect"` // replayable, uniqued or non-replayable
+		Group  string        `toml:"group"`  // all, zone or cell
+		Window conf.Duration `toml:"window"`
+		Target conf.Duration `toml:"response_target"`
+		Value  float64       `toml:"value"`
+		Share  float64       `toml:"share"` // of reqs
+	} `toml:"ruleset"`
+
+	Trace *Trace `toml:"trace"`
+
+	Faults []struct {
+		Kind    string        `toml:"kind"`
+		At      conf.Duration `toml:"at"`
+		For     conf.Duration `toml:"for"`
+		Servers []string      `toml:"servers"`
+		Count   int           `toml:"count"`
+		Zone    string        `toml:"zone"`
+		Size    float64       `toml:"size"`
+	} `toml:"fault"`
+
+	Variants []Variant `toml:"variant"`
+
+	path string
+}
+
+// Variant is one of what an experiment compares.
+type Variant struct {
+	Name     string `toml:"name"`
+	Policy   string `toml:"policy"`   // virtual
+	Operator string `toml:"operator"` // sockets: an operator file, beside the experiment's
+	Build    string `toml:"build"`    // sockets: the program; empty: this one
+}
+
+// Trace is a load from a trace file in place of a generated one.
+type Trace struct {
+	File     string            `toml:"file"` // beside the experiment's
+	Layout   string            `toml:"layout"`
+	Columns  map[string]string `toml:"columns"` // what the layout calls them = what the file does
+	Speed    float64           `toml:"speed"`   // times faster than it was
+	Part     float64           `toml:"part"`    // of its rows, drawn by seed
+	Work     float64           `toml:"work"`    // work is so many times what the trace tells
+	LeastFor conf.Duration     `toml:"least_work"`
+	MostFor  conf.Duration     `toml:"most_work"`
+	RuleSets map[string]string `toml:"rulesets"` // kind in the trace = rule set; "*" is for all others
+	Problems int               `toml:"problems"` // bad rows past which a run stops
+}
+
+var effects = map[string]balance.Effect{"replayable": balance.Replayable, "uniqued": balance.Uniqued, "non-replayable": balance.NonReplayable}
+var groups = map[string]balance.Group{"": balance.GroupAll, "all": balance.GroupAll, "zone": balance.GroupZone, "cell": balance.GroupCell}
+
+// Load reads and checks an experiment.
+func Load(path string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Read(path, text)
+}
+
+// Read is Load for a text.
+func Read(path string, text []byte) (*Experiment, error) {
+	e := &Experiment{}
+	f, err := conf.Read(path, text, e)
+	if err != nil {
+		return nil, err
+	}
+	e.path = path
+	if err := e.check(f); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// check holds what one field cannot say by its kind.
+func (e *Experiment) check(f *conf.File) error {
+	type rule struct {
+		bad   bool
+		field string
+		want  string
+	}
+	rules := []rule{
+		{e.Format != Format, "format", fmt.Sprintf("expected %q", Format)},
+		{e.Name == "" || e.Name != filepath.Base(e.Name), "name", "expected a name that can be a folder's"},
+		{e.Mode != "virtual" && e.Mode != "sockets", "mode", "expected virtual or sockets"},
+		{len(e.Seeds) == 0, "seeds", "expected one seed at least"},
+		{e.Length <= 0 && e.Trace == nil, "length", "expected a time above 0"},
+		{e.Warm > 0 && e.Warm >= e.Length && e.Trace == nil, "warm", "expected less than length"},
+		{e.Fleet.Balancers <= 0, "fleet.balancers", "expected one at least"},
+		{len(e.Fleet.Zones) == 0, "fleet.zones", "expected one at least"},
+		{e.Fleet.Queue <= 0, "fleet.queue", "expected a number above 0"},
+		{len(e.Fleet.Machines) == 0, "fleet.machine", "expected one at least"},
+		{e.Fleet.CacheSaves < 0 || e.Fleet.CacheSaves >= 1, "fleet.cache_saves", "expected a part from 0 to below 1"},
+		{e.Fleet.Ramp > 0 && (e.Fleet.StartCapacity <= 0 || e.Fleet.StartCapacity > 1), "fleet.start_capacity", "expected a part above 0 to 1"},
+		{e.Load.Rate <= 0 && e.Trace == nil, "load.rate", "expected a number above 0"},
+		{e.Load.Work <= 0 && e.Trace == nil, "load.work", "expected a time above 0"},
+		{!slices.Contains([]string{"", "fixed", "uniform", "exponential"}, e.Load.Spread), "load.spread", "expected fixed, uniform or exponential"},
+		{e.Load.Timeout <= 0, "load.timeout", "expected a time above 0"},
+		{e.Load.Retries < 0, "load.retries", "expected 0 or more"},
+		{len(e.RuleSets) == 0, "ruleset", "expected one at least"},
+		{len(e.Variants) == 0, "variant", "expected one at least"},
+	}
+	for i, m := range e.Fleet.Machines {
+		p := fmt.Sprintf("fleet.machine.%d.", i)
+		rules = append(rules, rule{m.Count <= 0, p + "count", "expected a number above 0"}, rule{m.Cores <= 0, p + "cores", "expected a number above 0"},
+			rule{m.Speed <= 0, p + "speed", "expected a number above 0"}, rule{m.Share <= 0, p + "share", "expected a number above 0"})
+	}
+	names := map[string]bool{}
+	for i, r := range e.RuleSets {
+		p := fmt.Sprintf("ruleset.%d.", i)
+		_, effect := effects[r.Effect]
+		_, group := groups[r.Group]
+		rules = append(rules, rule{r.Name == "" || names[r.Name], p + "name", "expected a name of its own"},
+			rule{!effect, p + "effect", "expected replayable, uniqued or non-replayable"}, rule{!group, p + "group", "expected all, zone or cell"},
+			rule{r.Target <= 0, p + "response_target", "expected a time above 0"}, rule{r.Share < 0, p + "share", "expected 0 or more"},
+			rule{r.Value < 0, p + "value", "expected 0 or more"})
+		names[r.Name] = true
+	}
+	for i, x := range e.Faults {
+		p := fmt.Sprintf("fault.%d.", i)
+		_, known := emu.Kinds[x.Kind]
+		sized := slices.Contains([]string{"slow", "errors", "reset", "lossy", "late"}, x.Kind)
+		rules = append(rules, rule{!known, p + "kind", "no such kind of fault"}, rule{sized && x.Size <= 0, p + "size", "expected a number above 0"},
+			rule{x.Kind == "cut" && x.Zone == "", p + "zone", "expected the zone that is cut off"})
+	}
+	variants := map[string]bool{}
+	for i, v := range e.Variants {
+		p := fmt.Sprintf("variant.%d.", i)
+		rules = append(rules, rule{v.Name == "" || variants[v.Name], p + "name", "expected a name of its own"},
+			rule{e.Mode == "virtual" && !slices.Contains(Policies, v.Policy), p + "policy", fmt.Sprintf("expected one of %v", Policies)},
+			rule{e.Mode == "sockets" && v.Policy != "", p + "policy", "on sockets the program decides"})
+		variants[v.Name] = true
+	}
+	if t := e.Trace; t != nil {
+		_, known := trace.Layouts[t.Layout]
+		rules = append(rules, rule{!known, "trace.layout", "no such layout"}, rule{t.File == "", "trace.file", "expected a file"},
+			rule{t.Speed <= 0, "trace.speed", "expected a number above 0"}, rule{t.Part <= 0 || t.Part > 1, "trace.part", "expected a part above 0 to 1"},
+			rule{t.Work <= 0, "trace.work", "expected a number above 0"}, rule{t.MostFor <= 0, "trace.most_work", "expected a time above 0"},
+			rule{t.Problems < 0, "trace.problems", "expected 0 or more"})
+		for kind, set := range t.RuleSets {
+			rules = append(rules, rule{!names[set], "trace.rulesets." + kind, fmt.Sprintf("no rule set %q", set)})
+		}
+	}
+	for _, r := range rules {
+		if r.bad {
+			return f.Fault(r.field, "%s", r.want)
+		}
+	}
+	return nil
+}
+
+// terms is what the module would be told of this deployment.
+func (e *Experiment) terms() balance.Terms {
+	t := balance.Terms{MaxDispatches: 3, CanCancel: true, MaxAdvice: 15e8, MustAsk: true, AskWithin: 2e9,
+		StartCapacity: e.Fleet.StartCapacity, RampTime: int64(e.Fleet.Ramp), CrossPrice: 0.01, WastePrice: 0.05, Tick: 5e6,
+		Copies: e.Fleet.Balancers}
+	for _, r := range e.RuleSets {
+		t.RuleSets = append(t.RuleSets, balance.RuleSet{Name: r.Name, Effect: effects[r.Effect], Group: groups[r.Group],
+			Window: int64(r.Window), ResponseTarget: int64(r.Target), BillingValue: r.Value})
+	}
+	for _, x := range e.Load.Tenants {
+		t.Tenants = append(t.Tenants, balance.Tenant{Name: x.Name, Share: x.Share})
+	}
+	return t
+}
+
+// machines spreads the kinds of machine over the zones.
+func (e *Experiment) machines() (all []emu.Machine) {
+	for _, m := range e.Fleet.Machines {
+		for range m.Count {
+			n := len(all)
+			all = append(all, emu.Machine{ID: fmt.Sprintf("s-%03d", n+1), Zone: e.Fleet.Zones[n%len(e.Fleet.Zones)],
+				Cell: int64(n % len(e.Fleet.Zones)), Cores: m.Cores, Speed: m.Speed, Share: m.Share})
+		}
+	}
+	return all
+}
+
+func (e *Experiment) nature() emu.Nature {
+	x := &e.Fleet
+	return emu.Nature{Queue: x.Queue, CacheKeys: x.CacheKeys, CacheFor: int64(x.CacheFor), CacheSaves: x.CacheSaves, RampTime: int64(x.Ramp),
+		StartCapacity: x.StartCapacity, FallOver: x.FallOver, FallAfter: int64(x.FallAfter), ReportEvery: int64(x.ReportEvery)}
+}
+
+func (e *Experiment) wire() emu.Wire {
+	return emu.Wire{OneWay: int64(e.Fleet.OneWay), Cross: int64(e.Fleet.Cross), Told: int64(e.Fleet.Told)}
+}
+
+func (e *Experiment) faults() (all []emu.Fault) {
+	for _, x := range e.Faults {
+		all = append(all, emu.Fault{Kind: x.Kind, At: int64(x.At), For: int64(x.For), Servers: x.Servers, Count: x.Count, Zone: x.Zone, Size: x.Size})
+	}
+	return all
+}
+
+func (e *Experiment) clients() emu.Clients {
+	return emu.Clients{Timeout: int64(e.Load.Timeout), Retries: e.Load.Retries, Wait: int64(e.Load.Wait)}
+}
+
+// beside is a file that an experiment names.
+func (e *Experiment) beside(file string) string {
+	if filepath.IsAbs(file) {
+		return file
+	}
+	return filepath.Join(filepath.Dir(e.path), file)
+}
--- /dev/null
+++ b/lab/load.go
@@ -0,0 +1,166 @@
+package lab
+
+// This file owns the load: reqs drawn by seed, or rows of a trace, one after another in time order. The load of a seed is the
+// same for every variant. It must never look at what became of one.
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"sort"
+
+	"ivybank/draw"
+	"ivybank/emu"
+	"ivybank/trace"
+)
+
+// load gives asks in time order; io.EOF ends it.
+type load interface {
+	next() (a emu.Ask, balancer int, err error)
+	close()
+}
+
+// generated is an open-loop load: arrivals are a Poisson process that waits for nobody.
+type generated struct {
+	e       *Experiment
+	dice    draw.Dice
+	at      float64
+	keys    []float64 // sums of the keys' shares
+	sets    []float64
+	tenants []float64
+}
+
+func sums(n int, share func(i int) float64) (all []float64) {
+	total := 0.0
+	for i := range n {
+		total += share(i)
+		all = append(all, total)
+	}
+	return all
+}
+
+// among draws by shares.
+func among(d *draw.Dice, sums []float64) int {
+	if len(sums) == 0 {
+		return -1
+	}
+	return min(len(sums)-1, sort.SearchFloat64s(sums, d.Next()*sums[len(sums)-1]))
+}
+
+func newGenerated(e *Experiment, seed uint64) *generated {
+	g := &generated{e: e}
+	g.dice.Seed = seed
+	g.keys = sums(e.Load.Keys, func(i int) float64 { return math.Pow(float64(i+1), -e.Load.Skew) })
+	g.sets = sums(len(e.RuleSets), func(i int) float64 { return e.RuleSets[i].Share })
+	g.tenants = sums(len(e.Load.Tenants), func(i int) float64 { return e.Load.Tenants[i].Share })
+	return g
+}
+
+func (g *generated) next() (emu.Ask, int, error) {
+	g.at += -math.Log(g.dice.Next()) / g.e.Load.Rate * 1e9
+	if g.at >= float64(g.e.Length) {
+		return emu.Ask{}, 0, io.EOF
+	}
+	a := emu.Ask{At: int64(g.at), RuleSet: g.e.RuleSets[among(&g.dice, g.sets)].Name}
+	if k := among(&g.dice, g.keys); k >= 0 {
+		a.Key = fmt.Sprint("k", k)
+	}
+	if k := among(&g.dice, g.tenants); k >= 0 {
+		a.Tenant = g.e.Load.Tenants[k].Name
+	}
+	work := float64(g.e.Load.Work)
+	switch x := g.dice.Next(); g.e.Load.Spread {
+	case "exponential":
+		work *= -math.Log(x)
+	case "uniform":
+		work *= 2 * x
+	}
+	a.Work = max(1, int64(work))
+	return a, int(g.dice.Next() * float64(g.e.Fleet.Balancers)), nil
+}
+
+func (g *generated) close() {}
+
+// traced is the load of a trace.
+type traced struct {
+	e        *Experiment
+	file     *os.File
+	rows     *trace.Reader
+	dice     draw.Dice
+	first    int64
+	begun    bool
+	problems *Problems
+}
+
+// Problems are the bad rows of a trace.
+type Problems struct {
+	Count int
+	Most  int
+	Tell  func(string) // of each
+}
+
+// ErrProblems ends a run that met too many bad rows.
+var ErrProblems = errors.New("too many bad rows")
+
+func newTraced(e *Experiment, seed uint64, p *Problems) (*traced, error) {
+	f, err := os.Open(e.beside(e.Trace.File))
+	if err != nil {
+		return nil, err
+	}
+	r, err := trace.NewReader(f, trace.Layouts[e.Trace.Layout], e.Trace.Columns)
+	if err != nil {
+		_ = f.Close()
+		return nil, fmt.Errorf("%s: %w", e.Trace.File, err)
+	}
+	t := &traced{e: e, file: f, rows: r, problems: p}
+	t.dice.Seed = seed
+	return t, nil
+}
+
+func (t *traced) close() { _ = t.file.Close() }
+
+func (t *traced) next() (emu.Ask, int, error) {
+	for {
+		row, err := t.rows.Next()
+		var bad *trace.Problem
+		if err == io.EOF && t.rows.Cut() && t.problems.Count == 0 {
+			t.problems.Tell(t.e.Trace.File + ": the last line has no end: the file may have been cut")
+		}
+		if errors.As(err, &bad) {
+			t.problems.Count++
+			t.problems.Tell(t.e.Trace.File + ": " + bad.Error())
+			if t.problems.Count > t.problems.Most {
+				return emu.Ask{}, 0, fmt.Errorf("%s: %w: more than %d", t.e.Trace.File, ErrProblems, t.problems.Most)
+			}
+			continue
+		}
+		if err != nil {
+			return emu.Ask{}, 0, err
+		}
+		if !t.begun {
+			t.begun, t.first = true, row.At
+		}
+		drawn, balancer := t.dice.Next(), t.dice.Next()
+		if drawn >= t.e.Trace.Part {
+			continue
+		}
+		a := emu.Ask{At: int64(float64(row.At-t.first) / t.e.Trace.Speed), Key: row.Key,
+			Work: min(int64(t.e.Trace.MostFor), max(int64(t.e.Trace.LeastFor), int64(float64(row.Work)*t.e.Trace.Work), 1))}
+		if t.e.Length > 0 && a.At >= int64(t.e.Length) {
+			return emu.Ask{}, 0, io.EOF
+		}
+		set, ok := t.e.Trace.RuleSets[row.Kind]
+		if !ok {
+			set = t.e.Trace.RuleSets["*"]
+		}
+		if a.RuleSet = set; set == "" {
+			a.RuleSet = t.e.RuleSets[0].Name
+		}
+		if n := len(t.e.Load.Tenants); n > 0 {
+			a.Tenant = t.e.Load.Tenants[int(draw.Hash(row.Tenant, "tenant")*float64(n))].Name
+		}
+		return a, int(balancer * float64(t.e.Fleet.Balancers)), nil
+	}
+}
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -21,8 +21,10 @@
 	readsAtOnce = 16 // of one connection, before others have their turn
 	// Bytes of pieces of a body that may be between being read and being taken by the kernel on the other side; less than
 	// lowUnsent of them unsent, more are asked for.
-	mostTransit = 128 << 10
-	lowUnsent   = 64 << 10
+	mostTransit  = 128 << 10
+	leastTransit = 16 << 10 // with many bodies at a time each has its part of
+	transitPart  = 4        // one in so many bytes of Go's heap, but this
+	lowUnsent    = 64 << 10
 )
 
 // wire is one connection as nbio and the owner share it.
@@ -187,7 +189,7 @@
 			_ = c.Close()
 		}
 	}()
-	for n := 0; out || w.room(); n++ {
+	for n := 0; out || w.room(p.transit.Load()); n++ {
 		if n >= readsAtOnce && !out {
 			go p.pump(c, e, false)
 			return
@@ -212,18 +214,18 @@
 }
 
 // room says whether more may be read. Without room reading goes on once the owner has made some.
-func (w *wire) room() bool {
-	if w.transit.Load() < mostTransit {
+func (w *wire) room(most int64) bool {
+	if w.transit.Load() < most {
 		return true
 	}
 	w.stalled.Store(true)
-	return w.transit.Load() < mostTransit && w.stalled.CompareAndSwap(true, false)
+	return w.transit.Load() < most && w.stalled.CompareAndSwap(true, false)
 }
 
 // release makes room for n bytes more to be read.
 func (p *Proxy) release(e end, n int64) {
 	w := e.link()
-	if w.transit.Add(-n) < mostTransit && w.stalled.CompareAndSwap(true, false) && !w.closed {
+	if w.transit.Add(-n) < p.transit.Load() && w.stalled.CompareAndSwap(true, false) && !w.closed {
 		go p.pump(w.nb, e, false)
 	}
 }
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -70,6 +70,11 @@
 	if len(p.clients) > 0 || len(p.reqs) > 0 {
 		p.drain.quietFrom = now
 	}
+	for _, r := range p.reqs { // a body that still gets on is not broken off; one that does not ends by itself
+		if r.relay != nil || r.flow != nil && !r.flow.useless {
+			latest = max(latest, now+linger)
+		}
+	}
 	if now-p.drain.quietFrom >= linger || now >= latest {
 		p.done = true
 		return
--- a/proxy/flow.go
+++ b/proxy/flow.go
@@ -10,6 +10,10 @@
 	"ivybank/http1"
 )
 
+// stall is how long a body may stand still before it is given up, however short the time is that clients wait for an
+// answer's begin: a busy machine on either side is no reason to break off what would still come.
+const stall = 4e9
+
 // flow is a call's body that comes in pieces; it goes with its req, or with its last piece.
 type flow struct {
 	from    *client
@@ -74,16 +78,34 @@
 	}
 }
 
+// portion gives each body that comes in pieces its part of the memory that all may hold.
+func (p *Proxy) portion(now int64) {
+	p.portioned = now
+	bodies := int64(1)
+	for _, c := range p.clients {
+		if c.flow != nil || c.req != nil && c.req.relay != nil {
+			bodies++
+		}
+	}
+	each := int64(mostTransit)
+	if p.start.Memory > 0 {
+		each = p.start.Memory / transitPart / bodies
+	}
+	p.transit.Store(min(mostTransit, max(leastTransit, each)))
+}
+
 // drop lets go of a body that nobody wants any more; what still comes of it is read and thrown away.
 func (p *Proxy) drop(f *flow) {
 	if f == nil || f.useless {
 		return
 	}
 	f.useless = true
+	n := int64(0) // also where nothing is held: what a host has not taken no longer holds reading up
 	for _, b := range f.held {
-		p.moved(f.from, int64(len(b)), nil)
+		n += int64(len(b))
 	}
 	f.held = nil
+	p.moved(f.from, n, nil)
 }
 
 // stuck looks whether a body still gets on towards its host; one that stands still is given up.
@@ -100,7 +122,7 @@
 			return
 		}
 	}
-	p.after(now, p.start.LongestTimeout, func(now int64) { p.stuck(d, took, now) })
+	p.after(now, stall, func(now int64) { p.stuck(d, took, now) })
 }
 
 // begins passes the head of an answer on; from here it is the client's.
@@ -188,7 +210,7 @@
 
 // watchOver ends an answer of which nothing comes and nothing is taken.
 func (p *Proxy) watchOver(r *req, heard, took, now int64) {
-	p.after(now, p.start.LongestTimeout, func(now int64) {
+	p.after(now, stall, func(now int64) {
 		c := r.relay
 		if r.ended || c == nil || c.carries == nil || c.carries.req != r {
 			return
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -26,6 +26,9 @@
 // mostUnsent bounds the bytes of answers that a client does not read; past it its connection is closed.
 const mostUnsent = 1 << 20
 
+// portionApart is how often it is worked out what each body may hold.
+const portionApart = 5e7
+
 // Start is what a proxy is told when it starts.
 type Start struct {
 	Listen, Discovery string
@@ -53,26 +56,28 @@
 	events []event // emptied by every round of the loop
 	bell   chan struct{}
 
-	timers  timers          // emptied as they fall due or are stopped
-	wake    *timer          // the module's
-	reqs    map[uint64]*req // emptied when a req has ended and nothing of it is out
-	ids     map[string]bool // the ids of those reqs; emptied with them
-	lastReq uint64          // counts up; a req's number in the module
-	hosts   []*host         // by id; emptied when a host is off the list and has no connection
-	clients []*client       // in order of arrival; emptied when a client's connection ends
-	pool    pool
-	list    discovery
-	drain   drain
-	terms   *balance.Terms  // replaced whole, never changed
-	sockets int             // descriptors that this process may hold now
-	held    holds.Table     // hosts out by hand
-	seen    map[string]bool // ids that were listed; the oldest go past mostSeen
-	order   []string        // the same, oldest first
-	accept  *listener
-	open    bool        // clients are let in
-	other   atomic.Bool // another process lives beside this one
-	count   Counters
-	done    bool
+	timers    timers          // emptied as they fall due or are stopped
+	wake      *timer          // the module's
+	reqs      map[uint64]*req // emptied when a req has ended and nothing of it is out
+	ids       map[string]bool // the ids of those reqs; emptied with them
+	lastReq   uint64          // counts up; a req's number in the module
+	hosts     []*host         // by id; emptied when a host is off the list and has no connection
+	clients   []*client       // in order of arrival; emptied when a client's connection ends
+	pool      pool
+	list      discovery
+	drain     drain
+	terms     *balance.Terms  // replaced whole, never changed
+	sockets   int             // descriptors that this process may hold now
+	held      holds.Table     // hosts out by hand
+	seen      map[string]bool // ids that were listed; the oldest go past mostSeen
+	order     []string        // the same, oldest first
+	accept    *listener
+	open      bool         // clients are let in
+	other     atomic.Bool  // another process lives beside this one
+	transit   atomic.Int64 // bytes of each body that may be on the way through
+	portioned int64        // when that was worked out
+	count     Counters
+	done      bool
 }
 
 // event is what a callback saw: when, on which connection, and what the owner has to do about it.
@@ -147,6 +152,7 @@
 		p.held = s.Holds.Table()
 	}
 	p.terms = &s.Terms
+	p.portion(p.now())
 	p.module = balance.New(s.Terms, p.now())
 	p.known(s.Known, p.now())
 	return p
@@ -227,6 +233,9 @@
 		t := heap.Pop(&p.timers).(*timer)
 		p.guard(nil, func() { t.do(now) })
 	}
+	if now-p.portioned > portionApart {
+		p.portion(now)
+	}
 	p.guard(nil, func() { p.route(p.now()) })
 }
 
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -159,7 +159,6 @@
 		// What is open may still wait by the old rules.
 		p.start.LongestTimeout = max(p.start.LongestTimeout, s.LongestTimeout)
 		p.shares()
-		p.module.Retune(s.Terms)
 		p.count.Reloads++
 		logrus.Infof("new configuration: %d rule sets, %d dispatches at most", len(s.Terms.RuleSets), s.Terms.MaxDispatches)
 		p.rediscover(s.Discovery, now)
@@ -178,6 +177,9 @@
 		part = 2
 	}
 	p.sockets = p.start.Sockets / part
+	t := *p.terms
+	t.Beside = part - 1
+	p.module.Retune(t)
 	if p.start.Memory > 0 {
 		debug.SetMemoryLimit(p.start.Memory / int64(part))
 	}
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -48,14 +48,14 @@
 // endClient closes a client's connection when the kernel has all that was written to it, as nbio drops what
 // it still holds, or when the client has not read that for as long as any client waits.
 func (p *Proxy) endClient(c *client, now int64) {
-	p.closeWritten(c, c.took.Load()+c.heard.Load(), now, now+p.start.LongestTimeout)
+	p.closeWritten(c, c.took.Load()+c.heard.Load(), now, now+stall)
 }
 
 // closeWritten waits as long as it gets on. A body that still comes is read out first: closing on it would reset the
 // client before it has seen its answer.
 func (p *Proxy) closeWritten(c *client, moved, now, latest int64) {
 	if is := c.took.Load() + c.heard.Load(); is != moved && c.bad == nil {
-		moved, latest = is, now+p.start.LongestTimeout
+		moved, latest = is, now+stall
 	}
 	switch {
 	case c.closed:
