--- /dev/null
+++ b/cmd/ivybank/lab.go
@@ -0,0 +1,150 @@
+package main
+
+// This file owns the command line beside serving: files to check, and the laboratory. It must never start a proxy by itself.
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"ivybank/conf"
+	"ivybank/lab"
+)
+
+// status is an error with the exit status that it ends the program with.
+type status struct {
+	error
+	code int
+}
+
+// commands is the command line. Without a command it serves, as it always has.
+func commands() *cobra.Command {
+	root := &cobra.Command{Use: "ivybank", Short: "A client proxy and load balancer beside every client process",
+		Long: "ivybank takes the reqs of the application beside it and decides alone which server each goes to.\nWithout a command it serves.",
+		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true,
+		RunE: func(*cobra.Command, []string) error { return serve("") }}
+	root.CompletionOptions.DisableDefaultCmd = true
+	var operator string
+	one := &cobra.Command{Use: "serve", Short: "Serve by the configuration that GW_CONFIG names", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serve(operator) }}
+	one.Flags().StringVar(&operator, "operator", "", "an operator file to put in force, see deploy/operator.toml")
+	check := &cobra.Command{Use: "check FILE", Short: "Check an operator file, an experiment or a configuration",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			kind, err := checked(args[0])
+			if err == nil {
+				fmt.Fprintf(c.OutOrStdout(), "%s: a sound %s\n", args[0], kind)
+			}
+			return err
+		}}
+	root.AddCommand(one, check, labCommands())
+	return root
+}
+
+// checked loads a file as what it says it is.
+func checked(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	if strings.HasSuffix(path, ".json") {
+		_, _, err := load(path)
+		return "configuration", err
+	}
+	switch format := conf.Format(text); format {
+	case lab.Format:
+		_, err = lab.Load(path)
+		return "experiment", err
+	case conf.OperatorFormat, "":
+		_, err = conf.LoadOperator(path)
+		return "operator file", err
+	default:
+		return "", fmt.Errorf("%s: format %q is not known: expected %q or %q", path, format, conf.OperatorFormat, lab.Format)
+	}
+}
+
+func labCommands() *cobra.Command {
+	group := &cobra.Command{Use: "lab", Short: "Rehearse a fleet: experiments, traces and what came of them", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return errors.New("lab: expected run, replay or report") }}
+	var out string
+	run := &cobra.Command{Use: "run FILE", Short: "Play an experiment and keep tables and a chart", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			e, err := lab.Load(args[0])
+			if err != nil {
+				return err
+			}
+			return play(c, e, out)
+		}}
+	run.Flags().StringVar(&out, "out", "found", "the folder under which results are kept")
+	var policy string
+	replay := &cobra.Command{Use: "replay FILE", Short: "Play the trace of an experiment once, with one policy in virtual time",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			e, err := lab.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if e.Trace == nil {
+				return fmt.Errorf("%s: trace: an experiment to replay names a trace", args[0])
+			}
+			if err := e.Once(policy); err != nil {
+				return err
+			}
+			return play(c, e, out)
+		}}
+	replay.Flags().StringVar(&out, "out", "found", "the folder under which results are kept")
+	replay.Flags().StringVar(&policy, "policy", "module", "what decides: "+strings.Join(lab.Policies, ", "))
+	report := &cobra.Command{Use: "report FOLDER", Short: "Print a result that was kept, and write its tables and chart anew",
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			r, err := lab.ReadResult(args[0])
+			if err != nil {
+				return err
+			}
+			r.Table(c.OutOrStdout())
+			return r.Write(args[0])
+		}}
+	group.AddCommand(run, replay, report)
+	return group
+}
+
+// play runs an experiment and keeps its result. What was played before an error is kept too.
+func play(c *cobra.Command, e *lab.Experiment, out string) error {
+	w := c.OutOrStdout()
+	runs, err := lab.Run(e, func(format string, a ...any) { fmt.Fprintf(w, format+"\n", a...) })
+	folder := filepath.Join(out, e.Name)
+	if len(runs) > 0 {
+		r := lab.NewResult(e, commit(), runs)
+		r.Table(w)
+		if err := r.Write(folder); err != nil {
+			return status{err, 1}
+		}
+		fmt.Fprintf(w, "kept in %s: runs.csv, summary.csv, service.svg, result.json\n", folder)
+	}
+	if err != nil {
+		return status{err, 1}
+	}
+	return nil
+}
+
+// commit is what the program was built from.
+func commit() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	at := map[string]string{}
+	for _, s := range info.Settings {
+		at[s.Key] = s.Value
+	}
+	id := at["vcs.revision"]
+	if len(id) < 7 {
+		return "unknown"
+	}
+	if at["vcs.modified"] == "true" {
+		return id[:7] + "+"
+	}
+	return id[:7]
+}
--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -21,6 +21,7 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/sirupsen/logrus"
 
+	"ivybank/conf"
 	"ivybank/door"
 	"ivybank/holds"
 	"ivybank/proxy"
@@ -156,14 +157,32 @@
 func (library) Error(format string, v ...any) { logrus.Errorf(format, v...) }
 
 func main() {
+	if err := commands().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "ivybank:", strings.SplitN(err.Error(), "\n", 2)[0])
+		code := 2
+		if s := (status{}); errors.As(err, &s) {
+			code = s.code
+		}
+		os.Exit(code)
+	}
+}
+
+// serve is one client proxy from start to end.
+func serve(operator string) error {
 	// Caught from the first moment: uncaught it ends the program. One that comes before the file is read waits.
 	reread := make(chan os.Signal, 1)
 	signal.Notify(reread, syscall.SIGHUP)
+	if operator != "" {
+		o, err := conf.LoadOperator(operator)
+		if err != nil {
+			return err
+		}
+		o.Apply()
+	}
 	path := os.Getenv("GW_CONFIG")
 	o, start, err := load(path)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "ivybank:", err)
-		os.Exit(2)
+		return err
 	}
 	logging.SetLogger(library{})
 	// A poller that waits in the kernel holds a processor of Go's until it is taken away from it, so the
@@ -174,8 +193,7 @@
 	}
 	p, err := open(o, start)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "ivybank:", err)
-		os.Exit(2)
+		return err
 	}
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
@@ -198,8 +216,8 @@
 		}
 	}()
 	if err := p.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "ivybank:", err)
-		os.Exit(2)
+		return err
 	}
 	logrus.WithFields(p.Counted()).Info("stopped")
+	return nil
 }
--- /dev/null
+++ b/emu/emu_test.go
@@ -0,0 +1,298 @@
+package emu
+
+import (
+	"math"
+	"testing"
+
+	"ivybank/balance"
+	"ivybank/draw"
+)
+
+func fleet(t *testing.T, n int, change func(*Nature)) (*Virtual, *Fleet) {
+	t.Helper()
+	c := NewVirtual(1e12)
+	nature := Nature{Queue: 1 << 20}
+	if change != nil {
+		change(&nature)
+	}
+	var all []Machine
+	for i := range n {
+		all = append(all, Machine{ID: string(rune('a' + i)), Zone: string(rune('x' + i%2)), Cores: 1, Speed: 1, Share: 1})
+	}
+	return c, NewFleet(c, 1, nature, Wire{OneWay: 1e5, Cross: 1e6, Told: 1e8}, all, 1e9)
+}
+
+// The model of a server is held against what is known in closed form: a queue with exponential gaps and work, M/M/1 and
+// M/M/2, has a mean wait that follows from its load, and its cores are as busy as the load says.
+func TestClosedForms(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		cores int
+		load  float64
+		wait  float64 // mean wait over mean work
+	}{
+		{"M/M/1 at half", 1, 0.5, 0.5 / (1 - 0.5)},
+		{"M/M/1 at 0.8", 1, 0.8, 0.8 / (1 - 0.8)},
+		{"M/M/2 at 0.8", 2, 0.8, 0.8 * 0.8 / (1 - 0.8*0.8)},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c, f := fleet(t, 1, nil)
+			s := f.Servers[0]
+			s.Cores = x.cores
+			dice := draw.Dice{Seed: 5}
+			const mean, asks = 1e7, 200000
+			var waited, worked float64
+			at := float64(c.Now())
+			for i := range asks {
+				at += -math.Log(dice.Next()) * mean / (x.load * float64(x.cores))
+				work := int64(-math.Log(dice.Next())*mean) + 1
+				c.Run(int64(at))
+				came := c.Now()
+				s.Offer(&Job{Req: string(rune(i)), Work: work, Rules: balance.RuleSet{Effect: balance.Replayable},
+					Done: func(balance.Outcome) { waited += float64(c.Now() - came - work); worked += float64(work) }})
+			}
+			c.Run(math.MaxInt64)
+			if got := waited / worked; math.Abs(got/x.wait-1) > 0.05 {
+				t.Errorf("got a wait of %.3f times the work, want %.3f within 5%%", got, x.wait)
+			}
+			if got := worked / (at - 1e12) / float64(x.cores); math.Abs(got/x.load-1) > 0.02 {
+				t.Errorf("got a load of %.3f, want %.3f within 2%%", got, x.load)
+			}
+		})
+	}
+}
+
+// ask offers a req and gives what became of it by a time; -1 where nothing has.
+func ask(c *Virtual, s *Server, work, until int64) balance.Outcome {
+	got := balance.Outcome(-1)
+	s.Offer(&Job{Req: "r", Key: "k", Work: work, Rules: balance.RuleSet{Effect: balance.Replayable}, Done: func(o balance.Outcome) { got = o }})
+	c.Run(c.Now() + until)
+	return got
+}
+
+func TestFaults(t *testing.T) {
+	const s = int64(1e9)
+	for name, x := range map[string]struct {
+		fault        Fault
+		during       balance.Outcome
+		after        balance.Outcome
+		quick, tells bool
+	}{
+		"crash":   {Fault{Kind: "crash"}, balance.NoConnection, balance.Served, false, true},
+		"hang":    {Fault{Kind: "hang"}, -1, balance.Served, false, true},
+		"vanish":  {Fault{Kind: "vanish"}, -1, balance.Served, false, true},
+		"errors":  {Fault{Kind: "errors", Size: 1}, balance.Errored, balance.Served, true, false},
+		"reset":   {Fault{Kind: "reset", Size: 1}, balance.Reset, balance.Served, true, false},
+		"slow":    {Fault{Kind: "slow", Size: 25}, -1, balance.Served, true, false},
+		"drain":   {Fault{Kind: "drain"}, balance.Served, balance.Served, false, true},
+		"restart": {Fault{Kind: "restart"}, -1, -1, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, f := fleet(t, 2, func(n *Nature) { n.RampTime, n.StartCapacity = 100*s, 0.01 })
+			x.fault.At, x.fault.For, x.fault.Servers = s, 3*s, []string{"a"}
+			if err := f.Schedule([]Fault{x.fault}); err != nil {
+				t.Fatal(err)
+			}
+			told := 0
+			f.Watch(func(Entry) { told++ }, func() {})
+			c.Run(c.Now() + s + s/2)
+			if got := ask(c, f.Server("a"), s/10, s); got != x.during {
+				t.Errorf("got %d during it, want %d", got, x.during)
+			}
+			if got := ask(c, f.Server("b"), s/10, s/5); got != balance.Served {
+				t.Errorf("got %d from another server", got)
+			}
+			c.Run(1e12 + 5*s)
+			f.Server("a").since = map[bool]int64{true: f.Server("a").since, false: 1}[name == "restart"] // warm again
+			if got := ask(c, f.Server("a"), s/10, s); got != x.after {
+				t.Errorf("got %d after it, want %d", got, x.after)
+			}
+			if told > 0 != x.tells {
+				t.Errorf("discovery told %d changes", told)
+			}
+		})
+	}
+	t.Run("one begins while another ends", func(t *testing.T) {
+		c, f := fleet(t, 1, nil)
+		_ = f.Schedule([]Fault{{Kind: "slow", At: s, For: 2 * s, Servers: []string{"a"}, Size: 4}, {Kind: "slow", At: 2 * s, For: 2 * s, Servers: []string{"a"}, Size: 10}})
+		for _, want := range []float64{0, 4, 40, 10, 1} {
+			c.Run(c.Now() + s/2)
+			if got := f.Server("a").ails.slow; math.Abs(got-want) > 1e-9 {
+				t.Errorf("at %.1f s: got %v times slower, want %v", float64(c.Now()-1e12)/1e9, got, want)
+			}
+			c.Run(c.Now() + s/2)
+		}
+	})
+	t.Run("the network", func(t *testing.T) {
+		c, f := fleet(t, 2, nil)
+		_ = f.Schedule([]Fault{{Kind: "cut", At: s, For: s, Zone: "x"}, {Kind: "lossy", At: 3 * s, For: s, Servers: []string{"b"}, Size: 0.5},
+			{Kind: "discovery_down", At: 5 * s, For: s}, {Kind: "late", At: 7 * s, For: s, Size: 2}, {Kind: "wrong", At: 9 * s, For: 3 * s, Servers: []string{"a"}},
+			{Kind: "drain", At: 10 * s, For: s, Servers: []string{"a"}}})
+		c.Run(1e12 + s + 1)
+		if _, ok := f.Way("y", f.Server("a")); ok {
+			t.Error("a cut zone is reached from outside")
+		}
+		if _, ok := f.Way("x", f.Server("a")); !ok {
+			t.Error("a cut zone is not reached from inside")
+		}
+		c.Run(1e12 + 3*s + 1)
+		lost := 0
+		for range 1000 {
+			if _, ok := f.Way("y", f.Server("b")); !ok {
+				lost++
+			}
+		}
+		if lost < 400 || lost > 600 {
+			t.Errorf("lost %d of 1000, want half", lost)
+		}
+		ended := false
+		f.Watch(func(Entry) {}, func() { ended = true })
+		if c.Run(1e12 + 5*s + 1); !f.Down() || !ended {
+			t.Error("discovery is up, or its watch stands")
+		}
+		c.Run(1e12 + 10*s + s/2)
+		if list, _ := f.List(); list[0].State != balance.Running {
+			t.Error("a wrong list tells the truth")
+		}
+	})
+}
+
+func TestServer(t *testing.T) {
+	const s = int64(1e9)
+	t.Run("queue", func(t *testing.T) {
+		c, f := fleet(t, 1, func(n *Nature) { n.Queue = 1 })
+		a := f.Servers[0]
+		var got []balance.Outcome
+		for range 3 {
+			a.Offer(&Job{Work: s, Done: func(o balance.Outcome) { got = append(got, o) }})
+		}
+		if len(got) != 1 || got[0] != balance.Refused || a.Report().Waiting != 1 {
+			t.Errorf("got %v, want the third turned away", got)
+		}
+		if c.Run(c.Now() + 2*s); len(got) != 3 {
+			t.Errorf("got %v, want the others served", got)
+		}
+	})
+	t.Run("cache", func(t *testing.T) {
+		c, f := fleet(t, 1, func(n *Nature) { n.CacheKeys, n.CacheFor, n.CacheSaves = 1, 10*s, 0.75 })
+		a := f.Servers[0]
+		if ask(c, a, s, s-1) == balance.Served || ask(c, a, s, s) != balance.Served {
+			t.Fatal("the first takes all its work")
+		}
+		c.Run(c.Now() + 2*s)
+		if ask(c, a, s, s/4+1) != balance.Served {
+			t.Error("a key that was met saves nothing")
+		}
+		c.Run(c.Now() + 11*s)
+		if ask(c, a, s, s/4+1) == balance.Served {
+			t.Error("a key that was met long ago still saves")
+		}
+	})
+	t.Run("given up", func(t *testing.T) {
+		c, f := fleet(t, 1, nil)
+		a := f.Servers[0]
+		one := &Job{Work: s, Done: func(balance.Outcome) { t.Error("an answer to nobody") }}
+		served := false
+		a.Offer(one)
+		a.Offer(&Job{Work: s, Done: func(balance.Outcome) { served = true }})
+		a.Cancel(one)
+		if c.Run(c.Now() + s); !served {
+			t.Error("what was given up still holds its core")
+		}
+	})
+}
+
+// Each rule's breach has to be seen when it happens, and nothing else.
+func TestJudge(t *testing.T) {
+	const s = int64(1e9)
+	once := balance.RuleSet{Name: "once", Effect: balance.NonReplayable}
+	cell := balance.RuleSet{Name: "cell", Effect: balance.Uniqued, Group: balance.GroupCell, Window: s}
+	for name, x := range map[string]struct {
+		do   func(c *Virtual, f *Fleet)
+		rule int
+	}{
+		"answered": {func(c *Virtual, f *Fleet) { f.Judge.Taken("r", c.Now()+s); f.Judge.Final("r") }, 0},
+		"left":     {func(c *Virtual, f *Fleet) { f.Judge.Taken("r", c.Now()+s); f.Judge.Left("r") }, 0},
+		"never":    {func(c *Virtual, f *Fleet) { f.Judge.Taken("r", c.Now()+s) }, 1},
+		"late":     {func(c *Virtual, f *Fleet) { f.Judge.Taken("r", c.Now()+s); c.Run(c.Now() + 2*s); f.Judge.Final("r") }, 1},
+		"twice":    {func(c *Virtual, f *Fleet) { f.Judge.Taken("r", c.Now()+s); f.Judge.Final("r"); f.Judge.Final("r") }, 1},
+		"ran once": {func(c *Virtual, f *Fleet) { f.Judge.began(f.Servers[0], &Job{Req: "r", Rules: once}) }, 0},
+		"ran twice": {func(c *Virtual, f *Fleet) {
+			f.Judge.began(f.Servers[0], &Job{Req: "r", Rules: once})
+			f.Judge.began(f.Servers[0], &Job{Req: "r", Rules: once})
+		}, 2},
+		"repeat dropped": {func(c *Virtual, f *Fleet) {
+			f.Judge.began(f.Servers[0], &Job{Req: "r", Rules: cell})
+			f.Judge.began(f.Servers[0], &Job{Req: "r", Rules: cell})
+		}, 0},
+		"repeat past its window": {func(c *Virtual, f *Fleet) {
+			f.Judge.began(f.Servers[0], &Job{Req: "r", Rules: cell})
+			c.Run(c.Now() + s)
+			f.Judge.began(f.Servers[0], &Job{Req: "r", Rules: cell})
+		}, 2},
+		"repeat in another group": {func(c *Virtual, f *Fleet) {
+			f.Judge.began(f.Servers[0], &Job{Req: "r", Rules: cell})
+			f.Judge.began(f.Servers[1], &Job{Req: "r", Rules: cell})
+		}, 2},
+		"within the grace": {func(c *Virtual, f *Fleet) {
+			f.Judge.Told(0, "a", balance.Draining)
+			c.Run(c.Now() + s)
+			f.Judge.Sent(0, "a", "r")
+		}, 0},
+		"past the grace": {func(c *Virtual, f *Fleet) {
+			f.Judge.Told(0, "a", balance.Draining)
+			c.Run(c.Now() + s/2)
+			f.Judge.Told(0, "a", balance.Gone) // told again: counts from the first
+			c.Run(c.Now() + s)
+			f.Judge.Sent(0, "a", "r")
+		}, 3},
+		"back in between": {func(c *Virtual, f *Fleet) {
+			f.Judge.Told(0, "a", balance.Draining)
+			f.Judge.Told(0, "a", balance.Running)
+			c.Run(c.Now() + 9*s)
+			f.Judge.Sent(0, "a", "r")
+		}, 0},
+		"pushed over": {func(c *Virtual, f *Fleet) {
+			f.Servers[0].Start()
+			for range 11 {
+				f.Servers[0].Offer(&Job{Work: s / 10, Done: func(balance.Outcome) {}})
+			}
+			if !f.Servers[0].fallen || ask(c, f.Servers[0], 1, s) != balance.NoConnection {
+				panic("it stands")
+			}
+		}, 4},
+		"not pushed over": {func(c *Virtual, f *Fleet) {
+			f.Servers[0].Start()
+			for range 9 {
+				f.Servers[0].Offer(&Job{Work: s / 10, Done: func(balance.Outcome) {}})
+			}
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, f := fleet(t, 2, func(n *Nature) { n.RampTime, n.StartCapacity, n.FallOver, n.FallAfter = 1000*s, 0.5, 2, s })
+			f.Servers[1].Cell = 1
+			x.do(c, f)
+			f.Judge.Close()
+			for rule, n := range f.Judge.Breaches {
+				if n > 0 != (rule == x.rule && rule > 0) {
+					t.Errorf("got %v, want rule %d alone: %v", f.Judge.Breaches, x.rule, f.Judge.Notes)
+				}
+			}
+		})
+	}
+}
+
+func TestWall(t *testing.T) {
+	w := NewWall()
+	defer w.Stop()
+	got := make(chan int, 3)
+	w.Do(func() {
+		w.At(w.Now()+2e6, func() { got <- 2 })
+		w.At(w.Now(), func() { got <- 1; w.At(w.Now()+1e7, func() { got <- 3 }) })
+	})
+	for want := 1; want <= 3; want++ {
+		if x := <-got; x != want {
+			t.Errorf("got %d, want %d", x, want)
+		}
+	}
+}
--- a/emu/judge.go
+++ b/emu/judge.go
@@ -17,6 +17,7 @@
 // Judge gathers the evidence of one run.
 type Judge struct {
 	Clock    Clock
+	start    int64
 	Grace    int64 // a drain that was told binds from then on
 	Breaches [5]int
 	Notes    []string
@@ -38,13 +39,13 @@
 
 // NewJudge begins without evidence.
 func NewJudge(c Clock, grace int64) *Judge {
-	return &Judge{Clock: c, Grace: grace, runs: map[string][]run{}, told: map[string]int64{}, taken: map[string]*outcome{}}
+	return &Judge{Clock: c, start: c.Now(), Grace: grace, runs: map[string][]run{}, told: map[string]int64{}, taken: map[string]*outcome{}}
 }
 
 func (j *Judge) breach(rule int, format string, a ...any) {
 	j.Breaches[rule]++
 	if len(j.Notes) < mostNotes {
-		j.Notes = append(j.Notes, fmt.Sprintf("rule %d at %.3f s: ", rule, float64(j.Clock.Now())/1e9)+fmt.Sprintf(format, a...))
+		j.Notes = append(j.Notes, fmt.Sprintf("rule %d at %.3f s: ", rule, float64(j.Clock.Now()-j.start)/1e9)+fmt.Sprintf(format, a...))
 	}
 }
 
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -220,6 +220,15 @@
 	return nil
 }
 
+// Once narrows an experiment to one run of one policy in virtual time.
+func (e *Experiment) Once(policy string) error {
+	if !slices.Contains(Policies, policy) {
+		return fmt.Errorf("policy %q: expected one of %v", policy, Policies)
+	}
+	e.Mode, e.Seeds, e.Variants = "virtual", e.Seeds[:1], []Variant{{Name: policy, Policy: policy}}
+	return nil
+}
+
 // terms is what the module would be told of this deployment.
 func (e *Experiment) terms() balance.Terms {
 	t := balance.Terms{MaxDispatches: 3, CanCancel: true, MaxAdvice: 15e8, MustAsk: true, AskWithin: 2e9,
--- /dev/null
+++ b/lab/report.go
@@ -0,0 +1,233 @@
+package lab
+
+// This file owns what is kept of an experiment: tables and a chart, each with the commit, the seeds and the experiment that it
+// is from. It must never leave a run out, nor average one that is unusable.
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+
+	"github.com/wcharczuk/go-chart/v2"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Result is an experiment and what came of it.
+type Result struct {
+	Experiment string
+	About      string
+	Mode       string
+	Commit     string
+	Variants   []string
+	Runs       []*Figures
+}
+
+// NewResult names what the runs are of.
+func NewResult(e *Experiment, commit string, runs []*Figures) *Result {
+	r := &Result{Experiment: e.Name, About: e.About, Mode: e.Mode, Commit: commit, Runs: runs}
+	for _, v := range e.Variants {
+		r.Variants = append(r.Variants, v.Name)
+	}
+	return r
+}
+
+// Summary is one variant over all seeds.
+type Summary struct {
+	Variant                           string
+	Runs, Unusable                    int
+	Median, Low, High, Mean, From, To float64 // of service; From and To hold the mean with a confidence of 95%
+	P50, P90, P99, Denied, Aborted    float64 // medians
+	Breaches                          [5]int
+}
+
+// Summaries works out each variant's.
+func (r *Result) Summaries() (all []Summary) {
+	for _, v := range r.Variants {
+		s := Summary{Variant: v}
+		var service, p50, p90, p99, denied, aborted []float64
+		for _, f := range r.Runs {
+			if f.Variant != v {
+				continue
+			}
+			s.Runs++
+			for i, n := range f.Breaches {
+				s.Breaches[i] += n
+			}
+			if f.Unusable != "" {
+				s.Unusable++
+				continue
+			}
+			service, p50, p90, p99 = append(service, f.Service), append(p50, f.P50), append(p90, f.P90), append(p99, f.P99)
+			asks := float64(max(1, f.Asks))
+			denied, aborted = append(denied, float64(f.Denied)/asks), append(aborted, float64(f.Aborted)/asks)
+		}
+		if n := len(service); n > 0 {
+			s.Median, s.Low, s.High = median(service), slices.Min(service), slices.Max(service)
+			s.Mean, s.From, s.To = interval(service)
+			s.P50, s.P90, s.P99, s.Denied, s.Aborted = median(p50), median(p90), median(p99), median(denied), median(aborted)
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+func median(x []float64) float64 {
+	x = slices.Sorted(slices.Values(x))
+	return (x[(len(x)-1)/2] + x[len(x)/2]) / 2
+}
+
+// interval is the mean with its confidence interval by Student's t; of one run it is all there is.
+func interval(x []float64) (mean, from, to float64) {
+	mean = stat.Mean(x, nil)
+	if len(x) < 2 {
+		return mean, math.Inf(-1), math.Inf(1)
+	}
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(x) - 1)}.Quantile(0.975)
+	half := t * stat.StdDev(x, nil) / math.Sqrt(float64(len(x)))
+	return mean, mean - half, mean + half
+}
+
+func num(x float64) string {
+	if math.IsInf(x, 0) {
+		return ""
+	}
+	return strconv.FormatFloat(x, 'f', 4, 64)
+}
+
+// Write keeps a result in a folder: runs.csv, summary.csv, service.svg and result.json.
+func (r *Result) Write(folder string) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	for name, write := range map[string]func(io.Writer) error{
+		"runs.csv": r.runs, "summary.csv": r.summary, "service.svg": r.chart,
+		"result.json": func(w io.Writer) error { _, err := w.Write(append(text, '\n')); return err },
+	} {
+		f, err := os.Create(filepath.Join(folder, name))
+		if err != nil {
+			return err
+		}
+		if err := write(f); err != nil {
+			_ = f.Close()
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		if err := f.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ReadResult reads one that was kept.
+func ReadResult(folder string) (*Result, error) {
+	text, err := os.ReadFile(filepath.Join(folder, "result.json"))
+	if err != nil {
+		return nil, err
+	}
+	r := &Result{}
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, fmt.Errorf("%s: %w", folder, err)
+	}
+	return r, nil
+}
+
+func table(w io.Writer, rows [][]string) error {
+	c := csv.NewWriter(w)
+	if err := c.WriteAll(rows); err != nil {
+		return err
+	}
+	return c.Error()
+}
+
+func (r *Result) runs(w io.Writer) error {
+	rows := [][]string{{"experiment", "mode", "commit", "seed", "variant", "asks", "done", "denied", "aborted", "unanswered", "service",
+		"p50_ms", "p90_ms", "p99_ms", "tries", "executions", "breaches_1", "breaches_2", "breaches_3", "breaches_4", "cold_strain",
+		"decisions", "late_ms", "bad_rows", "unusable"}}
+	for _, f := range r.Runs {
+		rows = append(rows, []string{r.Experiment, r.Mode, r.Commit, strconv.FormatUint(f.Seed, 10), f.Variant, strconv.Itoa(f.Asks),
+			strconv.Itoa(f.Done), strconv.Itoa(f.Denied), strconv.Itoa(f.Aborted), strconv.Itoa(f.Unanswered), num(f.Service), num(f.P50),
+			num(f.P90), num(f.P99), num(f.Tries), strconv.Itoa(f.Begun), strconv.Itoa(f.Breaches[1]), strconv.Itoa(f.Breaches[2]),
+			strconv.Itoa(f.Breaches[3]), strconv.Itoa(f.Breaches[4]), num(f.Strain), f.Hash, num(f.Late), strconv.Itoa(f.Problems), f.Unusable})
+	}
+	return table(w, rows)
+}
+
+func (r *Result) summary(w io.Writer) error {
+	rows := [][]string{{"experiment", "mode", "commit", "variant", "runs", "unusable", "service_median", "service_low", "service_high",
+		"service_mean", "mean_from_95", "mean_to_95", "p50_ms", "p90_ms", "p99_ms", "denied", "aborted",
+		"breaches_1", "breaches_2", "breaches_3", "breaches_4"}}
+	for _, s := range r.Summaries() {
+		row := []string{r.Experiment, r.Mode, r.Commit, s.Variant, strconv.Itoa(s.Runs), strconv.Itoa(s.Unusable)}
+		for _, x := range []float64{s.Median, s.Low, s.High, s.Mean, s.From, s.To, s.P50, s.P90, s.P99, s.Denied, s.Aborted} {
+			row = append(row, num(x))
+		}
+		for _, n := range s.Breaches[1:] {
+			row = append(row, strconv.Itoa(n))
+		}
+		rows = append(rows, row)
+	}
+	return table(w, rows)
+}
+
+// chart draws service second by second, each variant's median over the seeds.
+func (r *Result) chart(w io.Writer) error {
+	c := chart.Chart{Title: fmt.Sprintf("%s (%s, %s)", r.Experiment, r.Mode, r.Commit), Width: 960, Height: 420,
+		Background: chart.Style{Padding: chart.Box{Top: 50, Left: 20, Right: 20, Bottom: 20}},
+		XAxis:      chart.XAxis{Name: "seconds"},
+		YAxis:      chart.YAxis{Name: "service", Range: &chart.ContinuousRange{Min: 0, Max: 1.02}}}
+	for _, v := range r.Variants {
+		var x, y []float64
+		for second := 0; ; second++ {
+			var at []float64
+			for _, f := range r.Runs {
+				if f.Variant == v && f.Unusable == "" && second < len(f.Line) {
+					at = append(at, f.Line[second])
+				}
+			}
+			if len(at) == 0 {
+				break
+			}
+			x, y = append(x, float64(second)), append(y, median(at))
+		}
+		if len(x) < 2 {
+			continue
+		}
+		c.Series = append(c.Series, chart.ContinuousSeries{Name: v, XValues: x, YValues: y, Style: chart.Style{StrokeWidth: 2}})
+	}
+	if len(c.Series) == 0 {
+		_, err := io.WriteString(w, "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"400\" height=\"40\"><text x=\"10\" y=\"25\">no usable run</text></svg>\n")
+		return err
+	}
+	c.Elements = []chart.Renderable{chart.LegendThin(&c)}
+	return c.Render(chart.SVG, w)
+}
+
+// Table prints the summary for people.
+func (r *Result) Table(w io.Writer) {
+	fmt.Fprintf(w, "%s (%s, commit %s)\n", r.Experiment, r.Mode, r.Commit)
+	fmt.Fprintf(w, "%-14s %5s  %-7s %-17s %-17s %8s %8s  %7s %8s  %s\n", "variant", "runs", "service", "spread", "mean, 95%", "p50 ms", "p99 ms",
+		"denied", "aborted", "breaches of rule 1 2 3 4")
+	for _, s := range r.Summaries() {
+		between := fmt.Sprintf("%.3f to %.3f", s.From, s.To)
+		if math.IsInf(s.From, 0) {
+			between = "one run"
+		}
+		fmt.Fprintf(w, "%-14s %5d  %-7.3f %-17s %-17s %8.0f %8.0f  %6.1f%% %7.1f%%  %v", s.Variant, s.Runs, s.Median,
+			fmt.Sprintf("%.3f to %.3f", s.Low, s.High), between, s.P50, s.P99, 100*s.Denied, 100*s.Aborted, s.Breaches[1:])
+		if s.Unusable > 0 {
+			fmt.Fprintf(w, "  %d runs unusable", s.Unusable)
+		}
+		fmt.Fprintln(w)
+	}
+}
