Idempotency keys joined to the proxy, off by default; a command that lists a ledger

A key's attempt belongs to the key and not to its client; its beginning is durable before it becomes a req of the module. Set in an operator file alone, so the run line has none of it.

--- a/cmd/ivybank/lab.go
+++ b/cmd/ivybank/lab.go
@@ -41,7 +41,7 @@
 			}
 			return err
 		}}
-	root.AddCommand(one, check, labCommands())
+	root.AddCommand(one, check, labCommands(), ledgerCommand())
 	return root
 }
 
--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -24,6 +24,7 @@
 	"ivybank/conf"
 	"ivybank/door"
 	"ivybank/holds"
+	"ivybank/once"
 	"ivybank/proxy"
 	"ivybank/terms"
 	"ivybank/twin"
@@ -148,6 +149,23 @@
 	return p, nil
 }
 
+// keysOf is what an operator file sets on idempotency keys.
+func keysOf(o *conf.Operator) *proxy.Keys {
+	k := o.Idempotency
+	if k == nil {
+		return nil
+	}
+	x := &proxy.Keys{Header: k.Header, Terms: once.Terms{Most: k.Entries, Bytes: k.Answers, Largest: k.Largest, Waiters: k.Waiters,
+		Longest: k.Longest, RetryIn: int64(k.RetryIn), Retain: map[string]int64{}}}
+	for _, r := range k.RuleSets {
+		x.Terms.Retain[r.Name] = int64(r.Retain)
+	}
+	if k.Folder != "" {
+		x.File = filepath.Join(k.Folder, "keys.ledger")
+	}
+	return x
+}
+
 // library sends nbio's log to logrus.
 type library struct{}
 
@@ -172,18 +190,21 @@
 	// Caught from the first moment: uncaught it ends the program. One that comes before the file is read waits.
 	reread := make(chan os.Signal, 1)
 	signal.Notify(reread, syscall.SIGHUP)
+	var keys *proxy.Keys
 	if operator != "" {
 		o, err := conf.LoadOperator(operator)
 		if err != nil {
 			return err
 		}
 		o.Apply()
+		keys = keysOf(o)
 	}
 	path := os.Getenv("GW_CONFIG")
 	o, start, err := load(path)
 	if err != nil {
 		return err
 	}
+	start.Keys = keys
 	logging.SetLogger(library{})
 	// A poller that waits in the kernel holds a processor of Go's until it is taken away from it, so the
 	// pollers come on top of the cores.
--- a/conf/operator.go
+++ b/conf/operator.go
@@ -4,7 +4,9 @@
 // as it is without one.
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 )
@@ -19,6 +21,20 @@
 		Level  string `toml:"level"`  // debug, info, warning or error
 		Format string `toml:"format"` // text or json
 	} `toml:"log"`
+	Idempotency *struct {
+		Header   string   `toml:"header"`
+		Folder   string   `toml:"folder"` // empty: memory alone
+		Entries  int      `toml:"entries"`
+		Answers  int64    `toml:"answer_bytes"`   // of all answers that are kept
+		Largest  int      `toml:"largest_answer"` // bytes; of a larger one only the outcome is kept
+		Waiters  int      `toml:"waiters"`        // on one key
+		Longest  int      `toml:"longest_key"`
+		RetryIn  Duration `toml:"retry_in"`
+		RuleSets []struct {
+			Name   string   `toml:"name"`
+			Retain Duration `toml:"retain"`
+		} `toml:"ruleset"`
+	} `toml:"idempotency"`
 }
 
 // LoadOperator reads and checks one.
@@ -37,7 +53,42 @@
 	case !slices.Contains([]string{"", "text", "json"}, o.Log.Format):
 		return nil, f.Fault("log.format", "%q: expected text or json", o.Log.Format)
 	}
-	return o, nil
+	return o, o.checkKeys(f)
+}
+
+func (o *Operator) checkKeys(f *File) error {
+	k := o.Idempotency
+	if k == nil {
+		return nil
+	}
+	type rule struct {
+		bad   bool
+		field string
+		want  string
+	}
+	rules := []rule{
+		{k.Header == "" || strings.ContainsAny(k.Header, " :\t"), "header", "expected the name of a field"},
+		{k.Entries <= 0, "entries", "expected a number above 0"},
+		{k.Answers < 0, "answer_bytes", "expected 0 or more"},
+		{k.Largest < 0 || k.Largest > 1<<16, "largest_answer", "expected 0 to 65536"},
+		{k.Waiters <= 0, "waiters", "expected a number above 0"},
+		{k.Longest <= 0 || k.Longest > 4096, "longest_key", "expected 1 to 4096"},
+		{k.RetryIn <= 0, "retry_in", "expected a time above 0"},
+		{len(k.RuleSets) == 0, "ruleset", "expected one at least"},
+	}
+	names := map[string]bool{}
+	for i, r := range k.RuleSets {
+		p := fmt.Sprintf("ruleset.%d.", i)
+		rules = append(rules, rule{r.Name == "" || names[r.Name], p + "name", "expected a name of its own"},
+			rule{r.Retain <= 0, p + "retain", "expected a time above 0"})
+		names[r.Name] = true
+	}
+	for _, r := range rules {
+		if r.bad {
+			return f.Fault("idempotency."+r.field, "%s", r.want)
+		}
+	}
+	return nil
 }
 
 // Apply puts it in force.
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -10,6 +10,7 @@
 
 	"ivybank/balance"
 	"ivybank/http1"
+	"ivybank/once"
 )
 
 // wayMargin is what an answer may need back to the client: its wait began when it sent the call.
@@ -26,18 +27,35 @@
 	ended      bool
 	flow       *flow     // its body, where that comes in pieces
 	relay      *hostConn // whose answer is being passed on
+	key        *once.Key // of a keyed req, which has no client of its own
 }
 
 // admit is the second stage. What no host could use goes no further: a host that turns it away, or closes on
 // it, would seem to be at fault. Two open reqs with one id would run as one.
 func (p *Proxy) admit(c *client, call sentAhead) error {
-	at := call.at
+	if err := p.sound(call.Call); err != nil {
+		return err
+	}
+	if p.ids[call.ID] {
+		return errOpenID
+	}
+	p.ids[call.ID] = true
+	r := &req{call: call.Call, client: c, taken: call.at, flow: call.flow}
+	c.req = r
+	p.enter(r, call.Timeout-wayMargin, call.at)
+	return nil
+}
+
+var errOpenID = errors.New("the id of an open req")
+
+// sound says whether a call is one that a host could use.
+func (p *Proxy) sound(call http1.Call) error {
 	terms := p.terms
 	set := slices.IndexFunc(terms.RuleSets, func(s balance.RuleSet) bool { return s.Name == call.RuleSet })
 	tenant := slices.IndexFunc(terms.Tenants, func(t balance.Tenant) bool { return t.Name == call.Tenant })
 	switch {
-	case call.ID == "" || p.ids[call.ID]:
-		return errors.New("no id of its own")
+	case call.ID == "":
+		return errors.New("no id")
 	case call.Timeout <= 0:
 		return errors.New("no client timeout")
 	case set < 0 || tenant < 0 && len(terms.Tenants) > 0:
@@ -46,19 +64,25 @@
 	case call.Method != http.MethodPost && call.Method != http.MethodPut:
 		return errors.New("method does not go with the rule set")
 	}
-	p.ids[call.ID] = true
+	return nil
+}
+
+// enter makes a call a req of the module, whose id is among those that are open.
+func (p *Proxy) enter(r *req, budget, now int64) {
 	p.lastReq++
-	r := &req{id: p.lastReq, call: call.Call, client: c, taken: at, flow: call.flow}
-	c.req = r
+	r.id = p.lastReq
 	p.reqs[r.id] = r
 	p.count.Taken++
-	p.module.Req(balance.Arrival{ID: r.id, RuleSet: call.RuleSet, Tenant: call.Tenant, Key: call.Key,
-		Budget: max(1, call.Timeout-wayMargin), Work: call.Work, Open: r.flow != nil && !r.flow.whole}, at)
-	return nil
+	p.module.Req(balance.Arrival{ID: r.id, RuleSet: r.call.RuleSet, Tenant: r.call.Tenant, Key: r.call.Key,
+		Budget: max(1, budget), Work: r.call.Work, Open: r.flow != nil && !r.flow.whole}, now)
 }
 
 // withdraw ends the open req, if any, of a client that has gone or broken it off.
 func (p *Proxy) withdraw(c *client) {
+	if c.waits != nil {
+		p.count.Withdrawn++
+		p.leave(c.waits)
+	}
 	r := c.req
 	if r == nil {
 		return
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -32,7 +32,7 @@
 	p.count.Outcomes[o]++
 	if o == balance.Served && !r.ended {
 		record(p.count.took, r.taken, now)
-		p.final(r, &p.count.Done, http1.Answer{Status: a.Status, Fields: a.Fields, Body: a.Body})
+		p.final(r, &p.count.Done, http1.Answer{Status: a.Status, Fields: a.Fields, Body: a.Body, Piece: a.Piece})
 	}
 	p.module.Finished(r.id, d.index, o, r.ended, now-d.sent, now)
 	p.forget(r)
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -17,6 +17,7 @@
 	Outcomes                                                            [balance.Unknown + 1]int
 	Watches, WatchesLost, Lines, BadLines                               int
 	Streamed, Cut                                                       int // answers passed on in pieces; broken off
+	Keyed, Repeats, KeyConflicts, KeysRefused                           int // reqs with a key; of them repeats, those not taken
 	Panics, Reloads                                                     int
 	// How long done reqs took, and how late the owner came to what was read, in microseconds.
 	took, lag *hdrhistogram.Histogram
@@ -40,7 +41,7 @@
 		"withdrawn": c.Withdrawn, "malformed": c.Malformed, "crowded": c.Crowded, "rested": c.Rested,
 		"sent": c.Sent, "dialled": c.Dialled, "reused": c.Reused,
 		"watches": c.Watches, "watches_lost": c.WatchesLost, "lines": c.Lines, "bad_lines": c.BadLines,
-		"panics": c.Panics, "reloads": c.Reloads, "streamed": c.Streamed, "cut": c.Cut}
+		"panics": c.Panics, "reloads": c.Reloads, "streamed": c.Streamed, "keyed": c.Keyed, "repeats": c.Repeats, "key_conflicts": c.KeyConflicts, "keys_refused": c.KeysRefused, "cut": c.Cut}
 	for o, n := range c.Outcomes {
 		m["outcome_"+outcomeNames[o]] = n
 	}
--- a/proxy/flow.go
+++ b/proxy/flow.go
@@ -139,6 +139,16 @@
 		return
 	}
 	r := d.req
+	if r.key != nil {
+		p.lendClient(r)
+	}
+	if r.client == nil { // nobody waits for it any more; it has run
+		p.moved(c, n, nil)
+		c.carries = nil
+		c.shut()
+		p.book(d, balance.Served, &http1.Answer{Status: a.Status, Piece: http1.First}, now)
+		return
+	}
 	r.relay = c
 	p.count.Streamed++
 	p.stop(d.limit)
@@ -196,6 +206,9 @@
 	}
 	p.module.Finished(r.id, d.index, o, true, now-d.sent, now)
 	p.forget(r)
+	if r.key != nil {
+		p.passedKey(r, o)
+	}
 	switch {
 	case c.closed:
 	case o != balance.Served:
--- a/proxy/intake.go
+++ b/proxy/intake.go
@@ -44,6 +44,7 @@
 	expects bool         // waits for a word before it sends the body
 	waiting []sentAhead  // emptied as they are taken in turn
 	req     *req         // the one that is being answered
+	waits   *waiter      // or the one that goes by a key
 	coming  bool         // a part of a call has come
 	due     *timer       // when a call that is not whole yet, or has not begun, has taken too long
 	rests   int64        // since when no req is open: its start, or its last answer
@@ -61,6 +62,9 @@
 	flow *flow // the body, where it comes in pieces
 }
 
+// free says whether nothing of its is being answered.
+func (c *client) free() bool { return c.req == nil && c.waits == nil }
+
 func newClient(c *nbio.Conn) *client {
 	return &client{wire: wire{nb: c}, calls: http1.NewCalls()}
 }
@@ -92,7 +96,7 @@
 func (p *Proxy) closeResting(now, least int64) bool {
 	var longest *client
 	for _, c := range p.clients {
-		resting, need := c.req == nil && len(c.waiting) == 0 && (!c.last || c.written()), least
+		resting, need := c.free() && len(c.waiting) == 0 && (!c.last || c.written()), least
 		if c.asked && !c.last {
 			need = rest
 		}
@@ -227,7 +231,7 @@
 
 // word tells a client that waits for it to send its body, unless an answer is due before.
 func (p *Proxy) word(c *client) {
-	if c.expects && c.req == nil && len(c.waiting) == 0 && !c.closed && !c.last {
+	if c.expects && c.free() && len(c.waiting) == 0 && !c.closed && !c.last {
 		c.expects = false
 		c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
@@ -259,7 +263,7 @@
 
 // turn takes the next call of a client whose connection is free.
 func (p *Proxy) turn(c *client) {
-	for c.req == nil && !c.closed && !c.last && len(c.waiting) > 0 {
+	for c.free() && !c.closed && !c.last && len(c.waiting) > 0 {
 		call := c.waiting[0]
 		c.waiting = c.waiting[1:]
 		switch {
@@ -275,11 +279,15 @@
 		case call.Method == http.MethodGet && call.Target == "/_counters":
 			p.answer(c, http1.Answer{Status: http.StatusOK, Fields: jsonType, Body: p.count.JSON()}, call.Close)
 		default:
-			if err := p.admit(c, call); err != nil {
+			taken, err := p.keyed(c, call)
+			if !taken {
+				err = p.admit(c, call)
+			}
+			if err != nil {
 				p.malformed(c, err)
 			}
 		}
-		if c.req == nil {
+		if c.free() {
 			p.drop(call.flow)
 		}
 	}
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -9,6 +9,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"net"
 	"runtime/debug"
 	"sync"
@@ -42,6 +43,7 @@
 	Inherited         net.Listener // shared with other processes; nil where the address is bound here
 	Memory            int64        // bytes for Go's heap, 0 where none are told
 	Holds             *holds.Store
+	Keys              *Keys      // nil: no idempotency keys
 	Seat              *twin.Seat // nil where there is no folder to meet in
 }
 
@@ -66,6 +68,7 @@
 	pool      pool
 	list      discovery
 	drain     drain
+	keys      *keys           // nil: none
 	terms     *balance.Terms  // replaced whole, never changed
 	sockets   int             // descriptors that this process may hold now
 	held      holds.Table     // hosts out by hand
@@ -167,6 +170,9 @@
 			return err
 		}
 	}
+	if err := p.openKeys(); err != nil {
+		return fmt.Errorf("idempotency keys: %w", err)
+	}
 	p.accept = newListener(l)
 	nbio.MaxOpenFiles = max(p.start.Sockets, 1024)
 	p.engine = nbio.NewEngine(nbio.Config{Name: "ivybank", Network: "tcp", Addrs: []string{p.start.Listen},
@@ -202,6 +208,9 @@
 			alarm.Reset(time.Duration(p.timers[0].at - p.now()))
 		}
 	}
+	if p.keys != nil && p.keys.ledger != nil {
+		p.keys.ledger.Close()
+	}
 	return nil
 }
 
--- /dev/null
+++ b/proxy/once.go
@@ -0,0 +1,340 @@
+package proxy
+
+// This file owns reqs with an idempotency key: it asks the book of keys what each is to do, keeps those that wait, and has the
+// ledger record a beginning before its dispatch may leave. It must never let a key's attempt go before that, end one because a
+// client has left, or tell two clients of one attempt two things.
+
+import (
+	"crypto/sha256"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ivybank/balance"
+	"ivybank/http1"
+	"ivybank/ledger"
+	"ivybank/once"
+)
+
+const (
+	lockApart    = 100 * time.Millisecond // between tries to take a ledger that another process has
+	lockRetry    = 2e8                    // advised meanwhile
+	tidyApart    = 5e9                    // between looks whether the ledger is mostly of the past
+	leastLedger  = 1 << 20                // bytes below which it is left as it is
+	outcomeField = "Idempotency-Outcome"
+	replayField  = "Idempotency-Replayed"
+)
+
+// Keys is what operators set on idempotency keys.
+type Keys struct {
+	Header string // names the key
+	File   string // the ledger; empty: memory alone
+	Terms  once.Terms
+}
+
+// keys is the owner's side of them; nil where there are none.
+type keys struct {
+	Keys
+	book    *once.Book
+	ledger  *ledger.Ledger     // nil: memory alone, or not taken yet
+	ready   bool               // the ledger is taken, or none is needed
+	waiters map[uint64]*waiter // emptied as they are told or leave
+	last    uint64
+}
+
+// waiter is a client's req that goes by a key.
+type waiter struct {
+	number uint64
+	key    once.Key
+	client *client
+	close  bool
+	due    *timer // when its own client timeout is over
+}
+
+// openKeys takes the ledger. One that another process of an upgrade has is waited for; meanwhile keys are refused.
+func (p *Proxy) openKeys() error {
+	if p.start.Keys == nil {
+		return nil
+	}
+	k := &keys{Keys: *p.start.Keys, waiters: map[uint64]*waiter{}}
+	k.book = once.New(k.Terms)
+	p.keys = k
+	if k.File == "" {
+		k.ready = true
+		return nil
+	}
+	err := p.takeLedger()
+	if !errors.Is(err, ledger.ErrLocked) {
+		return err
+	}
+	logrus.Infof("idempotency keys wait: %v", err)
+	go func() {
+		for {
+			time.Sleep(lockApart)
+			told := make(chan error)
+			p.post(p.now(), nil, func(int64) { told <- p.takeLedger() })
+			switch err := <-told; {
+			case err == nil:
+				return
+			case !errors.Is(err, ledger.ErrLocked):
+				logrus.Errorf("idempotency keys are refused: %v", err)
+				return
+			}
+		}
+	}()
+	return nil
+}
+
+// takeLedger opens it and takes what it holds.
+func (p *Proxy) takeLedger() error {
+	k, now := p.keys, p.now()
+	book := once.New(k.Terms)
+	l, rep, err := ledger.Open(k.File, func(r ledger.Record) {
+		if r.Kind == ledger.Free {
+			book.Free(r.Entry.Key)
+			return
+		}
+		book.Restore(r.Entry, now)
+	})
+	if err != nil {
+		return err
+	}
+	if rep.Damaged >= 0 {
+		book.Seal()
+		logrus.Errorf("%s: a record at %d cannot be read: keys that are not known are refused until the file is taken away", k.File, rep.Damaged)
+	}
+	k.book, k.ledger, k.ready = book, l, true
+	logrus.Infof("idempotency keys: %d of %d records known, %d bytes cut off the end", book.Len(), rep.Records, rep.Torn)
+	p.after(now, tidyApart, p.tidyLedger)
+	return nil
+}
+
+// tidyLedger has the ledger written anew once most of it is of the past.
+func (p *Proxy) tidyLedger(now int64) {
+	k := p.keys
+	entries := k.book.Entries(now)
+	live := int64(0)
+	for _, e := range entries {
+		live += e.Size()
+	}
+	if size := k.ledger.Size(); size > leastLedger && size > 2*live {
+		all := make([]ledger.Record, 0, len(entries))
+		for _, e := range entries {
+			kind := ledger.End
+			if e.State == once.Open {
+				kind = ledger.Begin
+			}
+			all = append(all, ledger.Record{Kind: kind, Entry: *e})
+		}
+		k.ledger.Anew(all, func(err error) {
+			if err != nil {
+				logrus.Warnf("the ledger is not written anew: %v", err)
+			}
+		})
+	}
+	p.after(now, tidyApart, p.tidyLedger)
+}
+
+// keyed takes a call with a key; false where it has none that counts.
+func (p *Proxy) keyed(c *client, call sentAhead) (bool, error) {
+	k := p.keys
+	if k == nil || !k.book.Covers(call.RuleSet) {
+		return false, nil
+	}
+	i := slices.IndexFunc(call.Fields, func(f http1.Field) bool { return strings.EqualFold(f.Name, k.Header) })
+	if i < 0 || call.Fields[i].Value == "" {
+		return false, nil
+	}
+	if err := p.sound(call.Call); err != nil {
+		return true, err
+	}
+	p.count.Keyed++
+	refuse := func(status int, outcome string, retry int64) {
+		p.answer(c, http1.Answer{Status: status, RetryAfter: retry, Fields: []http1.Field{{Name: outcomeField, Value: outcome}}}, call.Close)
+	}
+	if call.flow != nil {
+		refuse(http.StatusRequestEntityTooLarge, "not taken; too large to be compared", 0)
+		return true, nil
+	}
+	if !k.ready || k.ledger != nil && k.ledger.Failed() {
+		p.count.KeysRefused++
+		refuse(http.StatusServiceUnavailable, "not taken; the store cannot be written", lockRetry)
+		return true, nil
+	}
+	now := p.now()
+	key := once.Key{Tenant: call.Tenant, RuleSet: call.RuleSet, Name: call.Fields[i].Value}
+	k.last++
+	v := k.book.Arrive(key, fingerprint(call.Call), k.last, now)
+	switch v.Kind {
+	case once.Go:
+		if p.ids[call.ID] {
+			k.book.Ended(key, once.Denied, once.Answer{}, now)
+			return true, errOpenID
+		}
+		p.ids[call.ID] = true
+		p.wait(c, call, key, now)
+		if k.ledger == nil {
+			p.attempt(key, call, now)
+			break
+		}
+		k.ledger.Append(ledger.Record{Kind: ledger.Begin, Entry: *v.Entry}, func(err error) {
+			p.post(p.now(), nil, func(int64) {
+				if err != nil {
+					logrus.Warnf("a key's beginning is not recorded: %v", err)
+					p.count.KeysRefused++
+					delete(p.ids, call.ID)
+					p.settle(key, once.Denied, http1.Answer{Status: http.StatusServiceUnavailable, RetryAfter: k.Terms.RetryIn})
+					return
+				}
+				p.attempt(key, call, p.now())
+			})
+		})
+	case once.Join:
+		p.count.Repeats++
+		p.wait(c, call, key, now)
+	case once.Told:
+		p.count.Repeats++
+		p.answer(c, told(v.Entry), call.Close)
+	case once.Conflict:
+		p.count.KeyConflicts++
+		refuse(http.StatusUnprocessableEntity, "not taken; the key stands for another call", 0)
+	case once.Full:
+		p.count.KeysRefused++
+		refuse(http.StatusServiceUnavailable, "not taken; no room for a further key", k.Terms.RetryIn)
+	case once.TooLong:
+		p.count.KeyConflicts++
+		refuse(http.StatusBadRequest, "not taken; the key is too long", 0)
+	}
+	return true, nil
+}
+
+// fingerprint is what a call asks.
+func fingerprint(c http1.Call) (print once.Print) {
+	h := sha256.New()
+	h.Write([]byte(c.Method + "\x00" + c.Target + "\x00"))
+	h.Write(c.Body)
+	copy(print[:], h.Sum(nil))
+	return print
+}
+
+// wait keeps a client until its key's attempt has ended, or its own time is over.
+func (p *Proxy) wait(c *client, call sentAhead, key once.Key, now int64) {
+	w := &waiter{number: p.keys.last, key: key, client: c, close: call.Close}
+	p.keys.waiters[w.number] = w
+	c.waits = w
+	w.due = p.after(now, max(1, call.at+call.Timeout-2*wayMargin-now), func(int64) {
+		p.leave(w)
+		p.answer(c, http1.Answer{Status: http.StatusConflict, RetryAfter: p.keys.Terms.RetryIn,
+			Fields: []http1.Field{{Name: outcomeField, Value: "open"}}}, w.close)
+		p.turn(c)
+	})
+}
+
+// leave takes a waiter off; the attempt lives on.
+func (p *Proxy) leave(w *waiter) {
+	p.stop(w.due)
+	w.client.waits = nil
+	delete(p.keys.waiters, w.number)
+	p.keys.book.Left(w.key, w.number)
+}
+
+// attempt hands a key's first call to the module. It belongs to the key, not to its client.
+func (p *Proxy) attempt(key once.Key, call sentAhead, now int64) {
+	left := call.Timeout - wayMargin - (now - call.at)
+	if left <= 0 {
+		delete(p.ids, call.ID)
+		p.settle(key, once.Denied, http1.Answer{Status: http.StatusServiceUnavailable, RetryAfter: p.keys.Terms.RetryIn})
+		return
+	}
+	p.enter(&req{call: call.Call, key: &key, taken: call.at}, left, now)
+}
+
+// settle ends a key's attempt and tells all who wait for it.
+func (p *Proxy) settle(key once.Key, o once.Outcome, a http1.Answer) {
+	k := p.keys
+	kept := once.Answer{Status: a.Status, Body: a.Body, Kept: a.Piece == http1.Whole}
+	for _, f := range a.Fields {
+		kept.Fields = append(kept.Fields, [2]string{f.Name, f.Value})
+	}
+	e, waiters := k.book.Ended(key, o, kept, p.now())
+	if e == nil {
+		return
+	}
+	if k.ledger != nil {
+		kind := ledger.End
+		if e.State == once.Open {
+			kind = ledger.Free
+		}
+		k.ledger.Append(ledger.Record{Kind: kind, Entry: *e}, nil)
+	}
+	switch {
+	case o == once.Aborted:
+		a.Fields = append(slices.Clone(a.Fields), http1.Field{Name: outcomeField, Value: e.State.String()})
+	case o == once.Served && a.Piece != http1.Whole:
+		a = told(e)
+	}
+	for _, n := range waiters {
+		w := k.waiters[n]
+		p.stop(w.due)
+		delete(k.waiters, n)
+		w.client.waits = nil
+		p.answer(w.client, a, w.close)
+		p.turn(w.client)
+	}
+}
+
+// told is what a repeat gets of a key that has ended.
+func told(e *once.Entry) http1.Answer {
+	if e.State != once.Done || !e.Answer.Kept {
+		what := e.State.String()
+		if e.State == once.Done {
+			what += "; its answer was too large to keep"
+		}
+		return http1.Answer{Status: http.StatusConflict, Fields: []http1.Field{{Name: outcomeField, Value: what}}}
+	}
+	a := http1.Answer{Status: e.Answer.Status, Body: e.Answer.Body}
+	for _, f := range e.Answer.Fields {
+		a.Fields = append(a.Fields, http1.Field{Name: f[0], Value: f[1]})
+	}
+	a.Fields = append(a.Fields, http1.Field{Name: replayField, Value: "true"})
+	return a
+}
+
+// outcomeOf is a final answer as a key sees it.
+func outcomeOf(a http1.Answer) once.Outcome {
+	switch a.Status {
+	case http.StatusOK:
+		return once.Served
+	case http.StatusServiceUnavailable:
+		return once.Denied
+	}
+	return once.Aborted
+}
+
+// lendClient gives a key's long answer to the first who still waits for it; the others are told once it has ended.
+func (p *Proxy) lendClient(r *req) {
+	var first *waiter
+	for _, w := range p.keys.waiters {
+		if w.key == *r.key && (first == nil || w.number < first.number) {
+			first = w
+		}
+	}
+	if first != nil {
+		p.leave(first)
+		r.client, first.client.req = first.client, r
+		r.call.Close = first.close
+	}
+}
+
+// passedKey ends a key whose answer was passed on in pieces.
+func (p *Proxy) passedKey(r *req, o balance.Outcome) {
+	if o == balance.Served {
+		p.settle(*r.key, once.Served, http1.Answer{Status: http.StatusOK, Piece: http1.First})
+		return
+	}
+	p.settle(*r.key, once.Aborted, http1.Answer{Status: http.StatusBadGateway})
+}
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -16,6 +16,10 @@
 	r.ended = true
 	p.drop(r.flow)
 	p.forget(r)
+	if r.key != nil {
+		p.settle(*r.key, outcomeOf(a), a)
+		return
+	}
 	c := r.client
 	c.req = nil
 	p.answer(c, a, r.call.Close)
