--- a/cmd/ivybank/helpers_test.go
+++ b/cmd/ivybank/helpers_test.go
@@ -185,6 +185,7 @@
 	addr, config string
 	admin        string   // the operators' door
 	listener     *os.File // inherited where it is set
+	args         []string
 	out          *output
 }
 
@@ -209,7 +210,7 @@
 
 func (p *program) start(t *testing.T) {
 	t.Helper()
-	p.Cmd, p.out = exec.Command(binary), &output{}
+	p.Cmd, p.out = exec.Command(binary, p.args...), &output{}
 	p.Env = append(os.Environ(), "GW_CONFIG="+p.config, "GW_ADMIN_ADDR="+p.admin, "TMPDIR="+filepath.Dir(p.config))
 	p.Stdout, p.Stderr = p.out, p.out
 	if p.listener != nil {
@@ -246,7 +247,7 @@
 // fails runs the program where it cannot start.
 func (p *program) fails(t *testing.T, env ...string) (string, int) {
 	t.Helper()
-	cmd := exec.Command(binary)
+	cmd := exec.Command(binary, p.args...)
 	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+p.config, "TMPDIR="+filepath.Dir(p.config)), env...)
 	out, _ := cmd.CombinedOutput()
 	return string(out), cmd.ProcessState.ExitCode()
--- a/emu/fleet.go
+++ b/emu/fleet.go
@@ -37,6 +37,7 @@
 	"wrong":          "discovery lists the servers as ready whatever they do",
 	"drain":          "servers are listed as draining, then start anew, cold",
 	"restart":        "processes start anew at once, cold",
+	"proxy_kill":     "sockets: client proxies are killed and start again over what they left",
 }
 
 // Wire is the network's figures.
@@ -54,6 +55,7 @@
 	Judge    *Judge
 	Balancer int // how many balancers there are
 	Log      func(format string, a ...any)
+	Kill     func() // kills the proxies and starts them again; nil in virtual time
 
 	dice     draw.Dice
 	version  int64
@@ -260,6 +262,10 @@
 	case "late":
 		f.late += int64(x.Size * 1e9)
 		return func() { f.late -= int64(x.Size * 1e9) }
+	case "proxy_kill":
+		if f.Kill != nil {
+			f.Kill()
+		}
 	case "wrong":
 		each(func(s *Server) { f.wrong[s.ID]++; f.change(s, f.states[s.ID]) })
 		return func() { each(func(s *Server) { f.wrong[s.ID]--; f.change(s, f.states[s.ID]) }) }
--- a/emu/judge.go
+++ b/emu/judge.go
@@ -101,6 +101,12 @@
 	j.runs[job.Req] = append(earlier, run{now, s, r})
 }
 
+// Runs is how often a req has begun to run, where its rule set is not replayable.
+func (j *Judge) Runs(req string) int { return len(j.runs[req]) }
+
+// Untrue notes an answer that the evidence speaks against.
+func (j *Judge) Untrue(format string, a ...any) { j.breach(1, format, a...) }
+
 // Forget lets go of a req that cannot come again.
 func (j *Judge) Forget(req string) { delete(j.runs, req) }
 
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -62,6 +62,7 @@
 		Timeout conf.Duration `toml:"timeout"`
 		Retries int           `toml:"retries"`
 		Wait    conf.Duration `toml:"wait"`
+		Key     string        `toml:"idempotent"` // sockets: the field in which each ask's tries carry one key
 		Tenants []struct {
 			Name  string  `toml:"name"`
 			Share float64 `toml:"share"`
@@ -168,6 +169,7 @@
 		{!slices.Contains([]string{"", "fixed", "uniform", "exponential"}, e.Load.Spread), "load.spread", "expected fixed, uniform or exponential"},
 		{e.Load.Timeout <= 0, "load.timeout", "expected a time above 0"},
 		{e.Load.Retries < 0, "load.retries", "expected 0 or more"},
+		{e.Load.Key != "" && e.Mode != "sockets", "load.idempotent", "only on sockets"},
 		{len(e.RuleSets) == 0, "ruleset", "expected one at least"},
 		{len(e.Variants) == 0, "variant", "expected one at least"},
 	}
@@ -192,7 +194,8 @@
 		_, known := emu.Kinds[x.Kind]
 		sized := slices.Contains([]string{"slow", "errors", "reset", "lossy", "late"}, x.Kind)
 		rules = append(rules, rule{!known, p + "kind", "no such kind of fault"}, rule{sized && x.Size <= 0, p + "size", "expected a number above 0"},
-			rule{x.Kind == "cut" && x.Zone == "", p + "zone", "expected the zone that is cut off"})
+			rule{x.Kind == "cut" && x.Zone == "", p + "zone", "expected the zone that is cut off"},
+			rule{x.Kind == "proxy_kill" && e.Mode != "sockets", p + "kind", "only on sockets is there a proxy to kill"})
 	}
 	variants := map[string]bool{}
 	for i, v := range e.Variants {
@@ -282,5 +285,9 @@
 	if filepath.IsAbs(file) {
 		return file
 	}
-	return filepath.Join(filepath.Dir(e.path), file)
+	file = filepath.Join(filepath.Dir(e.path), file)
+	if whole, err := filepath.Abs(file); err == nil { // a proxy runs in a folder of its own
+		return whole
+	}
+	return file
 }
--- a/lab/sockets.go
+++ b/lab/sockets.go
@@ -47,6 +47,64 @@
 	mu    sync.Mutex
 	open  map[net.Conn]string // connections to stand-ins, with the server's id; emptied as they end
 	bad   atomic.Int64        // calls that no client made
+	kills atomic.Int64        // of proxies: odd while one is gone
+	procs []*process
+}
+
+// process is a client proxy that can be killed and started again.
+type process struct {
+	cmd    []string
+	env    []string
+	folder string
+	listen string
+	mu     sync.Mutex
+	now    *exec.Cmd
+	out    strings.Builder
+}
+
+// start begins the process.
+func (x *process) start() error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.now = exec.Command(x.cmd[0], x.cmd[1:]...)
+	x.now.Env, x.now.Dir, x.now.Stdout, x.now.Stderr = x.env, x.folder, &x.out, &x.out
+	return x.now.Start()
+}
+
+// kill ends it and waits until it has.
+func (x *process) kill() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	_ = x.now.Process.Signal(syscall.SIGKILL)
+	_ = x.now.Wait()
+}
+
+// ready waits until it serves.
+func (x *process) ready() error {
+	for end := time.Now().Add(readyWait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if a, err := http.Get("http://" + x.listen + "/_health"); err == nil {
+			_ = a.Body.Close()
+			if a.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+	}
+	x.kill()
+	return fmt.Errorf("a proxy is not ready after %s: %s", readyWait, strings.TrimSpace(x.out.String()))
+}
+
+// killAll kills the proxies one after another and starts each again.
+func (r *rig) killAll() {
+	r.wait.Go(func() {
+		for _, x := range r.procs {
+			r.kills.Add(1)
+			x.kill()
+			if x.start() != nil || x.ready() != nil {
+				return // what follows shows it
+			}
+			r.kills.Add(1)
+		}
+	})
 }
 
 func sockets(e *Experiment, v Variant, seed uint64, p *Problems) (f *Figures, err error) {
@@ -57,6 +115,7 @@
 	r := &rig{e: e, clock: clock, ctx: ctx, open: map[net.Conn]string{}}
 	clock.Do(func() {
 		r.fleet = emu.NewFleet(clock, seed, e.nature(), e.wire(), e.machines(), int64(e.Fleet.Grace))
+		r.fleet.Kill = r.killAll
 	})
 	defer r.wait.Wait()
 	defer cancel()
@@ -217,6 +276,9 @@
 			r.bad.Add(1)
 			return
 		}
+		if key := q.Header.Get(r.e.Load.Key); r.e.Load.Key != "" && key != "" {
+			id = key // executions count by what the client asked for, however often it asked
+		}
 		outcome := make(chan balance.Outcome, 1)
 		job := &emu.Job{Req: id, From: proxy, Sent: sent, Key: q.Header.Get("Affinity-Key"), Rules: r.rules(q.Header.Get("Request-Class")),
 			Done: func(o balance.Outcome) { outcome <- o }}
@@ -407,36 +469,18 @@
 	if v.Operator != "" {
 		args = append(args, "--operator", r.e.beside(v.Operator))
 	}
-	cmd := exec.Command(build, args...)
-	cmd.Env = append(os.Environ(), "GW_CONFIG="+config, "TMPDIR="+folder, "GW_ADMIN_ADDR=", "GW_SOCKET_FD=")
-	var out strings.Builder
-	cmd.Stdout, cmd.Stderr = &out, &out
-	if err := cmd.Start(); err != nil {
+	x := &process{cmd: append([]string{build}, args...), folder: folder, listen: listen,
+		env: append(os.Environ(), "GW_CONFIG="+config, "TMPDIR="+folder, "GW_ADMIN_ADDR=", "GW_SOCKET_FD=")}
+	if err := x.start(); err != nil {
 		return "", err
 	}
-	exited := make(chan error, 1)
-	go func() { exited <- cmd.Wait() }()
+	r.procs = append(r.procs, x)
 	r.wait.Go(func() {
 		<-r.ctx.Done()
-		_ = cmd.Process.Signal(syscall.SIGKILL)
-		<-exited
+		x.kill()
 		_ = os.RemoveAll(folder)
 	})
-	for end := time.Now().Add(readyWait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		select {
-		case err := <-exited:
-			exited <- err
-			return "", fmt.Errorf("proxy %d ended: %v: %s", i, err, strings.TrimSpace(out.String()))
-		default:
-		}
-		if a, err := http.Get("http://" + listen + "/_health"); err == nil {
-			_ = a.Body.Close()
-			if a.StatusCode == http.StatusOK {
-				return listen, nil
-			}
-		}
-	}
-	return "", fmt.Errorf("proxy %d is not ready after %s: %s", i, readyWait, strings.TrimSpace(out.String()))
+	return listen, x.ready()
 }
 
 // play sends the load, each ask at its time. What waits for a machine that is late counts from the time at which it was due.
@@ -492,20 +536,49 @@
 // ask is one client with its retries.
 func (r *rig) ask(client *http.Transport, front string, n int, a emu.Ask, due time.Time) emu.Result {
 	x := r.e.clients()
+	key := ""
+	if r.e.Load.Key != "" {
+		key = fmt.Sprint("filing-", n)
+	}
 	for try := 1; ; try++ {
-		kind, back := r.try(client, front, fmt.Sprintf("%d-%d", n, try), a)
-		took := time.Since(due)
-		if kind != emu.Denied || try > x.Retries || int64(took) >= x.Timeout {
-			return emu.Result{Ask: a, Kind: kind, Took: int64(took), Tries: try}
+		got := r.try(client, front, fmt.Sprintf("%d-%d", n, try), key, a)
+		again := got.kind == emu.Denied || key != "" && (got.kind == emu.Unanswered || got.open)
+		if !again || try > x.Retries || key == "" && int64(time.Since(due)) >= x.Timeout {
+			if key != "" {
+				r.hold(key, got.kind, a)
+			}
+			return emu.Result{Ask: a, Kind: got.kind, Took: int64(time.Since(due)), Tries: try}
 		}
-		if back <= 0 {
-			back = time.Duration(x.Wait)
+		if got.back <= 0 {
+			got.back = time.Duration(x.Wait)
 		}
-		time.Sleep(back)
+		time.Sleep(got.back)
+	}
+}
+
+// hold holds what a client was told of its key against what the servers saw.
+func (r *rig) hold(key string, kind emu.Kind, a emu.Ask) {
+	if r.rules(a.RuleSet).Effect == balance.Replayable {
+		return
 	}
+	r.clock.Do(func() {
+		switch runs := r.fleet.Judge.Runs(key); {
+		case kind == emu.Done && runs != 1:
+			r.fleet.Judge.Untrue("%s was answered as done, and ran %d times", key, runs)
+		case kind == emu.Denied && runs != 0:
+			r.fleet.Judge.Untrue("%s was denied, and ran %d times", key, runs)
+		}
+	})
 }
 
-func (r *rig) try(client *http.Transport, front, id string, a emu.Ask) (kind emu.Kind, back time.Duration) {
+// told is what one try got.
+type told struct {
+	kind emu.Kind
+	back time.Duration
+	open bool // the first attempt is still open
+}
+
+func (r *rig) try(client *http.Transport, front, id, key string, a emu.Ask) told {
 	x := r.e.clients()
 	ctx, cancel := context.WithTimeout(r.ctx, time.Duration(x.Timeout)+100*time.Millisecond) // an answer that is late is seen to be
 	defer cancel()
@@ -515,33 +588,43 @@
 	}
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+front+"/api", nil)
 	if err != nil {
-		return emu.Unanswered, 0
+		return told{kind: emu.Unanswered}
 	}
 	q.Header = http.Header{"Request-Id": {id}, "Request-Class": {a.RuleSet}, "Tenant": {a.Tenant}, "Affinity-Key": {a.Key},
 		"Request-Timeout": {fmt.Sprintf("%.3f", float64(x.Timeout)/1e9)}, "Request-Info": {fmt.Sprintf("CostGuessNs=%d", a.Work)}}
+	want := id
+	if key != "" {
+		q.Header.Set(r.e.Load.Key, key)
+		want = key
+	}
+	kills := r.kills.Load()
 	r.clock.Do(func() { r.fleet.Judge.Taken(id, r.clock.Now()+x.Timeout+50e6) })
 	answer, err := client.RoundTrip(q)
-	if err != nil {
-		return emu.Unanswered, 0 // the judge has it open still
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
 	}
-	defer answer.Body.Close()
-	body, err := io.ReadAll(answer.Body)
 	if err != nil {
-		return emu.Unanswered, 0
+		if now := r.kills.Load(); now != kills || now%2 == 1 { // what a proxy held when it was killed is for the client to ask again
+			r.clock.Do(func() { r.fleet.Judge.Left(id) })
+		}
+		return told{kind: emu.Unanswered}
 	}
 	r.clock.Do(func() {
-		if answer.StatusCode == http.StatusOK && string(body) != id {
-			r.fleet.Judge.Final(id + ": an answer that was not made for it")
+		if answer.StatusCode == http.StatusOK && string(body) != want {
+			r.fleet.Judge.Untrue("req %s got an answer that was not made for it: %q", id, body)
 		}
 		r.fleet.Judge.Final(id)
 	})
+	var s float64
+	_, _ = fmt.Sscan(answer.Header.Get("Retry-After"), &s)
+	back := time.Duration(s * 1e9)
 	switch answer.StatusCode {
 	case http.StatusOK:
-		return emu.Done, 0
+		return told{kind: emu.Done}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		var s float64
-		_, _ = fmt.Sscan(answer.Header.Get("Retry-After"), &s)
-		return emu.Denied, time.Duration(s * 1e9)
+		return told{kind: emu.Denied, back: back}
 	}
-	return emu.Aborted, 0
+	return told{kind: emu.Aborted, back: back, open: answer.Header.Get("Idempotency-Outcome") == "open"}
 }
--- a/proxy/once.go
+++ b/proxy/once.go
@@ -156,7 +156,7 @@
 	refuse := func(status int, outcome string, retry int64) {
 		p.answer(c, http1.Answer{Status: status, RetryAfter: retry, Fields: []http1.Field{{Name: outcomeField, Value: outcome}}}, call.Close)
 	}
-	if call.flow != nil {
+	if call.flow != nil || len(call.Body) > http1.MostWhole {
 		refuse(http.StatusRequestEntityTooLarge, "not taken; too large to be compared", 0)
 		return true, nil
 	}
