--- a/once/once_test.go
+++ b/once/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -190,3 +191,27 @@
 		}
 	}
 }
+
+// BenchmarkMemory tells what a key holds in memory, without its answer and with one of 200 bytes.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range []int{0, 200} {
+		b.Run(fmt.Sprint("answer ", size), func(b *testing.B) {
+			const n = 100000
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				book := New(Terms{Most: n, Bytes: 1 << 30, Largest: 1 << 16, Waiters: 1, Longest: 99, Retain: map[string]int64{"filing": 1 << 60}})
+				for i := range n {
+					k := Key{"public-halls", "filing", fmt.Sprintf("7f3a9c21-e0b4-d655-%012d", i)}
+					book.Arrive(k, Print{1}, 1, 0)
+					book.Ended(k, Served, Answer{Status: 200, Kept: true, Body: make([]byte, size)}, 1)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/key")
+				runtime.KeepAlive(book)
+			}
+		})
+	}
+}
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -30,7 +30,7 @@
 	r.outs--
 	p.stop(d.limit)
 	p.count.Outcomes[o]++
-	if o == balance.Served && !r.ended {
+	if o == balance.Served && !r.ended && r.relay == nil {
 		record(p.count.took, r.taken, now)
 		p.final(r, &p.count.Done, http1.Answer{Status: a.Status, Fields: a.Fields, Body: a.Body, Piece: a.Piece})
 	}
--- a/proxy/flow.go
+++ b/proxy/flow.go
@@ -133,8 +133,12 @@
 		p.moved(c, n, nil)
 		c.carries = nil
 		c.shut()
-		if d != nil {
-			p.book(d, outcome(a), nil, now) // the rest of it is of no use
+		if d != nil { // the rest of it is of no use
+			o := outcome(a)
+			if o == balance.Served {
+				o = balance.Errored // a good answer to what was not all asked, or that another was quicker than
+			}
+			p.book(d, o, nil, now)
 		}
 		return
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -301,3 +301,59 @@
 		t.Fatal("an error hides its cause")
 	}
 }
+
+// A host that begins a long good answer before all of the call was sent, or beside another's that is being passed on, is at
+// fault or late; neither may reach the client.
+func TestEarlyPieces(t *testing.T) {
+	for name, spoil := range map[string]func(r *req, c *hostConn){
+		"early":  func(r *req, c *hostConn) { c.given.Add(10) },
+		"second": func(r *req, c *hostConn) { r.relay = &hostConn{} },
+		"ended":  func(r *req, c *hostConn) { r.ended = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := testProxy(t)
+			c, _ := parked(t, p, 1)
+			p.unpark(c)
+			nb, other := pair(t)
+			cl := &client{wire: wire{nb: nb}}
+			r := &req{id: 1, client: cl, outs: 1}
+			cl.req = r
+			d := &dispatch{req: r, host: p.host("s"), conn: c, out: true}
+			c.carries = d
+			spoil(r, c)
+			p.begins(c, http1.Answer{Status: 200, Piece: http1.First, Length: 100000, Body: []byte("x")}, 100)
+			if d.out || !c.closed || p.count.Outcomes[balance.Errored] != 1 || cl.given.Load() != 0 {
+				t.Errorf("out %v, closed %v, %v, %d bytes to the client", d.out, c.closed, p.count.Outcomes, cl.given.Load())
+			}
+			_ = other
+		})
+	}
+}
+
+// What is in transit stops the reading at its bound and lets it go on once the other side has taken it.
+func TestTransit(t *testing.T) {
+	p := testProxy(t)
+	nb, _ := pair(t)
+	from := &client{wire: wire{nb: nb}}
+	to := &wire{}
+	most := p.transit.Load()
+	from.transit.Store(most)
+	if from.room(most) || !from.stalled.Load() {
+		t.Fatal("reading goes on past the bound")
+	}
+	to.given.Store(most)
+	if p.moved(from, most, to); !to.hungry.Load() || from.transit.Load() != most {
+		t.Fatalf("let go of %d before the other side has taken anything", most-from.transit.Load())
+	}
+	to.took.Store(most)
+	if p.moved(from, 0, to); from.transit.Load() != 0 || from.stalled.Load() {
+		t.Fatalf("%d in transit, stalled %v once all was taken", from.transit.Load(), from.stalled.Load())
+	}
+	for range 300 {
+		p.clients = append(p.clients, &client{flow: &flow{}})
+	}
+	p.start.Memory = 32 << 20
+	if p.portion(1); p.transit.Load() >= most || p.transit.Load() < leastTransit {
+		t.Errorf("got %d bytes each for 300 bodies within 32 MB", p.transit.Load())
+	}
+}
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -9,7 +9,7 @@
 
 // final gives a req its one final answer, counted by its kind.
 func (p *Proxy) final(r *req, kind *int, a http1.Answer) {
-	if r == nil || r.ended {
+	if r == nil || r.ended || r.relay != nil { // what is being passed on is the answer
 		return
 	}
 	*kind++
