--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,6 +41,7 @@
 	nearer      = 70.0    // times the price of crossing zones: extra weight of a server in the own zone
 	quiet       = 3.0     // typical answer times without an answer after which a server counts as silent
 	span        = 4 * sec // over which rates are remembered
+	lull        = 20.0    // usual gaps between answers, and a second, without a req: the rate begins anew
 	calmLeast   = 2.0     // what may always be in flight in calm, where that is below one and all are healthy
 	jammed      = 0.65    // mean time of dispatches over response target at which it is down to its share
 	hedge       = 0.3     // part of the response target after which a second dispatch may go out,
@@ -99,6 +100,7 @@
 	dice              draw.Dice
 	askAt             int64 // when the list is to be asked again; 0: subscribed
 	wake, begun, pace int64 // pace: the shortest response target
+	reqAt             int64 // when the latest req came
 	inflight, healthy int
 	late              [2]float64   // part of dispatches that time out, over connections in use and rested
 	jam               float64      // mean time of dispatches of late over their response target
@@ -111,7 +113,7 @@
 
 // New makes an instance; the list follows as Listed(Restored).
 func New(t Terms, now int64) *Balancer {
-	b := &Balancer{reqs: map[uint64]*req{}, begun: now}
+	b := &Balancer{reqs: map[uint64]*req{}, begun: now, reqAt: now}
 	b.dice.Seed = t.Seed
 	b.Retune(t)
 	if t.MustAsk {
@@ -145,6 +147,12 @@
 func (b *Balancer) Req(a Arrival, now int64) {
 	r := &req{Arrival: a, rules: &RuleSet{Effect: NonReplayable, ResponseTarget: a.Budget}, taken: now}
 	r.most = b.t.MaxDispatches
+	// After a lull, as when its clients were sent away, what it measured of its rate is of the past.
+	usual := float64(span) / max(1, b.rate.Now(now, span))
+	if float64(now-b.reqAt) > max(float64(sec), lull*usual) {
+		b.begun, b.rate = now, fade.Count{At: now}
+	}
+	b.reqAt = now
 	if i := slices.IndexFunc(b.t.RuleSets, func(x RuleSet) bool { return x.Name == a.RuleSet }); i >= 0 {
 		r.rules = &b.t.RuleSets[i]
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -620,3 +620,32 @@
 		t.Errorf("got %d dispatches alone and %d beside another, caps %v and %v, want half", one, two, full, half)
 	}
 }
+
+// A balancer whose clients come back after a lull is not held to the rate that has faded meanwhile; one that has always little
+// traffic is.
+func TestLull(t *testing.T) {
+	bound := func(gap int64, answers int) float64 {
+		b := fleet(4, func(t *Terms) { t.Copies = 2 })
+		b.begun = -100 * sec
+		take(b, 1, "once", "k")
+		for range answers {
+			b.rate.Add(0, span)
+		}
+		b.Req(Arrival{ID: 2, RuleSet: "once", Budget: 2 * sec}, gap)
+		for at := gap; at < gap+sec/2; at += sec / 200 { // 200 answers a second
+			b.rate.Add(at, span)
+		}
+		return b.bound(b.reqs[2], gap+sec/2)
+	}
+	steady, back := bound(sec/100, 0), bound(4*sec, 800)
+	if back < 2*steady || back < 50 {
+		t.Errorf("got room for %.1f half a second after a lull, %.1f without one, want the rate of that half second to count", back, steady)
+	}
+	b := fleet(4, nil)
+	b.begun = -100 * sec
+	take(b, 1, "once", "k")
+	b.rate.Add(0, span)
+	if b.Req(Arrival{ID: 2, RuleSet: "once", Budget: 2 * sec}, 3*sec); b.begun != -100*sec {
+		t.Error("a usual gap counts as a lull")
+	}
+}
