Tests of an upgrade whose processes are killed, and of keys through the laboratory; recovery by size of log

Either process of an upgrade killed: the other serves on, keeps the host that was taken out, and takes it back.

--- a/cmd/ivybank/bulk_test.go
+++ b/cmd/ivybank/bulk_test.go
@@ -141,27 +141,19 @@
 func TestLargeBodies(t *testing.T) {
 	want := sum(t, &stuff{size: large / 4})
 	h := newHost(t, nil)
-	go func() {
-		for {
-			c, err := h.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				x := sha256.New()
-				n, err := io.Copy(x, r.Body)
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, text(200, "", fmt.Sprintf("%d %x", n, x.Sum(nil)[:8])))
-			}()
+	h.each(func(c net.Conn) {
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
 		}
-	}()
+		x := sha256.New()
+		n, err := io.Copy(x, r.Body)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, text(200, "", fmt.Sprintf("%d %x", n, x.Sum(nil)[:8])))
+	})
 	p := begin(t, nowhere, 1024, entry("s-1", h.Addr().String(), "ready"))
 	done := make(chan string)
 	const many = 12
@@ -281,17 +273,11 @@
 	})
 	t.Run("a host breaks off while it is sent a body", func(t *testing.T) {
 		bad := newHost(t, nil)
-		go func() {
-			for {
-				c, err := bad.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = io.ReadFull(c, make([]byte, 100000))
-				_ = c.(*net.TCPConn).SetLinger(0)
-				_ = c.Close()
-			}
-		}()
+		bad.each(func(c net.Conn) {
+			_, _ = io.ReadFull(c, make([]byte, 100000))
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		})
 		p := begin(t, nowhere, 1024, entry("s-1", bad.Addr().String(), "ready"))
 		conn, in := p.dial(t)
 		go func() {
@@ -308,16 +294,10 @@
 	})
 	t.Run("a host turns a body away early", func(t *testing.T) {
 		h := newHost(t, nil)
-		go func() {
-			for {
-				c, err := h.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = io.ReadFull(c, make([]byte, 70000))
-				_, _ = io.WriteString(c, text(503, "Not-Started: 1\r\n", ""))
-			}
-		}()
+		h.each(func(c net.Conn) {
+			_, _ = io.ReadFull(c, make([]byte, 70000))
+			_, _ = io.WriteString(c, text(503, "Not-Started: 1\r\n", ""))
+		})
 		p := begin(t, nowhere, 1024, entry("s-1", h.Addr().String(), "ready"))
 		conn, in := p.dial(t)
 		sent := make(chan error)
--- a/cmd/ivybank/daily_test.go
+++ b/cmd/ivybank/daily_test.go
@@ -345,3 +345,52 @@
 		})
 	}
 }
+
+// Either process of an upgrade may be killed at any moment: the other goes on, with all that the platform gives and all holds.
+func TestUpgradeKilled(t *testing.T) {
+	one, two := newHost(t, saying(text(200, "", "one"), true)), newHost(t, saying(text(200, "", "two"), true))
+	d := newRegistry(t)
+	p := prepare(t, d.addr, 1024, entry("s-1", one.Addr().String(), "ready"), entry("s-2", two.Addr().String(), "ready"))
+	p.listener = inherit(t, p.addr)
+	p.start(t)
+	if got := p.operate(t, "PUT", "/hosts/s-1/maint"); got != 200 {
+		t.Fatalf("got %d", got)
+	}
+	before := one.seen()
+	served := func(p *program, what string) {
+		t.Helper()
+		for i := range 30 {
+			c, in := p.dial(t)
+			_, _ = io.WriteString(c, strings.Replace(call("GET", fmt.Sprint(what, i), "again", ""), "Key: k", fmt.Sprint("Key: k", i), 1))
+			r, err := http.ReadResponse(in, nil)
+			if err != nil || r.StatusCode != 200 {
+				t.Fatalf("%s: got %v, %v", what, r, err)
+			}
+			_ = c.Close()
+		}
+		if one.seen() != before {
+			t.Fatalf("%s: a host that is out got a req", what)
+		}
+	}
+	alone := func(p *program) {
+		t.Helper()
+		eventually(t, "it knows that it is alone", func() bool {
+			return p.out.count("beside this one: false") == p.out.count("beside this one: true")/2 || p.out.count("beside this one: false") > 0
+		})
+	}
+	next := p.beside(t)
+	next.start(t)
+	_ = next.Process.Kill()
+	_ = next.Wait()
+	alone(p)
+	served(p, "the new one killed")
+	next = p.beside(t)
+	next.start(t)
+	_ = p.Process.Kill()
+	_ = p.Wait()
+	alone(next)
+	served(next, "the old one killed")
+	if got := next.operate(t, "PUT", "/hosts/s-1/ready"); got != 200 {
+		t.Errorf("got %d for the host that the killed one took out", got)
+	}
+}
--- a/cmd/ivybank/helpers_test.go
+++ b/cmd/ivybank/helpers_test.go
@@ -57,19 +57,23 @@
 	}
 	h := &standin{Listener: l}
 	t.Cleanup(func() { _ = l.Close() })
-	if reply == nil {
-		return h // the test accepts
+	if reply != nil { // else the test says what to do with each connection
+		h.each(func(c net.Conn) { h.serve(c, reply) })
 	}
+	return h
+}
+
+// each takes every connection of a host, one beside another.
+func (h *standin) each(do func(c net.Conn)) {
 	go func() {
 		for {
-			c, err := l.Accept()
+			c, err := h.Accept()
 			if err != nil {
 				return
 			}
-			go h.serve(c, reply)
+			go do(c)
 		}
 	}()
-	return h
 }
 
 func (h *standin) serve(c net.Conn, reply func(net.Conn, *http.Request) bool) {
--- a/cmd/ivybank/keys_test.go
+++ b/cmd/ivybank/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/csv"
 	"fmt"
 	"io"
 	"net"
@@ -395,3 +396,50 @@
 		}
 	})
 }
+
+// A small form of lab/experiments/keys.toml: clients that retry hard through a kill of the proxy, resets and a crash, judged by the
+// servers' counts; and the same without keys, where they have to show that filings ran twice.
+func TestKeysLab(t *testing.T) {
+	text, err := os.ReadFile("../../lab/experiments/keys.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	folder := t.TempDir()
+	operator, err := os.ReadFile("../../lab/experiments/operator/keys-disk.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(filepath.Join(folder, "operator"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	write(t, filepath.Join(folder, "operator"), "keys-disk.toml", string(operator))
+	small := strings.NewReplacer("length = \"25s\"", "length = \"6s\"", "rate = 850.0", "rate = 300.0", "at = \"3s\"", "at = \"1s\"", "at = \"6s\"", "at = \"2s\"",
+		"at = \"12s\"", "at = \"2500ms\"", "at = \"15s\"", "at = \"3s\"", "at = \"19s\"", "at = \"4500ms\"").Replace(string(text))
+	write(t, folder, "keys.toml", small)
+	out, errs, code := ivybank(t, folder, "lab", "run", "keys.toml")
+	if code != 0 {
+		t.Fatalf("got %d: %s%s", code, out, errs)
+	}
+	f, err := os.Open(filepath.Join(folder, "found", "keys", "runs.csv"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	rows, err := csv.NewReader(f).ReadAll()
+	if err != nil || len(rows) != 3 {
+		t.Fatalf("got %d rows, %v", len(rows), err)
+	}
+	at := map[string]int{}
+	for i, name := range rows[0] {
+		at[name] = i
+	}
+	for _, row := range rows[1:] {
+		broken := row[at["breaches_1"]] != "0" || row[at["breaches_2"]] != "0"
+		if keys := row[at["variant"]] == "on disk"; keys && broken {
+			t.Errorf("with keys: rule 1 %s times, rule 2 %s times: %s", row[at["breaches_1"]], row[at["breaches_2"]], out)
+		}
+		if row[at["done"]] == "0" {
+			t.Errorf("%s: nothing was done: %s", row[at["variant"]], out)
+		}
+	}
+}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -290,16 +290,20 @@
 }
 
 func BenchmarkRecovery(b *testing.B) {
-	text := []byte(header)
-	for i := range 100000 {
-		text = appendRecord(text, record(i, End))
-	}
-	b.SetBytes(int64(len(text)))
-	for b.Loop() {
-		n := 0
-		if _, _, err := Read(text, func(Record) { n++ }); err != nil || n != 100000 {
-			b.Fatal(n, err)
-		}
+	for _, size := range []int{10000, 100000, 1000000} {
+		b.Run(fmt.Sprint("records ", size), func(b *testing.B) {
+			text := []byte(header)
+			for i := range size {
+				text = appendRecord(text, record(i, End))
+			}
+			b.SetBytes(int64(len(text)))
+			for b.Loop() {
+				n := 0
+				if _, _, err := Read(text, func(Record) { n++ }); err != nil || n != size {
+					b.Fatal(n, err)
+				}
+			}
+		})
 	}
 }
 
