A body that the kernel did not take at once has its time; the ledger is tidied without a look at every key

Found on a last reading. stuck looked at a body's way to its host in the moment of the first write: where the kernel had not taken all of it at once, the dispatch was given up on the spot. Now the first look comes after the time that a body may stand still. Tests for both.

--- a/once/once.go
+++ b/once/once.go
@@ -4,11 +4,13 @@
 package once
 
 import (
-	"cmp"
 	"container/heap"
 	"slices"
 )
 
+// perKey is about what a key holds beside its answer.
+const perKey = 300
+
 // Key names one attempt of a client's, whatever it is sent with.
 type Key struct{ Tenant, RuleSet, Name string }
 
@@ -67,15 +69,6 @@
 	due    int      // place among those that end; -1: open
 }
 
-// Size is about what an entry holds in memory.
-func (e *Entry) Size() int64 {
-	n := int64(200 + len(e.Key.Tenant) + len(e.Key.RuleSet) + len(e.Key.Name) + len(e.Answer.Body))
-	for _, f := range e.Answer.Fields {
-		n += int64(len(f[0]) + len(f[1]) + 32)
-	}
-	return n
-}
-
 // Kind is what a req with a key is to do.
 type Kind int
 
@@ -216,16 +209,16 @@
 	}
 }
 
-// Entries are all keys, by name, for a record written anew or for people.
+// Live is about what all keys hold, without looking at each.
+func (b *Book) Live() int64 { return int64(len(b.entries))*perKey + b.answers }
+
+// Entries are all keys, in no order, for a record written anew.
 func (b *Book) Entries(now int64) []*Entry {
 	b.forget(now)
 	all := make([]*Entry, 0, len(b.entries))
 	for _, e := range b.entries {
 		all = append(all, e)
 	}
-	slices.SortFunc(all, func(x, y *Entry) int {
-		return cmp.Or(cmp.Compare(x.Key.Tenant, y.Key.Tenant), cmp.Compare(x.Key.RuleSet, y.Key.RuleSet), cmp.Compare(x.Key.Name, y.Key.Name))
-	})
 	return all
 }
 
--- a/proxy/flow.go
+++ b/proxy/flow.go
@@ -108,21 +108,20 @@
 	p.moved(f.from, n, nil)
 }
 
-// stuck looks whether a body still gets on towards its host; one that stands still is given up.
-func (p *Proxy) stuck(d *dispatch, took, now int64) {
-	f := d.req.flow
-	if !d.out || f.sent && d.conn != nil && d.conn.written() {
-		return
-	}
-	if c := d.conn; c != nil {
-		if is := c.acked(); is != took || c.written() {
-			took = is
-		} else {
+// stuck looks from time to time whether a body still gets on towards its host; one that stands still is given up.
+func (p *Proxy) stuck(d *dispatch, acked, now int64) {
+	p.after(now, stall, func(now int64) {
+		c := d.conn
+		if !d.out || c == nil || d.allSent() {
+			return
+		}
+		is := c.acked()
+		if is == acked && !c.written() {
 			p.giveUp(d, balance.TimedOut, now)
 			return
 		}
-	}
-	p.after(now, stall, func(now int64) { p.stuck(d, took, now) })
+		p.stuck(d, is, now)
+	})
 }
 
 // begins passes the head of an answer on; from here it is the client's.
--- a/proxy/once.go
+++ b/proxy/once.go
@@ -116,12 +116,8 @@
 // tidyLedger has the ledger written anew once most of it is of the past.
 func (p *Proxy) tidyLedger(now int64) {
 	k := p.keys
-	entries := k.book.Entries(now)
-	live := int64(0)
-	for _, e := range entries {
-		live += e.Size()
-	}
-	if size := k.ledger.Size(); size > leastLedger && size > 2*live {
+	if size := k.ledger.Size(); size > leastLedger && size > 2*k.book.Live() {
+		entries := k.book.Entries(now)
 		all := make([]ledger.Record, 0, len(entries))
 		for _, e := range entries {
 			kind := ledger.End
--- /dev/null
+++ b/proxy/once_test.go
@@ -0,0 +1,74 @@
+package proxy
+
+import (
+	"fmt"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"ivybank/ledger"
+	"ivybank/once"
+)
+
+// A ledger that is mostly of the past is written anew, with what is live and nothing else; one that is live is left as it is.
+func TestTidyLedger(t *testing.T) {
+	p := testProxy(t)
+	file := filepath.Join(t.TempDir(), "keys.ledger")
+	p.start.Keys = &Keys{Header: "K", File: file, Terms: once.Terms{Most: 1 << 20, Bytes: 1 << 30, Largest: 1 << 16, Waiters: 1, Longest: 99,
+		Retain: map[string]int64{"once": int64(time.Hour)}}}
+	if err := p.openKeys(); err != nil {
+		t.Fatal(err)
+	}
+	k := p.keys
+	for i := range 3000 {
+		key := once.Key{RuleSet: "once", Name: fmt.Sprint(i)}
+		v := k.book.Arrive(key, once.Print{}, 1, p.now())
+		k.ledger.Append(ledger.Record{Kind: ledger.Begin, Entry: *v.Entry}, nil)
+		o, a := once.Denied, once.Answer{}
+		if i%100 == 0 {
+			o, a = once.Served, once.Answer{Status: 200, Kept: true, Body: []byte("x")}
+		}
+		e, _ := k.book.Ended(key, o, a, p.now())
+		kind := ledger.Free
+		if o == once.Served {
+			kind = ledger.End
+		}
+		e.Answer.Fields = [][2]string{{"X", string(make([]byte, 400))}} // what has ended weighs, too
+		k.ledger.Append(ledger.Record{Kind: kind, Entry: *e}, nil)
+	}
+	settled := func() {
+		t.Helper()
+		done := make(chan error)
+		k.ledger.Append(ledger.Record{Kind: ledger.Free, Entry: once.Entry{Key: once.Key{RuleSet: "once", Name: "0"}}}, func(err error) { done <- err })
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	settled()
+	before := k.ledger.Size()
+	if before < leastLedger {
+		t.Fatalf("got %d bytes, too few for this test", before)
+	}
+	p.tidyLedger(p.now())
+	settled()
+	after := k.ledger.Size()
+	if after > before/10 {
+		t.Errorf("got %d bytes of %d with 30 of 3000 keys live", after, before)
+	}
+	p.tidyLedger(p.now())
+	settled()
+	if again := k.ledger.Size(); again < after {
+		t.Errorf("got %d bytes of %d: what is live was written anew", again, after)
+	}
+	k.ledger.Close()
+	n := 0
+	l, _, err := ledger.Open(file, func(r ledger.Record) {
+		if r.Kind == ledger.End {
+			n++
+		}
+	})
+	if err != nil || n != 30 {
+		t.Errorf("got %d keys, %v, want the 30 that are live", n, err)
+	}
+	l.Close()
+}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -357,3 +357,34 @@
 		t.Errorf("got %d bytes each for 300 bodies within 32 MB", p.transit.Load())
 	}
 }
+
+// A body that the kernel did not take at once is no body that stands still: it has its time, and goes on while it moves.
+func TestStuck(t *testing.T) {
+	p := testProxy(t)
+	c, _ := parked(t, p, 1)
+	p.unpark(c)
+	d := &dispatch{req: &req{outs: 1, flow: &flow{}}, host: p.host("s"), conn: c, out: true}
+	c.carries = d
+	c.given.Store(100)
+	c.took.Store(40)
+	due := func() {
+		t.Helper()
+		if len(p.timers) != 1 {
+			t.Fatalf("got %d timers, want the next look", len(p.timers))
+		}
+		x := p.timers[0]
+		p.stop(x)
+		x.do(x.at)
+	}
+	p.stuck(d, 40, 1)
+	if !d.out || c.closed {
+		t.Fatal("given up at once")
+	}
+	c.took.Store(60)
+	if due(); !d.out {
+		t.Fatal("given up though it moved")
+	}
+	if due(); d.out || !c.closed || p.count.Outcomes[balance.NotSent] != 1 {
+		t.Fatalf("out %v, closed %v, %v, want it given up as never sent", d.out, c.closed, p.count.Outcomes)
+	}
+}
