Results name the commit also where the build leaves it out

Found on trying the README in a fresh clone: with buildvcs off each result said commit unknown. Now the folder that the program stands in is asked, and a change that is not committed shows as a plus.

--- a/cmd/ivybank/lab.go
+++ b/cmd/ivybank/lab.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime/debug"
 	"strings"
@@ -141,22 +142,25 @@
 	return nil
 }
 
-// commit is what the program was built from.
+// commit is what the program was built from. Where the build was told to leave that out, it is what the folder that the
+// program stands in holds now.
 func commit() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
 	at := map[string]string{}
-	for _, s := range info.Settings {
-		at[s.Key] = s.Value
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			at[s.Key] = s.Value
+		}
 	}
-	id := at["vcs.revision"]
-	if len(id) < 7 {
-		return "unknown"
+	if id := at["vcs.revision"]; len(id) >= 7 {
+		if at["vcs.modified"] == "true" {
+			return id[:7] + "+"
+		}
+		return id[:7]
 	}
-	if at["vcs.modified"] == "true" {
-		return id[:7] + "+"
+	if self, err := os.Executable(); err == nil {
+		if out, err := exec.Command("git", "-C", filepath.Dir(self), "describe", "--always", "--abbrev=7", "--dirty=+").Output(); err == nil {
+			return strings.TrimSpace(string(out))
+		}
 	}
-	return id[:7]
+	return "unknown"
 }
