Tidy-up: one way to hold a file's rules, to say that a client is idle, to read an experiment's runs

Nobody read the book's count of repeats (the proxy counts them) nor the fleet's number of balancers: both are gone.

--- a/cmd/ivybank/keys_test.go
+++ b/cmd/ivybank/keys_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/csv"
 	"fmt"
 	"io"
 	"net"
@@ -420,26 +419,17 @@
 	if code != 0 {
 		t.Fatalf("got %d: %s%s", code, out, errs)
 	}
-	f, err := os.Open(filepath.Join(folder, "found", "keys", "runs.csv"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	rows, err := csv.NewReader(f).ReadAll()
-	if err != nil || len(rows) != 3 {
-		t.Fatalf("got %d rows, %v", len(rows), err)
-	}
-	at := map[string]int{}
-	for i, name := range rows[0] {
-		at[name] = i
+	rows := played(t, folder, "keys")
+	if len(rows) != 2 {
+		t.Fatalf("got %d runs", len(rows))
 	}
-	for _, row := range rows[1:] {
-		broken := row[at["breaches_1"]] != "0" || row[at["breaches_2"]] != "0"
-		if keys := row[at["variant"]] == "on disk"; keys && broken {
-			t.Errorf("with keys: rule 1 %s times, rule 2 %s times: %s", row[at["breaches_1"]], row[at["breaches_2"]], out)
+	for _, row := range rows {
+		broken := row["breaches_1"] != "0" || row["breaches_2"] != "0"
+		if keys := row["variant"] == "on disk"; keys && broken {
+			t.Errorf("with keys: rule 1 %s times, rule 2 %s times: %s", row["breaches_1"], row["breaches_2"], out)
 		}
-		if row[at["done"]] == "0" {
-			t.Errorf("%s: nothing was done: %s", row[at["variant"]], out)
+		if row["done"] == "0" {
+			t.Errorf("%s: nothing was done: %s", row["variant"], out)
 		}
 	}
 }
--- a/cmd/ivybank/lab_test.go
+++ b/cmd/ivybank/lab_test.go
@@ -80,6 +80,28 @@
 	}
 }
 
+// played reads the runs that an experiment left, each by the names of its columns.
+func played(t *testing.T, folder, name string) (runs []map[string]string) {
+	t.Helper()
+	f, err := os.Open(filepath.Join(folder, "found", name, "runs.csv"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	rows, err := csv.NewReader(f).ReadAll()
+	if err != nil || len(rows) == 0 {
+		t.Fatalf("got %d rows, %v", len(rows), err)
+	}
+	for _, row := range rows[1:] {
+		run := map[string]string{}
+		for i, column := range rows[0] {
+			run[column] = row[i]
+		}
+		runs = append(runs, run)
+	}
+	return runs
+}
+
 // The built program is played against stand-ins on loopback, and table and chart are kept.
 func TestLabSockets(t *testing.T) {
 	text, err := os.ReadFile("../../lab/experiments/sockets.toml")
@@ -97,19 +119,11 @@
 	if code != 0 {
 		t.Fatalf("got %d: %s%s", code, out, errs)
 	}
-	f, err := os.Open(filepath.Join(folder, "found", "sockets", "runs.csv"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	rows, err := csv.NewReader(f).ReadAll()
-	if err != nil || len(rows) != 2 {
-		t.Fatalf("got %d rows, %v", len(rows), err)
-	}
-	got := map[string]string{}
-	for i, name := range rows[0] {
-		got[name] = rows[1][i]
+	rows := played(t, folder, "sockets")
+	if len(rows) != 1 {
+		t.Fatalf("got %d runs", len(rows))
 	}
+	got := rows[0]
 	for _, rule := range []string{"breaches_1", "breaches_2", "breaches_3", "breaches_4"} {
 		if got[rule] != "0" {
 			t.Errorf("%s=%s: %s", rule, got[rule], out)
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -123,6 +123,23 @@
 	}
 }
 
+// Rule is one thing that a file has to keep beyond the kinds of its fields.
+type Rule = struct {
+	Bad   bool
+	Field string
+	Want  string
+}
+
+// Keep tells of the first rule that is not kept, in a table of the file or, where that is empty, in all of it.
+func (f *File) Keep(table string, rules []Rule) error {
+	for _, r := range rules {
+		if r.Bad {
+			return f.Fault(table+r.Field, "%s", r.Want)
+		}
+	}
+	return nil
+}
+
 // Fault tells of a field; one that is missing is told where its table begins.
 func (f *File) Fault(field, format string, a ...any) error {
 	line := 0
--- a/conf/operator.go
+++ b/conf/operator.go
@@ -61,12 +61,7 @@
 	if k == nil {
 		return nil
 	}
-	type rule struct {
-		bad   bool
-		field string
-		want  string
-	}
-	rules := []rule{
+	rules := []Rule{
 		{k.Header == "" || strings.ContainsAny(k.Header, " :\t"), "header", "expected the name of a field"},
 		{k.Entries <= 0, "entries", "expected a number above 0"},
 		{k.Answers < 0, "answer_bytes", "expected 0 or more"},
@@ -79,16 +74,11 @@
 	names := map[string]bool{}
 	for i, r := range k.RuleSets {
 		p := fmt.Sprintf("ruleset.%d.", i)
-		rules = append(rules, rule{r.Name == "" || names[r.Name], p + "name", "expected a name of its own"},
-			rule{r.Retain <= 0, p + "retain", "expected a time above 0"})
+		rules = append(rules, Rule{r.Name == "" || names[r.Name], p + "name", "expected a name of its own"},
+			Rule{r.Retain <= 0, p + "retain", "expected a time above 0"})
 		names[r.Name] = true
 	}
-	for _, r := range rules {
-		if r.bad {
-			return f.Fault("idempotency."+r.field, "%s", r.want)
-		}
-	}
-	return nil
+	return f.Keep("idempotency.", rules)
 }
 
 // Apply puts it in force.
--- a/emu/fleet.go
+++ b/emu/fleet.go
@@ -48,14 +48,13 @@
 
 // Fleet is all of it.
 type Fleet struct {
-	Clock    Clock
-	Nature   Nature
-	Wire     Wire
-	Servers  []*Server // by id
-	Judge    *Judge
-	Balancer int // how many balancers there are
-	Log      func(format string, a ...any)
-	Kill     func() // kills the proxies and starts them again; nil in virtual time
+	Clock   Clock
+	Nature  Nature
+	Wire    Wire
+	Servers []*Server // by id
+	Judge   *Judge
+	Log     func(format string, a ...any)
+	Kill    func() // kills the proxies and starts them again; nil in virtual time
 
 	dice     draw.Dice
 	version  int64
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -146,12 +146,7 @@
 
 // check holds what one field cannot say by its kind.
 func (e *Experiment) check(f *conf.File) error {
-	type rule struct {
-		bad   bool
-		field string
-		want  string
-	}
-	rules := []rule{
+	rules := []conf.Rule{
 		{e.Format != Format, "format", fmt.Sprintf("expected %q", Format)},
 		{e.Name == "" || e.Name != filepath.Base(e.Name), "name", "expected a name that can be a folder's"},
 		{e.Mode != "virtual" && e.Mode != "sockets", "mode", "expected virtual or sockets"},
@@ -175,52 +170,47 @@
 	}
 	for i, m := range e.Fleet.Machines {
 		p := fmt.Sprintf("fleet.machine.%d.", i)
-		rules = append(rules, rule{m.Count <= 0, p + "count", "expected a number above 0"}, rule{m.Cores <= 0, p + "cores", "expected a number above 0"},
-			rule{m.Speed <= 0, p + "speed", "expected a number above 0"}, rule{m.Share <= 0, p + "share", "expected a number above 0"})
+		rules = append(rules, conf.Rule{m.Count <= 0, p + "count", "expected a number above 0"}, conf.Rule{m.Cores <= 0, p + "cores", "expected a number above 0"},
+			conf.Rule{m.Speed <= 0, p + "speed", "expected a number above 0"}, conf.Rule{m.Share <= 0, p + "share", "expected a number above 0"})
 	}
 	names := map[string]bool{}
 	for i, r := range e.RuleSets {
 		p := fmt.Sprintf("ruleset.%d.", i)
 		_, effect := effects[r.Effect]
 		_, group := groups[r.Group]
-		rules = append(rules, rule{r.Name == "" || names[r.Name], p + "name", "expected a name of its own"},
-			rule{!effect, p + "effect", "expected replayable, uniqued or non-replayable"}, rule{!group, p + "group", "expected all, zone or cell"},
-			rule{r.Target <= 0, p + "response_target", "expected a time above 0"}, rule{r.Share < 0, p + "share", "expected 0 or more"},
-			rule{r.Value < 0, p + "value", "expected 0 or more"})
+		rules = append(rules, conf.Rule{r.Name == "" || names[r.Name], p + "name", "expected a name of its own"},
+			conf.Rule{!effect, p + "effect", "expected replayable, uniqued or non-replayable"}, conf.Rule{!group, p + "group", "expected all, zone or cell"},
+			conf.Rule{r.Target <= 0, p + "response_target", "expected a time above 0"}, conf.Rule{r.Share < 0, p + "share", "expected 0 or more"},
+			conf.Rule{r.Value < 0, p + "value", "expected 0 or more"})
 		names[r.Name] = true
 	}
 	for i, x := range e.Faults {
 		p := fmt.Sprintf("fault.%d.", i)
 		_, known := emu.Kinds[x.Kind]
 		sized := slices.Contains([]string{"slow", "errors", "reset", "lossy", "late"}, x.Kind)
-		rules = append(rules, rule{!known, p + "kind", "no such kind of fault"}, rule{sized && x.Size <= 0, p + "size", "expected a number above 0"},
-			rule{x.Kind == "cut" && x.Zone == "", p + "zone", "expected the zone that is cut off"},
-			rule{x.Kind == "proxy_kill" && e.Mode != "sockets", p + "kind", "only on sockets is there a proxy to kill"})
+		rules = append(rules, conf.Rule{!known, p + "kind", "no such kind of fault"}, conf.Rule{sized && x.Size <= 0, p + "size", "expected a number above 0"},
+			conf.Rule{x.Kind == "cut" && x.Zone == "", p + "zone", "expected the zone that is cut off"},
+			conf.Rule{x.Kind == "proxy_kill" && e.Mode != "sockets", p + "kind", "only on sockets is there a proxy to kill"})
 	}
 	variants := map[string]bool{}
 	for i, v := range e.Variants {
 		p := fmt.Sprintf("variant.%d.", i)
-		rules = append(rules, rule{v.Name == "" || variants[v.Name], p + "name", "expected a name of its own"},
-			rule{e.Mode == "virtual" && !slices.Contains(Policies, v.Policy), p + "policy", fmt.Sprintf("expected one of %v", Policies)},
-			rule{e.Mode == "sockets" && v.Policy != "", p + "policy", "on sockets the program decides"})
+		rules = append(rules, conf.Rule{v.Name == "" || variants[v.Name], p + "name", "expected a name of its own"},
+			conf.Rule{e.Mode == "virtual" && !slices.Contains(Policies, v.Policy), p + "policy", fmt.Sprintf("expected one of %v", Policies)},
+			conf.Rule{e.Mode == "sockets" && v.Policy != "", p + "policy", "on sockets the program decides"})
 		variants[v.Name] = true
 	}
 	if t := e.Trace; t != nil {
 		_, known := trace.Layouts[t.Layout]
-		rules = append(rules, rule{!known, "trace.layout", "no such layout"}, rule{t.File == "", "trace.file", "expected a file"},
-			rule{t.Speed <= 0, "trace.speed", "expected a number above 0"}, rule{t.Part <= 0 || t.Part > 1, "trace.part", "expected a part above 0 to 1"},
-			rule{t.Work <= 0, "trace.work", "expected a number above 0"}, rule{t.MostFor <= 0, "trace.most_work", "expected a time above 0"},
-			rule{t.Problems < 0, "trace.problems", "expected 0 or more"})
+		rules = append(rules, conf.Rule{!known, "trace.layout", "no such layout"}, conf.Rule{t.File == "", "trace.file", "expected a file"},
+			conf.Rule{t.Speed <= 0, "trace.speed", "expected a number above 0"}, conf.Rule{t.Part <= 0 || t.Part > 1, "trace.part", "expected a part above 0 to 1"},
+			conf.Rule{t.Work <= 0, "trace.work", "expected a number above 0"}, conf.Rule{t.MostFor <= 0, "trace.most_work", "expected a time above 0"},
+			conf.Rule{t.Problems < 0, "trace.problems", "expected 0 or more"})
 		for kind, set := range t.RuleSets {
-			rules = append(rules, rule{!names[set], "trace.rulesets." + kind, fmt.Sprintf("no rule set %q", set)})
-		}
-	}
-	for _, r := range rules {
-		if r.bad {
-			return f.Fault(r.field, "%s", r.want)
+			rules = append(rules, conf.Rule{!names[set], "trace.rulesets." + kind, fmt.Sprintf("no rule set %q", set)})
 		}
 	}
-	return nil
+	return f.Keep("", rules)
 }
 
 // Once narrows an experiment to one run of one policy in virtual time.
--- a/once/once.go
+++ b/once/once.go
@@ -95,7 +95,6 @@
 	due     dues           // those that have ended, the first to be forgotten first
 	answers int64          // bytes of kept answers
 	sealed  bool           // a key that is not known may have run all the same
-	Repeats int            // joined or told
 }
 
 // New makes a book without keys.
@@ -123,12 +122,10 @@
 	case e != nil && e.Print != p:
 		return Verdict{Conflict, e}
 	case e != nil && e.State != Open:
-		b.Repeats++
 		return Verdict{Told, e}
 	case e != nil && len(e.wait) >= b.t.Waiters:
 		return Verdict{Kind: Full}
 	case e != nil:
-		b.Repeats++
 		e.wait = append(e.wait, waiter)
 		return Verdict{Join, e}
 	case b.sealed || len(b.entries) >= b.t.Most:
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -52,7 +52,7 @@
 func (p *Proxy) ending(now int64) {
 	p.drain.ending = true
 	for _, c := range p.clients {
-		if c.free() && len(c.waiting) == 0 && !c.last {
+		if c.idle() && !c.last {
 			c.last = true
 			p.endClient(c, now)
 		}
@@ -114,7 +114,7 @@
 	}
 	var resting []*client
 	for _, c := range p.clients {
-		if c.free() && len(c.waiting) == 0 && !c.last && !c.coming && now-c.rests >= least && c.silent() {
+		if c.idle() && !c.last && !c.coming && now-c.rests >= least && c.silent() {
 			resting = append(resting, c)
 		}
 	}
--- a/proxy/intake.go
+++ b/proxy/intake.go
@@ -65,6 +65,9 @@
 // free says whether nothing of its is being answered.
 func (c *client) free() bool { return c.req == nil && c.waits == nil }
 
+// idle says whether nothing of its waits for its turn either.
+func (c *client) idle() bool { return c.free() && len(c.waiting) == 0 }
+
 func newClient(c *nbio.Conn) *client {
 	return &client{wire: wire{nb: c}, calls: http1.NewCalls()}
 }
@@ -96,7 +99,7 @@
 func (p *Proxy) closeResting(now, least int64) bool {
 	var longest *client
 	for _, c := range p.clients {
-		resting, need := c.free() && len(c.waiting) == 0 && (!c.last || c.written()), least
+		resting, need := c.idle() && (!c.last || c.written()), least
 		if c.asked && !c.last {
 			need = rest
 		}
@@ -231,7 +234,7 @@
 
 // word tells a client that waits for it to send its body, unless an answer is due before.
 func (p *Proxy) word(c *client) {
-	if c.expects && c.free() && len(c.waiting) == 0 && !c.closed && !c.last {
+	if c.expects && c.idle() && !c.closed && !c.last {
 		c.expects = false
 		c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
