Mended: the other process in the twin's test stays for as long as the test needs it

Cause: the stand-in for the other process waited in an empty select with no other goroutine, which the runtime ends as a deadlock, and kept no hold on its seat; where the test was slower than that it rightly saw no other process.

--- a/twin/twin_test.go
+++ b/twin/twin_test.go
@@ -6,17 +6,21 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"testing"
+	"time"
 )
 
 // TestMain is also the other process: it takes a place, says so and waits to be killed.
 func TestMain(m *testing.M) {
 	if path := os.Getenv("TWIN_OTHER"); path != "" {
-		if _, err := Take(path); err != nil {
+		seat, err := Take(path)
+		if err != nil {
 			panic(err)
 		}
 		fmt.Println("here")
-		select {}
+		time.Sleep(time.Hour) // a process of which all goroutines wait for ever is ended by the runtime
+		runtime.KeepAlive(seat)
 	}
 	os.Exit(m.Run())
 }
