--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,6 +48,8 @@
 	cheapWaste  = 0.1     // where wasted work costs no more than this
 	restFrom    = sec     // time without a dispatch after which connections count as rested
 	restLoss    = 0.25    // part lost over rested connections, past that of others, at which they are closed
+	keySpan     = 20 * sec // over which the reqs of keys are remembered
+	fullKey     = 0.5     // part of what a server gets by the mean that one key may bring it alone
 	askApart    = 5e6     // time that calls for the list are spread over, for each balancer
 )
 
@@ -108,6 +110,8 @@
 	unit              float64      // typical time for each place in flight at a server of listed size 1
 	rate              fade.Count   // answers
 	served            []fade.Count // dispatches of each tenant
+	keys              [1024]fade.Count // reqs by hash of their key, and of all keys
+	arrived           fade.Count
 	planned, dazed    bool
 }
 
@@ -161,10 +165,26 @@
 		b.start(r, now)
 	}
 	r.luck = b.dice.Next()
-	r.Key = cmp.Or(r.Key, fmt.Sprint(r.luck)) // without a key chance decides
+	r.Key = cmp.Or(b.partOf(r.Key, r.luck, now), fmt.Sprint(r.luck)) // without a key chance decides
 	b.reqs[a.ID], b.open = r, append(b.open, r)
 }
 
+// partOf names the part of a key that a req belongs to: one that alone would fill a server has several, each
+// with an order of servers of its own, the same for all balancers.
+func (b *Balancer) partOf(key string, luck float64, now int64) string {
+	if key == "" {
+		return key
+	}
+	c := &b.keys[int(draw.Hash(key, "")*float64(len(b.keys)))]
+	c.Add(now, keySpan)
+	b.arrived.Add(now, keySpan)
+	parts := math.Ceil((c.N - 1) / b.arrived.N * float64(len(b.servers)) / fullKey)
+	if n := int(luck * parts); n > 0 {
+		return fmt.Sprint(key, "/", n)
+	}
+	return key
+}
+
 // start starts a req's time. What comes past the response target is worth little: it ends before it.
 func (b *Balancer) start(r *req, now int64) {
 	r.taken, r.giveUp = now, now+r.Budget
