--- a/balance/balance.go
+++ b/balance/balance.go
@@ -110,6 +110,7 @@
 	unit              float64      // typical time for each place in flight at a server of listed size 1
 	rate              fade.Count   // answers
 	served            []fade.Count // dispatches of each tenant
+	target            float64           // mean response target of reqs
 	keys              [1024]fade.Count // reqs by hash of their key, and of all keys
 	arrived           fade.Count
 	planned, dazed    bool
@@ -134,8 +135,9 @@
 			served[i] = b.served[was]
 		}
 	}
-	b.t, b.served, b.pace = t, served, firstBackoff
+	b.t, b.served, b.pace, b.target = t, served, firstBackoff, 0
 	for _, x := range t.RuleSets {
+		b.target += (float64(x.ResponseTarget)) / float64(len(t.RuleSets))
 		b.pace = min(b.pace, x.ResponseTarget)
 	}
 	for _, r := range b.open {
@@ -160,6 +162,7 @@
 	if i := slices.IndexFunc(b.t.RuleSets, func(x RuleSet) bool { return x.Name == a.RuleSet }); i >= 0 {
 		r.rules = &b.t.RuleSets[i]
 	}
+	b.target += 0.01 * (float64(r.rules.ResponseTarget) - b.target)
 	r.tenant = b.tenant(a.Tenant)
 	if r.giveUp = math.MaxInt64; !a.Open {
 		b.start(r, now)
@@ -648,7 +651,7 @@
 		calm := max(1, calmLeast*float64(b.healthy)/float64(len(b.servers)))
 		least += (calm-least)*max(0, 1-math.Pow(b.jam/jammed, 6)) - r.luck
 	}
-	return least + b.rate.Now(now, span)*flightShare*float64(r.rules.ResponseTarget)/float64(past)
+	return least + b.rate.Now(now, span)*flightShare*b.target/float64(past)
 }
 
 // part is this balancer's part of what may always be in flight.
