--- a/balance/balance.go
+++ b/balance/balance.go
@@ -548,7 +548,7 @@
 
 // secondAt is when, where waste is cheap, a copy may join a dispatch: many balancers know servers too little.
 func (b *Balancer) secondAt(r *req) int64 {
-	if r.outs != 1 || b.part() >= 1 || b.t.WastePrice > cheapWaste || !b.canSend(r) {
+	if r.outs != 1 || b.t.WastePrice > cheapWaste || !b.canSend(r) {
 		return math.MaxInt64
 	}
 	return r.sends[len(r.sends)-1].sent + int64(hedge*float64(r.rules.ResponseTarget))
