--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,29 +28,29 @@
 	mostBackoff  = 30 * sec
 	recovered    = 0.9 // health at which a server's backoff starts anew
 
-	skipOver    = 1.6     // a server is skipped past this multiple of its share of what is in flight,
-	skipSlack   = 2.0     // and this many dispatches more
-	aimShare    = 0.14    // part of the response target that a server's own in-flight may fill,
-	few         = 4.0     // balancers; where there are fewer, each may fill more while servers are out
-	leastShare  = 1.5     // servers for each balancer times this may always be in flight,
-	flightShare = 0.3     // part of the response target whose worth of answers may be in flight
-	spill       = 3       // servers of its own rank order that a req may go to
-	holdShare   = 0.08    // part of the response target that a req may be held
-	newcomer    = 2.0     // in-flight cap of a new server, until it has answered
-	coldShare   = 1.6     // times the mean rate at warm servers that a cold one may get, by its warmth
-	nearer      = 70.0    // times the price of crossing zones: extra weight of a server in the own zone
-	quiet       = 3.0     // typical answer times without an answer after which a server counts as silent
-	span        = 4 * sec // over which rates are remembered
-	lull        = 20.0    // usual gaps between answers, and a second, without a req: the rate begins anew
-	calmLeast   = 2.0     // what may always be in flight in calm, where that is below one and all are healthy
-	jammed      = 0.65    // mean time of dispatches over response target at which it is down to its share
-	hedge       = 0.3     // part of the response target after which a second dispatch may go out,
-	cheapWaste  = 0.1     // where wasted work costs no more than this
-	restFrom    = sec     // time without a dispatch after which connections count as rested
-	restLoss    = 0.25    // part lost over rested connections, past that of others, at which they are closed
+	skipOver    = 1.6      // a server is skipped past this multiple of its share of what is in flight,
+	skipSlack   = 2.0      // and this many dispatches more
+	aimShare    = 0.14     // part of the response target that a server's own in-flight may fill,
+	few         = 4.0      // balancers; where there are fewer, each may fill more while servers are out
+	leastShare  = 1.5      // servers for each balancer times this may always be in flight,
+	flightShare = 0.3      // part of the response target whose worth of answers may be in flight
+	spill       = 3        // servers of its own rank order that a req may go to
+	holdShare   = 0.08     // part of the response target that a req may be held
+	newcomer    = 2.0      // in-flight cap of a new server, until it has answered
+	coldShare   = 1.6      // times the mean rate at warm servers that a cold one may get, by its warmth
+	nearer      = 70.0     // times the price of crossing zones: extra weight of a server in the own zone
+	quiet       = 3.0      // typical answer times without an answer after which a server counts as silent
+	span        = 4 * sec  // over which rates are remembered
+	lull        = 20.0     // usual gaps between answers, and a second, without a req: the rate begins anew
+	calmLeast   = 2.0      // what may always be in flight in calm, where that is below one and all are healthy
+	jammed      = 0.65     // mean time of dispatches over response target at which it is down to its share
+	hedge       = 0.3      // part of the response target after which a second dispatch may go out,
+	cheapWaste  = 0.1      // where wasted work costs no more than this
+	restFrom    = sec      // time without a dispatch after which connections count as rested
+	restLoss    = 0.25     // part lost over rested connections, past that of others, at which they are closed
 	keySpan     = 20 * sec // over which the reqs of keys are remembered
-	fullKey     = 0.5     // part of what a server gets by the mean that one key may bring it alone
-	askApart    = 5e6     // time that calls for the list are spread over, for each balancer
+	fullKey     = 0.2      // part of what a server gets by the mean that one key may bring it alone
+	askApart    = 5e6      // time that calls for the list are spread over, for each balancer
 )
 
 // dispatch is one attempt for a req.
@@ -104,13 +104,13 @@
 	wake, begun, pace int64 // pace: the shortest response target
 	reqAt             int64 // when the latest req came
 	inflight, healthy int
-	late              [2]float64   // part of dispatches that time out, over connections in use and rested
-	jam               float64      // mean time of dispatches of late over their response target
-	mean              float64      // health of the servers
-	unit              float64      // typical time for each place in flight at a server of listed size 1
-	rate              fade.Count   // answers
-	served            []fade.Count // dispatches of each tenant
-	target            float64           // mean response target of reqs
+	late              [2]float64       // part of dispatches that time out, over connections in use and rested
+	jam               float64          // mean time of dispatches of late over their response target
+	mean              float64          // health of the servers
+	unit              float64          // typical time for each place in flight at a server of listed size 1
+	rate              fade.Count       // answers
+	served            []fade.Count     // dispatches of each tenant
+	target            float64          // mean response target of reqs
 	keys              [1024]fade.Count // reqs by hash of their key, and of all keys
 	arrived           fade.Count
 	planned, dazed    bool
@@ -191,7 +191,7 @@
 // start starts a req's time. What comes past the response target is worth little: it ends before it.
 func (b *Balancer) start(r *req, now int64) {
 	r.taken, r.giveUp = now, now+r.Budget
-	if r.rules.OverdueValue <= 0 {
+	if r.rules.OverdueValue <= 0 || b.t.Tail > 0 && r.rules.harmless() {
 		r.giveUp = min(r.giveUp, now+r.rules.ResponseTarget)
 	}
 	r.giveUp -= 2 * b.t.Tick
@@ -565,9 +565,13 @@
 	b.drop(r)
 }
 
+// harmless says whether a req may be denied also when it may have run.
+func (x *RuleSet) harmless() bool {
+	return x.Effect == Replayable || x.Effect == Uniqued && x.Group == GroupAll
+}
+
 func (b *Balancer) canDeny(r *req) bool {
-	harmless := r.rules.Effect == Replayable || r.rules.Effect == Uniqued && r.rules.Group == GroupAll
-	return harmless || !slices.ContainsFunc(r.sends, func(d *dispatch) bool { return d.maybe })
+	return r.rules.harmless() || !slices.ContainsFunc(r.sends, func(d *dispatch) bool { return d.maybe })
 }
 
 // canSend says whether the rules leave room for a further dispatch to some server.
--- a/balance/types.go
+++ b/balance/types.go
@@ -55,6 +55,7 @@
 	StartCapacity float64
 	RampTime      int64
 	CrossPrice    float64 // points for each dispatch that crosses zones
+	Tail          float64 // weight of the part of the score that late answers cost and early denials do not
 	WastePrice    float64 // points for work that served no answer, as much as was asked for
 	Tick          int64
 }
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -216,6 +216,7 @@
 		AskWithin: v.Int("Contract.AskWithinNs"), StartCapacity: v.Float("Contract.StartCapacity"),
 		RampTime: v.Int("Contract.RampTimeNs"), CrossPrice: v.Float("Prices.CrossZone"),
 		WastePrice: v.Float("Prices.Waste"), Tick: v.Int("TickNs"),
+		Tail: v.Float("ScoringMix.Tail"),
 	}
 	if v.Bool("Ceilings.RetryAfter") {
 		t.MaxAdvice = v.Int("Ceilings.MaxRetryAfterNs")
