--- a/balance/balance.go
+++ b/balance/balance.go
@@ -73,6 +73,7 @@
 	value            float64
 	sends            []*dispatch
 	tenant, outs     int
+	counted          int // dispatches in flight
 	ended, streaming bool
 	most             int     // dispatches that its terms allow
 	luck             float64 // a random number below 1
@@ -230,13 +231,17 @@
 
 func (b *Balancer) enter(d *dispatch) {
 	d.counts, d.srv.out = true, append(d.srv.out, d)
-	b.inflight++
+	if d.req.counted++; d.req.counted == 1 {
+		b.inflight++
+	}
 	d.rank = float64(len(d.srv.out))
 }
 
 func (b *Balancer) leave(d *dispatch) {
 	if d.counts {
-		d.counts, b.inflight = false, b.inflight-1
+		if d.counts, d.req.counted = false, d.req.counted-1; d.req.counted == 0 {
+			b.inflight--
+		}
 		d.srv.out = slices.DeleteFunc(d.srv.out, func(x *dispatch) bool { return x == d })
 	}
 }
