--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,6 +50,7 @@
 	restLoss    = 0.25     // part lost over rested connections, past that of others, at which they are closed
 	keySpan     = 20 * sec // over which the reqs of keys are remembered
 	fullKey     = 0.2      // part of what a server gets by the mean that one key may bring it alone
+	easeStep    = 0.1      // weight of the newest listed weight where they move with load
 	askApart    = 5e6      // time that calls for the list are spread over, for each balancer
 )
 
@@ -91,6 +92,7 @@
 	unit, lat              float64     // time for each place in flight, and of an answer; 0: not measured
 	grow, spent            float64     // in-flight cap that grows with answers; budget of a cold server, in reqs
 	cold, ready, score     float64     // part of its capacity by age; weight and score now
+	ease                   float64     // where listed weights move with load: their mean of late
 	blips                  float64     // part of its answers that followed a failure, which they refute
 }
 
@@ -107,7 +109,7 @@
 	inflight, healthy int
 	late              [2]float64       // part of dispatches that time out, over connections in use and rested
 	jam               float64          // mean time of dispatches of late over their response target
-	mean              float64          // health of the servers
+	mean, total       float64          // health of the servers; all that those to be picked can bear
 	unit              float64          // typical time for each place in flight at a server of listed size 1
 	rate              fade.Count       // answers
 	served            []fade.Count     // dispatches of each tenant
@@ -400,6 +402,11 @@
 	if s.Server, s.known = e, e.State != Gone; s.Share <= 0 {
 		s.Share = 1
 	}
+	if s.ease = cmp.Or(s.ease, s.Share); b.t.Live {
+		// A share that moves with load is no size: what is placed by it would wander. It only leans.
+		s.ease += easeStep * (s.Share - s.ease)
+		s.Share = 1
+	}
 }
 
 // warmth is the part of its capacity that a server has at the least, by its age.
@@ -518,9 +525,28 @@
 		b.dazed = dazed
 		b.log("dazed %v: %d of %d servers healthy", dazed, b.healthy, usable)
 	}
+	b.weigh()
 	return next
 }
 
+// weigh says what each server that may be picked can bear.
+func (b *Balancer) weigh() {
+	b.total = 0
+	for _, s := range b.servers {
+		s.ready = 0
+		if s.known && s.State == Running && (b.dazed || !s.ejected && !s.silent) {
+			s.ready = s.Share * s.cold
+			if s.unit > 0 {
+				s.ready *= math.Sqrt(b.unit / (s.unit * s.Share))
+			}
+			if b.t.Live {
+				s.ready *= s.ease
+			}
+			b.total += s.ready
+		}
+	}
+}
+
 // serve decides on one req and says when it is to be looked at again.
 func (b *Balancer) serve(r *req, now int64) int64 {
 	if now >= r.giveUp && !r.streaming {
@@ -608,20 +634,10 @@
 	if !b.canSend(r) || float64(b.inflight) >= b.bound(r, now) {
 		return nil
 	}
-	lot, total := fmt.Sprint(r.luck), 0.0
-	for _, s := range b.servers {
-		s.ready = 0
-		if s.known && s.State == Running && (b.dazed || !s.ejected && !s.silent) {
-			s.ready = s.Share * s.cold
-			if s.unit > 0 {
-				s.ready *= math.Sqrt(b.unit / (s.unit * s.Share))
-			}
-			total += s.ready
-		}
-	}
-	ranked, many := make([]*server, 0, len(b.servers)), b.t.Copies > len(b.servers)
+	var ranked [spill]*server
+	many, lot := b.t.Copies > len(b.servers), ""
 	for _, s := range b.servers {
-		if s.ready == 0 || !r.allowed(s, now) || !b.afford(s, s.ready/total, now) {
+		if s.ready == 0 || !r.allowed(s, now) || !b.afford(s, s.ready/b.total, now) {
 			continue
 		}
 		w := s.health * s.ready
@@ -637,14 +653,18 @@
 		h := draw.Hash(r.Key, s.ID)
 		if s.cold < 1 && many {
 			// Hundreds of balancers would push it over with one popular key: it gets its part of each key.
+			lot = cmp.Or(lot, fmt.Sprint(r.luck))
 			h = draw.Hash(lot, s.ID)
 		}
 		s.score = -w / math.Log(h)
-		ranked = append(ranked, s)
+		for i, x := 0, s; i < spill && x != nil; i++ {
+			if ranked[i] == nil || x.score > ranked[i].score {
+				ranked[i], x = x, ranked[i]
+			}
+		}
 	}
-	slices.SortStableFunc(ranked, func(x, y *server) int { return cmp.Compare(y.score, x.score) })
-	for i, s := range ranked[:min(spill, len(ranked))] {
-		if b.room(s, r, total, now) && (i == 0 || s.cold >= 1 || !many) {
+	for i, s := range ranked {
+		if s != nil && b.room(s, r, now) && (i == 0 || s.cold >= 1 || !many) {
 			return s
 		}
 	}
@@ -673,8 +693,8 @@
 }
 
 // room says whether a server may take one more: by rate times time, and by its share of what is in flight.
-func (b *Balancer) room(s *server, r *req, total float64, now int64) bool {
-	limit := min(s.grow, skipOver*s.ready/total*float64(b.inflight+1)+skipSlack)
+func (b *Balancer) room(s *server, r *req, now int64) bool {
+	limit := min(s.grow, skipOver*s.ready/b.total*float64(b.inflight+1)+skipSlack)
 	// While servers are out the others may fill more, unless many balancers would do so at once.
 	more := max(1, min(few/float64(max(2, b.t.Copies)), float64(len(b.servers))/float64(max(1, b.healthy))))
 	limit = min(limit, max(1, more*aimShare*float64(r.rules.ResponseTarget)/s.unit)) // unit 0: no limit
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -313,6 +313,7 @@
 
 func TestRendezvous(t *testing.T) {
 	tally := func(b *Balancer) map[string]float64 {
+		b.weigh()
 		n := map[string]float64{}
 		for i := range 20000 {
 			n[b.pick(&req{most: 3, rules: &b.t.RuleSets[0], Arrival: Arrival{Key: fmt.Sprint("key-", i)}}, 0).ID] += 1.0 / 20000
@@ -345,6 +346,7 @@
 	t.Run("little moves when a server leaves, and keys are not correlated", func(t *testing.T) {
 		b, c := fleet(5, nil), fleet(5, nil)
 		c.Listed(Changes, []Server{{ID: "e", State: Gone}}, 0)
+		c.weigh()
 		same := 0.0
 		last := ""
 		for i := range 20000 {
@@ -389,9 +391,9 @@
 			}
 			b.tend(0)
 			s, r := b.servers[7], take(b, 1, "once", "k")
-			s.ready, s.grow, s.unit = 1, 100, 0.1*float64(sec)
+			s.ready, b.total, s.grow, s.unit = 1, 1, 100, 0.1*float64(sec)
 			s.out = []*dispatch{{req: r}, {req: r}}
-			if got := b.room(s, r, 1, 0); got != c.want {
+			if got := b.room(s, r, 0); got != c.want {
 				t.Errorf("%d balancers, %d of 8 out: got room %v, want %v", c.copies, c.out, got, c.want)
 			}
 		}
@@ -399,6 +401,7 @@
 	t.Run("nothing new to a draining server", func(t *testing.T) {
 		b := fleet(2, nil)
 		b.Listed(Changes, []Server{{ID: "a", Zone: "z", State: Draining}}, 0)
+		b.weigh()
 		for i := range 100 {
 			if s := b.pick(&req{most: 3, rules: &b.t.RuleSets[0], Arrival: Arrival{Key: fmt.Sprint(i)}}, 0); s.ID == "a" {
 				t.Fatal("a draining server was picked")
--- a/balance/types.go
+++ b/balance/types.go
@@ -50,6 +50,7 @@
 	Parallel      bool // a second dispatch may be out at the same time
 	CanCancel     bool
 	MaxAdvice     int64 // the longest wait that a client honours, 0 where none is advised
+	Live          bool  // listed weights move with load
 	MustAsk       bool  // the list arrives only when asked for
 	AskWithin     int64
 	StartCapacity float64
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -212,6 +212,7 @@
 		Copies:        int(v.Int("FleetSize")),
 		MaxDispatches: int(v.Int("Ceilings.MaxDispatches")),
 		Parallel:      v.Bool("Ceilings.ParallelTries"), CanCancel: v.Bool("Ceilings.Cancel"),
+		Live:      v.At["Weights"] == "live",
 		MustAsk:   v.At["Discovery"] == "on_request",
 		AskWithin: v.Int("Contract.AskWithinNs"), StartCapacity: v.Float("Contract.StartCapacity"),
 		RampTime: v.Int("Contract.RampTimeNs"), CrossPrice: v.Float("Prices.CrossZone"),
