--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,7 +44,7 @@
 	lull        = 20.0     // usual gaps between answers, and a second, without a req: the rate begins anew
 	calmLeast   = 2.0      // what may always be in flight in calm, where that is below one and all are healthy
 	jammed      = 0.65     // mean time of dispatches over response target at which it is down to its share
-	hedge       = 0.3      // part of the response target after which a second dispatch may go out,
+	hedge       = 0.55      // part of the response target after which a second dispatch may go out,
 	cheapWaste  = 0.1      // where wasted work costs no more than this
 	restFrom    = sec      // time without a dispatch after which connections count as rested
 	restLoss    = 0.25     // part lost over rested connections, past that of others, at which they are closed
