--- a/balance/balance.go
+++ b/balance/balance.go
@@ -49,7 +49,7 @@
 	restFrom    = sec      // time without a dispatch after which connections count as rested
 	restLoss    = 0.25     // part lost over rested connections, past that of others, at which they are closed
 	keySpan     = 20 * sec // over which the reqs of keys are remembered
-	fullKey     = 0.2      // part of what a server gets by the mean that one key may bring it alone
+	fullKey     = 0.3      // part of what a server gets by the mean that one key may bring it alone
 	easeStep    = 0.1      // weight of the newest listed weight where they move with load
 	askApart    = 5e6      // time that calls for the list are spread over, for each balancer
 )
@@ -673,14 +673,15 @@
 
 // bound is what may be in flight, by rate and response target: many balancers could crowd all servers.
 func (b *Balancer) bound(r *req, now int64) float64 {
-	past := min(span, max(now-b.begun, sec/10))
+	// What a rate over the span holds of a shorter past.
+	past := float64(span) * (1 - math.Exp(-float64(max(now-b.begun, sec/10))/float64(span)))
 	least := b.part()
 	if least < 1 {
 		// One dispatch for each of hundreds is several a server: while answers are late fewer go, by chance.
 		calm := max(1, calmLeast*float64(b.healthy)/float64(len(b.servers)))
 		least += (calm-least)*max(0, 1-math.Pow(b.jam/jammed, 6)) - r.luck
 	}
-	return least + b.rate.Now(now, span)*flightShare*b.target/float64(past)
+	return least + b.rate.Now(now, span)*flightShare*b.target/past
 }
 
 // part is this balancer's part of what may always be in flight.
