--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,13 +44,14 @@
 	lull        = 20.0     // usual gaps between answers, and a second, without a req: the rate begins anew
 	calmLeast   = 2.0      // what may always be in flight in calm, where that is below one and all are healthy
 	jammed      = 0.65     // mean time of dispatches over response target at which it is down to its share
-	hedge       = 0.55      // part of the response target after which a second dispatch may go out,
+	hedge       = 0.55     // part of the response target after which a second dispatch may go out,
 	cheapWaste  = 0.1      // where wasted work costs no more than this
 	restFrom    = sec      // time without a dispatch after which connections count as rested
 	restLoss    = 0.25     // part lost over rested connections, past that of others, at which they are closed
 	keySpan     = 20 * sec // over which the reqs of keys are remembered
 	fullKey     = 0.3      // part of what a server gets by the mean that one key may bring it alone
 	easeStep    = 0.1      // weight of the newest listed weight where they move with load
+	preferred   = 0.15     // power of its value over the mean by which a req may fill more of what may be in flight
 	askApart    = 5e6      // time that calls for the list are spread over, for each balancer
 )
 
@@ -113,7 +114,7 @@
 	unit              float64          // typical time for each place in flight at a server of listed size 1
 	rate              fade.Count       // answers
 	served            []fade.Count     // dispatches of each tenant
-	target            float64          // mean response target of reqs
+	target, worth     float64          // mean response target and billing value of reqs
 	keys              [1024]fade.Count // reqs by hash of their key, and of all keys
 	arrived           fade.Count
 	planned, dazed    bool
@@ -138,9 +139,8 @@
 			served[i] = b.served[was]
 		}
 	}
-	b.t, b.served, b.pace, b.target = t, served, firstBackoff, 0
+	b.t, b.served, b.pace = t, served, firstBackoff
 	for _, x := range t.RuleSets {
-		b.target += (float64(x.ResponseTarget)) / float64(len(t.RuleSets))
 		b.pace = min(b.pace, x.ResponseTarget)
 	}
 	for _, r := range b.open {
@@ -165,8 +165,9 @@
 	if i := slices.IndexFunc(b.t.RuleSets, func(x RuleSet) bool { return x.Name == a.RuleSet }); i >= 0 {
 		r.rules = &b.t.RuleSets[i]
 	}
-	b.target += 0.01 * (float64(r.rules.ResponseTarget) - b.target)
 	r.tenant = b.tenant(a.Tenant)
+	r.value = b.value(r, now)
+	b.target, b.worth = mean(b.target, float64(r.rules.ResponseTarget)), mean(b.worth, r.value)
 	if r.giveUp = math.MaxInt64; !a.Open {
 		b.start(r, now)
 	}
@@ -191,6 +192,14 @@
 	return key
 }
 
+// mean follows what differs from req to req.
+func mean(old, newest float64) float64 {
+	if old == 0 {
+		return newest
+	}
+	return old + 0.01*(newest-old)
+}
+
 // start starts a req's time. What comes past the response target is worth little: it ends before it.
 func (b *Balancer) start(r *req, now int64) {
 	r.taken, r.giveUp = now, now+r.Budget
@@ -681,7 +690,11 @@
 		calm := max(1, calmLeast*float64(b.healthy)/float64(len(b.servers)))
 		least += (calm-least)*max(0, 1-math.Pow(b.jam/jammed, 6)) - r.luck
 	}
-	return least + b.rate.Now(now, span)*flightShare*b.target/past
+	full := least + b.rate.Now(now, span)*flightShare*b.target/past
+	if r.value > 0 && b.worth > 0 { // when short, the less valuable go first
+		full *= math.Pow(min(16, max(1.0/16, r.value/b.worth)), preferred)
+	}
+	return full
 }
 
 // part is this balancer's part of what may always be in flight.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -449,7 +449,7 @@
 		b := fleet(9, nil)
 		b.servers[0].ejected, b.servers[0].until = true, sec
 		b.tend(0)
-		b.rate.N, b.rate.At = 100*float64(span/sec), 10*sec
+		b.rate.N, b.rate.At = 100*float64(span/sec), 1000*sec
 		r := take(b, 1, "again", "k")
 		calm := calmLeast * 8 / 9 // one of nine is ejected
 		for _, c := range []struct {
@@ -459,7 +459,7 @@
 			{80, jammed, 0.1 * leastShare}, {80, jammed / 2, calm - (calm-0.1*leastShare)/64}} {
 			b.t.Copies, b.jam = c.copies, c.jam
 			r.luck = 0
-			near(t, fmt.Sprint("bound of ", c.copies), b.bound(r, 10*sec), c.least+100*flightShare, 1e-9)
+			near(t, fmt.Sprint("bound of ", c.copies), b.bound(r, 1000*sec), c.least+100*flightShare, 1e-9)
 		}
 	})
 	t.Run("a dazed balancer among many still sends", func(t *testing.T) {
