--- a/balance/balance.go
+++ b/balance/balance.go
@@ -185,7 +185,7 @@
 	c := &b.keys[int(draw.Hash(key, "")*float64(len(b.keys)))]
 	c.Add(now, keySpan)
 	b.arrived.Add(now, keySpan)
-	parts := math.Ceil((c.N - 1) / b.arrived.N * float64(len(b.servers)) / fullKey)
+	parts := math.Ceil((c.N - 2*math.Sqrt(c.N)) / b.arrived.N * float64(len(b.servers)) / fullKey)
 	if n := int(luck * parts); n > 0 {
 		return fmt.Sprint(key, "/", n)
 	}
