Lists unasked, moving weights and the tail come from the program's configuration; Retune moves between shapes

Retune stops or begins to ask, and where the shape changes (weights of another meaning, more than twice or half the balancers) rates, times, caps start afresh; health, ejections, open reqs' rules stay.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,7 +1,6 @@
-// Package balance holds every decision of one instance. A host makes a Balancer with New, hands it
-// what happened (Req, Finished, Started, Withdrawn, Listed: they only update what is known), then,
-// also when a Wake is due, calls Next(now) until it reports false and carries each Decision out. The clock is
-// the host's, in nanoseconds. The interface types stand in types.go, the reasons in docs/design.md.
+// Package balance holds every decision of one instance. A host makes a Balancer, hands it what happened (that
+// only updates what is known) and then, also when a Wake is due, carries out what Next(now) gives until it
+// reports false. The clock is the host's, in ns. Its types stand in types.go, the reasons in docs/design.md.
 package balance
 
 import (
@@ -45,15 +44,15 @@
 	lull        = 20.0     // usual gaps between answers, and a second, without a req: the rate begins anew
 	calmLeast   = 2.0      // what may always be in flight in calm, where that is below one and all are healthy
 	jammed      = 0.65     // mean time of dispatches over response target at which it is down to its share
-	hedge       = 0.55     // part of the response target after which a second dispatch may go out,
+	hedge       = 0.55     // part of the response target after which a second dispatch may go out
 	cheapWaste  = 0.1      // where wasted work costs no more than this
-	restFrom    = sec / 4  // time without a dispatch after which connections count as rested; 2, 4, 8 times: more so
+	restFrom    = sec / 4  // time without a dispatch from which connections rest; steps at 1, 2, 4, 8 times
 	restLoss    = 0.25     // part lost over such connections, past that of others, at which they are closed
 	restSpan    = 20 * sec // over which that is forgotten: one is tried again
 	keySpan     = 20 * sec // over which the reqs of keys are remembered
 	fullKey     = 0.3      // part of what a server gets by the mean that one key may bring it alone
 	easeStep    = 0.1      // weight of the newest listed weight where they move with load
-	preferred   = 0.15     // power of its value over the mean by which a req may fill more of what may be in flight
+	preferred   = 0.15     // power of its value over the mean by which a req may fill more in flight
 	askApart    = 5e6      // time that calls for the list are spread over, for each balancer
 )
 
@@ -65,8 +64,8 @@
 	rank       float64 // this balancer's dispatches at the server, itself counted
 	out, maybe bool    // still out; may have run
 	rested     int     // how long its connection had rested, 0: not
+	counts     bool    // in flight: its body is whole, its answer not begun
 	passed     bool    // its answer has begun
-	counts     bool    // in flight at the server: its body is whole, its answer not begun
 }
 
 // req is one request; it is dropped once it has ended and nothing of it is out.
@@ -74,13 +73,11 @@
 	Arrival
 	rules            *RuleSet
 	taken, giveUp    int64
-	value            float64
+	value, luck      float64 // luck: a random number below 1
 	sends            []*dispatch
 	tenant, outs     int
-	counted          int // dispatches in flight
 	ended, streaming bool
-	most             int     // dispatches that its terms allow
-	luck             float64 // a random number below 1
+	most             int // dispatches that its terms allow
 }
 
 // server is what this balancer knows of one listed server; tend drops it when off the list and idle.
@@ -95,8 +92,7 @@
 	unit, lat              float64     // time for each place in flight, and of an answer; 0: not measured
 	grow, spent            float64     // in-flight cap that grows with answers; budget of a cold server, in reqs
 	cold, ready, score     float64     // part of its capacity by age; weight and score now
-	ease                   float64     // where listed weights move with load: their mean of late
-	blips                  float64     // part of its answers that followed a failure, which they refute
+	ease, blips            float64     // mean listed weight of late; part of answers that refuted a failure
 }
 
 type Balancer struct { // one instance
@@ -107,34 +103,40 @@
 	todo              []Decision      // emptied by Next
 	dice              draw.Dice
 	askAt             int64 // when the list is to be asked again; 0: subscribed
-	wake, begun, pace int64 // pace: the shortest response target
-	reqAt             int64 // when the latest req came
+	wake, begun       int64
+	reqAt, pace       int64 // when the latest req came; the shortest response target
 	inflight, healthy int
-	late              [5]fade.Count    // part of dispatches that time out, by how long connections rested
-	jam               float64          // mean time of dispatches of late over their response target
-	mean, total       float64          // health of the servers; all that those to be picked can bear
-	unit              float64          // typical time for each place in flight at a server of listed size 1
-	rate              fade.Count       // answers
-	served            []fade.Count     // dispatches of each tenant
-	target, worth     float64          // mean response target and billing value of reqs
-	keys              [1024]fade.Count // reqs by hash of their key, and of all keys
-	arrived           fade.Count
+	late              [5]fade.Count // part of dispatches that time out, by how long connections rested
+	jam, mean, total  float64       // time of dispatches over response target; mean health; all servers' ready
+	unit              float64       // typical time for each place in flight at a server of listed size 1
+	rate              fade.Count    // answers
+	served            []fade.Count  // dispatches of each tenant
+	target, worth     fade.Mean     // response target and billing value of reqs
+	keys              fade.Keys     // reqs by key
 	planned, dazed    bool
 }
 
 // New makes an instance; the list follows as Listed(Restored).
 func New(t Terms, now int64) *Balancer {
-	b := &Balancer{reqs: map[uint64]*req{}, begun: now, reqAt: now}
-	b.dice.Seed = t.Seed
-	b.Retune(t)
-	if t.MustAsk {
-		b.askAt = now + 1 + int64(b.dice.Next()*b.apart())
-	}
+	b := &Balancer{reqs: map[uint64]*req{}, begun: now, reqAt: now, dice: draw.Dice{Seed: t.Seed}}
+	b.Retune(t, now)
 	return b
 }
 
-// Retune takes new terms. What is known of servers stays, and open reqs keep the rules they came with.
-func (b *Balancer) Retune(t Terms) {
+// Retune takes new terms. What is known of servers stays, and open reqs keep the rules they came with. Where
+// the shape of the deployment changes, times and rates measured in the old one say nothing and start afresh.
+func (b *Balancer) Retune(t Terms, now int64) {
+	if t.Live != b.t.Live || t.Copies > 2*b.t.Copies || b.t.Copies > 2*t.Copies {
+		b.begun, b.rate, b.jam = now, fade.Count{At: now}, 0
+		for _, s := range b.servers {
+			s.unit, s.lat, s.ease, s.grow = 0, 0, s.Share, min(s.grow, newcomer)
+		}
+	}
+	if asks := b.t.MustAsk; t.MustAsk != asks {
+		if b.askAt = 0; !asks {
+			b.askAt = now + 1 + int64(b.dice.Next()*apart(t))
+		}
+	}
 	served := make([]fade.Count, len(t.Tenants))
 	for i, x := range t.Tenants {
 		if was := b.tenant(x.Name); was >= 0 {
@@ -156,50 +158,29 @@
 
 // Req takes a req.
 func (b *Balancer) Req(a Arrival, now int64) {
-	r := &req{Arrival: a, rules: &RuleSet{Effect: NonReplayable, ResponseTarget: a.Budget}, taken: now}
-	r.most = b.t.MaxDispatches
+	r := &req{Arrival: a, rules: &RuleSet{Effect: NonReplayable, ResponseTarget: a.Budget}, taken: now,
+		most: b.t.MaxDispatches, tenant: b.tenant(a.Tenant), luck: b.dice.Next()}
 	// After a lull, as when its clients were sent away, what it measured of its rate is of the past.
-	usual := float64(span) / max(1, b.rate.Now(now, span))
-	if float64(now-b.reqAt) > max(float64(sec), lull*usual) {
+	if float64(now-b.reqAt) > max(float64(sec), lull*float64(span)/max(1, b.rate.Now(now, span))) {
 		b.begun, b.rate = now, fade.Count{At: now}
 	}
 	b.reqAt = now
 	if i := slices.IndexFunc(b.t.RuleSets, func(x RuleSet) bool { return x.Name == a.RuleSet }); i >= 0 {
 		r.rules = &b.t.RuleSets[i]
 	}
-	r.tenant = b.tenant(a.Tenant)
 	r.value = b.value(r, now)
-	b.target, b.worth = mean(b.target, float64(r.rules.ResponseTarget)), mean(b.worth, r.value)
+	b.target.Add(float64(r.rules.ResponseTarget))
+	b.worth.Add(r.value)
 	if r.giveUp = math.MaxInt64; !a.Open {
 		b.start(r, now)
 	}
-	r.luck = b.dice.Next()
-	r.Key = cmp.Or(b.partOf(r.Key, r.luck, now), fmt.Sprint(r.luck)) // without a key chance decides
-	b.reqs[a.ID], b.open = r, append(b.open, r)
-}
-
-// partOf names the part of a key that a req belongs to: one that alone would fill a server has several, each
-// with an order of servers of its own, the same for all balancers.
-func (b *Balancer) partOf(key string, luck float64, now int64) string {
-	if key == "" {
-		return key
-	}
-	c := &b.keys[int(draw.Hash(key, "")*float64(len(b.keys)))]
-	c.Add(now, keySpan)
-	b.arrived.Add(now, keySpan)
-	parts := math.Ceil((c.N - 2*math.Sqrt(c.N)) / b.arrived.N * float64(len(b.servers)) / fullKey)
-	if n := int(luck * parts); n > 0 {
-		return fmt.Sprint(key, "/", n)
+	if a.Key == "" {
+		r.Key = fmt.Sprint(r.luck) // without a key chance decides
+	} else if n := b.keys.Add(a.Key, now, keySpan) * float64(len(b.servers)) / fullKey; r.luck*n >= 1 {
+		// One that alone would fill a server has several parts, each with an order of servers of its own.
+		r.Key = fmt.Sprint(a.Key, "/", int(r.luck*n))
 	}
-	return key
-}
-
-// mean follows what differs from req to req.
-func mean(old, newest float64) float64 {
-	if old == 0 {
-		return newest
-	}
-	return old + 0.01*(newest-old)
+	b.reqs[a.ID], b.open = r, append(b.open, r)
 }
 
 // start starts a req's time. What comes past the response target is worth little: it ends before it.
@@ -244,17 +225,13 @@
 
 func (b *Balancer) enter(d *dispatch) {
 	d.counts, d.srv.out = true, append(d.srv.out, d)
-	if d.req.counted++; d.req.counted == 1 {
-		b.inflight++
-	}
+	b.inflight++
 	d.rank = float64(len(d.srv.out))
 }
 
 func (b *Balancer) leave(d *dispatch) {
 	if d.counts {
-		if d.counts, d.req.counted = false, d.req.counted-1; d.req.counted == 0 {
-			b.inflight--
-		}
+		d.counts, b.inflight = false, b.inflight-1
 		d.srv.out = slices.DeleteFunc(d.srv.out, func(x *dispatch) bool { return x == d })
 	}
 }
@@ -302,16 +279,14 @@
 func (b *Balancer) judge(s *server, d *dispatch, o Outcome, took, now int64) {
 	if o == Served || o == TimedOut {
 		b.jam += 0.1 * (float64(took)/float64(d.req.rules.ResponseTarget) - b.jam)
-		c := &b.late[d.rested]
-		if c.N = 0.85 * c.Now(now, restSpan); o == TimedOut {
-			c.N += 0.15
-		}
+		b.late[d.rested].N = 0.85 * b.late[d.rested].Now(now, restSpan)
 	}
 	switch o {
 	case Served:
 		s.answered = now
 		b.rate.Add(now, span)
-		s.unit, s.lat = s.follow(s.unit, float64(took)/d.rank), s.follow(s.lat, float64(took))
+		s.unit = fade.Toward(s.unit, float64(took)/d.rank, s.lat > 0)
+		s.lat = fade.Toward(s.lat, float64(took), s.lat > 0)
 		s.grow += 0.5
 		s.blips += 0.05 * (float64(min(1, s.streak)) - s.blips)
 		if s.streak = 0; s.health > recovered {
@@ -319,14 +294,14 @@
 		}
 		s.learn(took <= d.req.rules.ResponseTarget)
 	case Errored, Reset, NoConnection:
-		s.failed()
+		s.learn(false)
+		s.streak++ // tend ejects a server that has enough in a row
 	case TimedOut:
+		b.late[d.rested].N += 0.15
 		// One that answers others meanwhile or is slow anyway is crowded, not dead: overload ejects nobody.
-		s.unit = s.follow(s.unit, float64(took)/d.rank)
-		if s.answered > d.sent || float64(took) < quiet*s.lat {
-			s.learn(false)
-		} else {
-			s.failed()
+		s.unit = fade.Toward(s.unit, float64(took)/d.rank, s.lat > 0)
+		if s.learn(false); s.answered <= d.sent && float64(took) >= quiet*s.lat {
+			s.streak++
 		}
 	case Refused: // back-pressure
 		s.answered, s.full = now, now+max(20*ms, int64(s.unit))
@@ -341,20 +316,6 @@
 	s.health = max(floor, s.health)
 }
 
-// follow moves a measured time towards the newest one; until the first answer the newest is all there is.
-func (s *server) follow(old, newest float64) float64 {
-	if s.lat == 0 {
-		return newest
-	}
-	return 0.9*old + 0.1*newest
-}
-
-// failed counts a failure; tend ejects a server that has enough in a row.
-func (s *server) failed() {
-	s.learn(false)
-	s.streak++
-}
-
 // streak is how many failures in a row eject. Where failures strike nearly all servers alike, say as what
 // lies between breaks connections, they tell nothing of one, and two come in a row by chance all the time.
 func (b *Balancer) streak() int {
@@ -381,14 +342,14 @@
 func byID(s *server, id string) int { return cmp.Compare(s.ID, id) }
 
 // apart spreads calls for the list, but keeps them well within the time after which this one is deemed told.
-func (b *Balancer) apart() float64 {
-	return min(0.5*float64(sec)+askApart*float64(b.t.Copies), float64(b.t.AskWithin)/2)
+func apart(t Terms) float64 {
+	return min(0.5*float64(sec)+askApart*float64(t.Copies), float64(t.AskWithin)/2)
 }
 
 // Listed follows the list. An unavailable one is asked for again.
 func (b *Balancer) Listed(form Form, entries []Server, now int64) {
 	if form == Unavailable {
-		b.askAt = now + int64((0.5+b.dice.Next())*b.apart())
+		b.askAt = now + int64((0.5+b.dice.Next())*apart(b.t))
 		return
 	} else if form != Restored {
 		b.askAt = 0
@@ -414,11 +375,15 @@
 	if s.Server, s.known = e, e.State != Gone; s.Share <= 0 {
 		s.Share = 1
 	}
-	if s.ease = cmp.Or(s.ease, s.Share); b.t.Live {
-		// A share that moves with load is no size: what is placed by it would wander. It only leans.
-		s.ease += easeStep * (s.Share - s.ease)
-		s.Share = 1
+	s.ease = cmp.Or(s.ease, s.Share) + easeStep*(s.Share-cmp.Or(s.ease, s.Share))
+}
+
+// size is what a server can bear beside others. A weight that moves with load is none: keys would wander with it.
+func (b *Balancer) size(s *server) float64 {
+	if b.t.Live {
+		return 1
 	}
+	return s.Share
 }
 
 // warmth is the part of its capacity that a server has at the least, by its age.
@@ -481,12 +446,9 @@
 	return b.open
 }
 
-// value ranks held reqs: billing value for their work, less for a tenant that had more than its share.
+// value ranks reqs: their billing value, less for a tenant that had more than its share.
 func (b *Balancer) value(r *req, now int64) float64 {
 	v := r.rules.BillingValue
-	if !b.t.ValuePerWork && r.Work > 0 {
-		v /= float64(r.Work)
-	}
 	if total := b.rate.Now(now, span); r.tenant >= 0 && total > 1 && b.t.Tenants[r.tenant].Share > 0 {
 		v /= math.Pow(max(0.25, b.served[r.tenant].Now(now, span)/(total*b.t.Tenants[r.tenant].Share)), 3)
 	}
@@ -501,7 +463,7 @@
 	for _, s := range b.servers {
 		b.mean += s.health / float64(len(b.servers))
 		if s.unit > 0 {
-			units, n = units+math.Log(s.unit*s.Share), n+1
+			units, n = units+math.Log(s.unit*b.size(s)), n+1
 		}
 	}
 	b.unit = math.Exp(units / max(1, n))
@@ -547,12 +509,11 @@
 	for _, s := range b.servers {
 		s.ready = 0
 		if s.known && s.State == Running && (b.dazed || !s.ejected && !s.silent) {
-			s.ready = s.Share * s.cold
-			if s.unit > 0 {
-				s.ready *= math.Sqrt(b.unit / (s.unit * s.Share))
+			if s.ready = s.cold * b.size(s); b.t.Live {
+				s.ready *= s.ease // placement leans away from the crowded
 			}
-			if b.t.Live {
-				s.ready *= s.ease
+			if s.unit > 0 {
+				s.ready *= math.Sqrt(b.unit / (s.unit * b.size(s)))
 			}
 			b.total += s.ready
 		}
@@ -589,7 +550,7 @@
 	return now + b.t.Tick
 }
 
-// secondAt is when, where waste is cheap, a copy may join a dispatch: many balancers know servers too little.
+// secondAt is when a copy may join a dispatch: many balancers know servers too little.
 func (b *Balancer) secondAt(r *req) int64 {
 	if r.outs != 1 || b.t.WastePrice > cheapWaste || !b.canSend(r) {
 		return math.MaxInt64
@@ -647,7 +608,7 @@
 		return nil
 	}
 	var ranked [spill]*server
-	many, lot := b.t.Copies > len(b.servers), ""
+	many := b.t.Copies > len(b.servers)
 	for _, s := range b.servers {
 		if s.ready == 0 || !r.allowed(s, now) || !b.afford(s, s.ready/b.total, now) {
 			continue
@@ -665,8 +626,7 @@
 		h := draw.Hash(r.Key, s.ID)
 		if s.cold < 1 && many {
 			// Hundreds of balancers would push it over with one popular key: it gets its part of each key.
-			lot = cmp.Or(lot, fmt.Sprint(r.luck))
-			h = draw.Hash(lot, s.ID)
+			h = draw.Hash(fmt.Sprint(r.luck), s.ID)
 		}
 		s.score = -w / math.Log(h)
 		for i, x := 0, s; i < spill && x != nil; i++ {
@@ -685,30 +645,25 @@
 
 // bound is what may be in flight, by rate and response target: many balancers could crowd all servers.
 func (b *Balancer) bound(r *req, now int64) float64 {
-	// What a rate over the span holds of a shorter past.
+	// A rate over the span holds less of a shorter past.
 	past := float64(span) * (1 - math.Exp(-float64(max(now-b.begun, sec/10))/float64(span)))
-	least := b.part()
+	healthy := b.healthy
+	if b.dazed {
+		healthy = len(b.servers) // all are picked
+	}
+	least := leastShare * float64(healthy) / float64(max(1, b.t.Copies))
 	if least < 1 {
 		// One dispatch for each of hundreds is several a server: while answers are late fewer go, by chance.
 		calm := max(1, calmLeast*float64(b.healthy)/float64(len(b.servers)))
 		least += (calm-least)*max(0, 1-math.Pow(b.jam/jammed, 6)) - r.luck
 	}
-	full := least + b.rate.Now(now, span)*flightShare*b.target/past
-	if r.value > 0 && b.worth > 0 { // when short, the less valuable go first
-		full *= math.Pow(min(16, max(1.0/16, r.value/b.worth)), preferred)
+	full := least + b.rate.Now(now, span)*flightShare*b.target.V/past
+	if r.value > 0 && b.worth.V > 0 { // when short, the less valuable go first
+		full *= math.Pow(min(16, max(1.0/16, r.value/b.worth.V)), preferred)
 	}
 	return full
 }
 
-// part is this balancer's part of what may always be in flight.
-func (b *Balancer) part() float64 {
-	n := b.healthy
-	if b.dazed {
-		n = len(b.servers) // all are picked
-	}
-	return leastShare * float64(n) / float64(max(1, b.t.Copies))
-}
-
 // room says whether a server may take one more: by rate times time, and by its share of what is in flight.
 func (b *Balancer) room(s *server, r *req, now int64) bool {
 	limit := min(s.grow, skipOver*s.ready/b.total*float64(b.inflight+1)+skipSlack)
--- a/balance/types.go
+++ b/balance/types.go
@@ -43,9 +43,8 @@
 	Zone          string
 	RuleSets      []RuleSet
 	Tenants       []Tenant
-	ValuePerWork  bool // billing value counts per unit of work, not per req
-	Copies        int  // balancers of this fleet
-	Beside        int  // further processes of this balancer that live now: they share what it may send to cold servers
+	Copies        int // balancers of this fleet
+	Beside        int // further processes of this balancer that live now: they share what it may send to cold servers
 	MaxDispatches int
 	Parallel      bool // a second dispatch may be out at the same time
 	CanCancel     bool
--- a/cmd/ivybank/helpers_test.go
+++ b/cmd/ivybank/helpers_test.go
@@ -147,6 +147,9 @@
 		for {
 			select {
 			case line := <-r.lines:
+				if line == "" {
+					panic(http.ErrAbortHandler) // the connection breaks
+				}
 				_, _ = io.WriteString(w, line+"\n")
 			case <-time.After(time.Second):
 				if r.mute.Load() {
--- a/cmd/ivybank/main_test.go
+++ b/cmd/ivybank/main_test.go
@@ -383,6 +383,10 @@
 		"no settings": `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1"}`,
 		"bad number":  strings.Replace(whole, `"TickNs":5000000`, `"TickNs":"soon"`, 1),
 		"no idle":     strings.Replace(whole, "ConnIdleNs", "New", 1),
+		"no such way": strings.Replace(whole, `"on_request"`, `"by_post"`, 1),
+		"no weights":  strings.Replace(whole, `"Zone":"a"`, `"Zone":"a","Weights":"heavy"`, 1),
+		"tail past 1": strings.Replace(whole, `"Zone":"a"`, `"Zone":"a","ScoringMix":{"Tail":1.5}`, 1),
+		"tail a word": strings.Replace(whole, `"Zone":"a"`, `"Zone":"a","ScoringMix":{"Tail":"long"}`, 1),
 	} {
 		t.Run(name, func(t *testing.T) {
 			path := filepath.Join(t.TempDir(), "config.json")
--- /dev/null
+++ b/fade/keys_test.go
@@ -0,0 +1,54 @@
+package fade
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+func TestKeys(t *testing.T) {
+	const span = int64(1e10)
+	var k Keys
+	// A few looks at a key say nothing of it: hundreds of balancers took a key met twice in twenty for fifty servers' worth.
+	for i := range 20 {
+		if got := k.Add(fmt.Sprint("key-", i/4), int64(i), span); got != 0 {
+			t.Fatalf("look %d: part %.2f, want none yet", i, got)
+		}
+	}
+	k = Keys{}
+	got := 0.0
+	for i := range 10000 {
+		key := fmt.Sprint("key-", i)
+		if i%4 == 0 {
+			key = "hot"
+		}
+		if x := k.Add(key, int64(i)*1e6, span); key == "hot" {
+			got = x
+		}
+	}
+	if got < 0.2 || got > 0.25 {
+		t.Errorf("part %.3f of a key that has a quarter", got)
+	}
+	if n := k.all.Now(10000*1e6, span); n > 10000 {
+		t.Errorf("%v counted, want them to fade", n)
+	}
+}
+
+func TestMean(t *testing.T) {
+	var m Mean
+	for _, x := range []float64{1, 3, 5} {
+		m.Add(x)
+	}
+	if m.V != 3 {
+		t.Errorf("got %v, want the mean of what came", m.V)
+	}
+	for range 1000 {
+		m.Add(7)
+	}
+	if math.Abs(m.V-7) > 0.01 {
+		t.Errorf("got %v, want the latest values to count", m.V)
+	}
+	if Toward(1, 3, false) != 3 || math.Abs(Toward(1, 3, true)-1.2) > 1e-9 {
+		t.Error("what was not known is not replaced, or what was known is")
+	}
+}
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -1,7 +1,7 @@
 package proxy
 
-// This file owns the list of hosts: a watch on discovery, opened when the module asks for it, and what its
-// lines say. It must never ask on its own, and never drop the list it holds because discovery is gone.
+// This file owns the list of hosts: a watch on discovery and what its lines say. It opens one when the module asks, or
+// keeps one up by itself where the list is to come unasked. It must never drop the list it holds because discovery is gone.
 
 import (
 	"bytes"
@@ -22,6 +22,7 @@
 	watchDial    = 1e9     // a connection to discovery not up by then counts as failed
 	watchSilence = 4.5e9   // an empty line comes every 2 s: a watch silent for two of them has ended unseen
 	mostList     = 4 << 20 // bytes of one line of the list
+	reopen       = 1e9     // after about so long a watch that was lost is opened again where the module doesn't ask
 )
 
 // discovery is what is known of the list and the watch on it.
@@ -188,6 +189,13 @@
 	})
 }
 
+// subscribe keeps a watch up where the list comes unasked; there the module has no say in it.
+func (p *Proxy) subscribe(now int64) {
+	if !p.terms.MustAsk && p.list.watch == nil && !p.drain.begun {
+		p.watch(now)
+	}
+}
+
 // heard notes that a watch is alive.
 func (p *Proxy) heard(w *watch, now int64) {
 	if p.list.watch != w {
@@ -209,7 +217,11 @@
 	}
 	if failed {
 		p.count.WatchesLost++
-		p.module.Listed(balance.Unavailable, nil, now)
+		if p.terms.MustAsk {
+			p.module.Listed(balance.Unavailable, nil, now)
+		} else {
+			p.after(now, int64(reopen*(0.5+p.dice.Next())), p.subscribe)
+		}
 	}
 }
 
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ivybank/balance"
+	"ivybank/draw"
 	"ivybank/holds"
 	"ivybank/twin"
 )
@@ -67,6 +68,7 @@
 	clients   []*client       // in order of arrival; emptied when a client's connection ends
 	pool      pool
 	list      discovery
+	dice      draw.Dice // for what the module has no say in
 	drain     drain
 	keys      *keys           // nil: none
 	terms     *balance.Terms  // replaced whole, never changed
@@ -154,7 +156,7 @@
 	if s.Holds != nil {
 		p.held = s.Holds.Table()
 	}
-	p.terms = &s.Terms
+	p.terms, p.dice.Seed = &s.Terms, s.Terms.Seed^1
 	p.portion(p.now())
 	p.module = balance.New(s.Terms, p.now())
 	p.known(s.Known, p.now())
@@ -197,6 +199,7 @@
 	if p.start.Holds != nil {
 		go p.follow()
 	}
+	p.subscribe(p.now())
 	alarm := time.NewTimer(0)
 	for !p.done {
 		select {
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -162,6 +162,7 @@
 		p.count.Reloads++
 		logrus.Infof("new configuration: %d rule sets, %d dispatches at most", len(s.Terms.RuleSets), s.Terms.MaxDispatches)
 		p.rediscover(s.Discovery, now)
+		p.subscribe(now)
 	})
 }
 
@@ -179,7 +180,7 @@
 	p.sockets = p.start.Sockets / part
 	t := *p.terms
 	t.Beside = part - 1
-	p.module.Retune(t)
+	p.module.Retune(t, p.now())
 	if p.start.Memory > 0 {
 		debug.SetMemoryLimit(p.start.Memory / int64(part))
 	}
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -145,6 +145,14 @@
 		}
 		names[name] = true
 	}
+	for _, c := range [][]string{{"Discovery", "on_request", "pushed"}, {"Weights", "off", "nominal", "rough", "live"}} {
+		if word, ok := v.At[c[0]]; ok && !slices.Contains(c[1:], word) {
+			v.Fail(c[0], "one of "+strings.Join(c[1:], ", "))
+		}
+	}
+	if tail := v.Float("ScoringMix.Tail"); tail < 0 || tail > 1 {
+		v.Fail("ScoringMix.Tail", "a number from 0 to 1")
+	}
 	return v.Err
 }
 
@@ -208,7 +216,6 @@
 func Read(v *Values, seed uint64) balance.Terms {
 	t := balance.Terms{
 		Seed: seed, Zone: v.At["Zone"],
-		ValuePerWork:  v.At["BillingValuePer"] == "work",
 		Copies:        int(v.Int("FleetSize")),
 		MaxDispatches: int(v.Int("Ceilings.MaxDispatches")),
 		Parallel:      v.Bool("Ceilings.ParallelTries"), CanCancel: v.Bool("Ceilings.Cancel"),
