--- a/balance/balance.go
+++ b/balance/balance.go
@@ -371,6 +371,9 @@
 	s := b.servers[i]
 	if e.Since > s.Since {
 		*s = server{out: s.out, health: cmp.Or(b.mean, 1), grow: newcomer / float64(1+b.t.Beside), answered: now}
+		if s.spentAt = now; b.t.Copies <= len(b.servers) && b.many(now) {
+			s.spent = 1 + b.dice.Next() // not the first of all balancers at once
+		}
 	}
 	if s.Server, s.known = e, e.State != Gone; s.Share <= 0 {
 		s.Share = 1
@@ -602,13 +605,19 @@
 	return true
 }
 
+// many says whether one req of each balancer at once is more than a cold server could bear beside its share.
+func (b *Balancer) many(now int64) bool {
+	bears := b.rate.Now(now, span) * float64(b.t.FallTime) / float64(span) * (b.t.Overload - coldShare)
+	return b.t.Copies > len(b.servers) || b.t.FallTime > 0 && bears*b.t.StartCapacity < float64(len(b.servers))
+}
+
 // pick is the weighted rendezvous: of the servers that are not skipped, the one with the top score.
 func (b *Balancer) pick(r *req, now int64) *server {
 	if !b.canSend(r) || float64(b.inflight) >= b.bound(r, now) {
 		return nil
 	}
 	var ranked [spill]*server
-	many := b.t.Copies > len(b.servers)
+	many := b.many(now)
 	for _, s := range b.servers {
 		if s.ready == 0 || !r.allowed(s, now) || !b.afford(s, s.ready/b.total, now) {
 			continue
--- a/balance/types.go
+++ b/balance/types.go
@@ -54,6 +54,8 @@
 	AskWithin     int64
 	StartCapacity float64
 	RampTime      int64
+	Overload      float64 // times its capacity of the moment that pushes a cold server over
+	FallTime      int64   // when sent for so long; 0: not told
 	CrossPrice    float64 // points for each dispatch that crosses zones
 	Tail          float64 // weight of the part of the score that late answers cost and early denials do not
 	WastePrice    float64 // points for work that served no answer, as much as was asked for
--- a/cmd/ivybank/main_test.go
+++ b/cmd/ivybank/main_test.go
@@ -386,6 +386,7 @@
 		"no such way": strings.Replace(whole, `"on_request"`, `"by_post"`, 1),
 		"no weights":  strings.Replace(whole, `"Zone":"a"`, `"Zone":"a","Weights":"heavy"`, 1),
 		"tail past 1": strings.Replace(whole, `"Zone":"a"`, `"Zone":"a","ScoringMix":{"Tail":1.5}`, 1),
+		"fall before": strings.Replace(whole, `"RampTimeNs"`, `"FallNs":-1,"RampTimeNs"`, 1),
 		"tail a word": strings.Replace(whole, `"Zone":"a"`, `"Zone":"a","ScoringMix":{"Tail":"long"}`, 1),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -150,6 +150,12 @@
 			v.Fail(c[0], "one of "+strings.Join(c[1:], ", "))
 		}
 	}
+	if v.Int("Contract.FallNs") < 0 {
+		v.Fail("Contract.FallNs", "a number from 0")
+	}
+	if v.Float("Contract.OverloadFactor") < 0 {
+		v.Fail("Contract.OverloadFactor", "a number from 0")
+	}
 	if tail := v.Float("ScoringMix.Tail"); tail < 0 || tail > 1 {
 		v.Fail("ScoringMix.Tail", "a number from 0 to 1")
 	}
@@ -224,7 +230,7 @@
 		AskWithin: v.Int("Contract.AskWithinNs"), StartCapacity: v.Float("Contract.StartCapacity"),
 		RampTime: v.Int("Contract.RampTimeNs"), CrossPrice: v.Float("Prices.CrossZone"),
 		WastePrice: v.Float("Prices.Waste"), Tick: v.Int("TickNs"),
-		Tail: v.Float("ScoringMix.Tail"),
+		Tail: v.Float("ScoringMix.Tail"), Overload: v.Float("Contract.OverloadFactor"), FallTime: v.Int("Contract.FallNs"),
 	}
 	if v.Bool("Ceilings.RetryAfter") {
 		t.MaxAdvice = v.Int("Ceilings.MaxRetryAfterNs")
