--- a/balance/balance.go
+++ b/balance/balance.go
@@ -92,7 +92,7 @@
 	unit, lat              float64     // time for each place in flight, and of an answer; 0: not measured
 	grow, spent            float64     // in-flight cap that grows with answers; budget of a cold server, in reqs
 	cold, ready, score     float64     // part of its capacity by age; weight and score now
-	ease, blips            float64     // mean listed weight of late; part of answers that refuted a failure
+	size, ease, blips      float64     // mean listed weight of late; part of answers that refuted a failure
 }
 
 type Balancer struct { // one instance
@@ -102,13 +102,12 @@
 	servers           []*server       // by ID; emptied by tend
 	todo              []Decision      // emptied by Next
 	dice              draw.Dice
-	askAt             int64 // when the list is to be asked again; 0: subscribed
-	wake, begun       int64
-	reqAt, pace       int64 // when the latest req came; the shortest response target
+	askAt, reqAt      int64 // when the list is to be asked again, 0: subscribed; when the latest req came
+	wake, begun, pace int64 // pace: the shortest response target
 	inflight, healthy int
 	late              [5]fade.Count // part of dispatches that time out, by how long connections rested
-	jam, mean, total  float64       // time of dispatches over response target; mean health; all servers' ready
-	unit              float64       // typical time for each place in flight at a server of listed size 1
+	jam, total, unit  float64       // times over response targets; all servers' ready; mean time for each place
+	mean, ease        float64       // of all servers
 	rate              fade.Count    // answers
 	served            []fade.Count  // dispatches of each tenant
 	target, worth     fade.Mean     // response target and billing value of reqs
@@ -126,17 +125,7 @@
 // Retune takes new terms. What is known of servers stays, and open reqs keep the rules they came with. Where
 // the shape of the deployment changes, times and rates measured in the old one say nothing and start afresh.
 func (b *Balancer) Retune(t Terms, now int64) {
-	if t.Live != b.t.Live || t.Copies > 2*b.t.Copies || b.t.Copies > 2*t.Copies {
-		b.begun, b.rate, b.jam = now, fade.Count{At: now}, 0
-		for _, s := range b.servers {
-			s.unit, s.lat, s.ease, s.grow = 0, 0, s.Share, min(s.grow, newcomer)
-		}
-	}
-	if asks := b.t.MustAsk; t.MustAsk != asks {
-		if b.askAt = 0; !asks {
-			b.askAt = now + 1 + int64(b.dice.Next()*apart(t))
-		}
-	}
+	was := b.t
 	served := make([]fade.Count, len(t.Tenants))
 	for i, x := range t.Tenants {
 		if was := b.tenant(x.Name); was >= 0 {
@@ -150,6 +139,17 @@
 	for _, r := range b.open {
 		r.tenant = b.tenant(r.Tenant)
 	}
+	if t.Live != was.Live || t.Copies > 2*was.Copies || was.Copies > 2*t.Copies {
+		b.begun, b.rate, b.jam = now, fade.Count{At: now}, 0
+		for _, s := range b.servers {
+			s.unit, s.lat, s.ease, s.grow = 0, 0, s.Share, min(s.grow, newcomer)
+		}
+	}
+	if t.MustAsk && !was.MustAsk {
+		b.askAt = now + 1 + int64(b.dice.Next()*apart(t))
+	} else if !t.MustAsk {
+		b.askAt = 0
+	}
 }
 
 func (b *Balancer) tenant(name string) int {
@@ -171,7 +171,9 @@
 	r.value = b.value(r, now)
 	b.target.Add(float64(r.rules.ResponseTarget))
 	b.worth.Add(r.value)
-	if r.giveUp = math.MaxInt64; !a.Open {
+	if r.giveUp = math.MaxInt64; a.Open { // its time has not begun: it may wait for a server all of its target
+		r.taken += int64((1 - holdShare) * float64(r.rules.ResponseTarget))
+	} else {
 		b.start(r, now)
 	}
 	if a.Key == "" {
@@ -251,7 +253,6 @@
 	}
 }
 
-// drop forgets a req that has ended and has nothing out.
 func (b *Balancer) drop(r *req) {
 	if r.ended && r.outs == 0 {
 		delete(b.reqs, r.ID)
@@ -378,15 +379,7 @@
 	if s.Server, s.known = e, e.State != Gone; s.Share <= 0 {
 		s.Share = 1
 	}
-	s.ease = cmp.Or(s.ease, s.Share) + easeStep*(s.Share-cmp.Or(s.ease, s.Share))
-}
-
-// size is what a server can bear beside others. A weight that moves with load is none: keys would wander with it.
-func (b *Balancer) size(s *server) float64 {
-	if b.t.Live {
-		return 1
-	}
-	return s.Share
+	s.ease = (1-easeStep)*cmp.Or(s.ease, s.Share) + easeStep*s.Share
 }
 
 // warmth is the part of its capacity that a server has at the least, by its age.
@@ -402,11 +395,10 @@
 	if !b.planned {
 		b.plan(now)
 	}
-	if b.planned = len(b.todo) > 0; !b.planned {
-		return Decision{}, false
+	if b.planned = len(b.todo) > 0; b.planned {
+		d, b.todo = b.todo[0], b.todo[1:]
 	}
-	d, b.todo = b.todo[0], b.todo[1:]
-	return d, true
+	return d, b.planned
 }
 
 // plan turns what is known into decisions.
@@ -421,9 +413,6 @@
 	}
 	next = min(next, b.tend(now))
 	order := slices.Clone(b.sweep())
-	for _, r := range order {
-		r.value = b.value(r, now)
-	}
 	slices.SortStableFunc(order, func(x, y *req) int { return cmp.Compare(y.value, x.value) })
 	for _, r := range order {
 		next = min(next, b.serve(r, now))
@@ -462,11 +451,15 @@
 func (b *Balancer) tend(now int64) int64 {
 	next, usable, units, n := int64(math.MaxInt64), 0, 0.0, 0.0
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return !s.known && len(s.out) == 0 })
-	b.healthy, b.mean = 0, 0
+	b.healthy, b.mean, b.ease = 0, 0, 0
 	for _, s := range b.servers {
 		b.mean += s.health / float64(len(b.servers))
+		b.ease += s.ease / float64(len(b.servers))
+		if s.size = s.Share; b.t.Live { // a weight that moves with load is no size: keys would wander with it
+			s.size = 1
+		}
 		if s.unit > 0 {
-			units, n = units+math.Log(s.unit*b.size(s)), n+1
+			units, n = units+math.Log(s.unit*s.size), n+1
 		}
 	}
 	b.unit = math.Exp(units / max(1, n))
@@ -512,11 +505,11 @@
 	for _, s := range b.servers {
 		s.ready = 0
 		if s.known && s.State == Running && (b.dazed || !s.ejected && !s.silent) {
-			if s.ready = s.cold * b.size(s); b.t.Live {
-				s.ready *= s.ease // placement leans away from the crowded
+			if s.ready = s.cold * s.size; b.t.Live {
+				s.ready *= min(s.ease, b.ease+s.ease*math.Floor(s.cold)) // a cold one looks idle, as it is new
 			}
 			if s.unit > 0 {
-				s.ready *= math.Sqrt(b.unit / (s.unit * b.size(s)))
+				s.ready *= math.Sqrt(b.unit / (s.unit * s.size))
 			}
 			b.total += s.ready
 		}
@@ -542,11 +535,7 @@
 	if r.outs > 0 {
 		return min(r.giveUp, max(again, now+4*b.t.Tick))
 	}
-	hold := holdShare
-	if r.Open {
-		hold = 1 // its time has not begun
-	}
-	if now >= r.taken+int64(hold*float64(r.rules.ResponseTarget)) || !b.canSend(r) {
+	if now >= r.taken+int64(holdShare*float64(r.rules.ResponseTarget)) || !b.canSend(r) {
 		b.finish(r)
 		return math.MaxInt64
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -345,7 +345,7 @@
 	}
 	t.Run("shares follow weight and health", func(t *testing.T) {
 		b := fleet(4, nil)
-		b.servers[0].Share, b.servers[1].health = 2, 0.5
+		b.servers[0].size, b.servers[1].health = 2, 0.5
 		n := tally(b)
 		for id, want := range map[string]float64{"a": 2 / 4.5, "b": 0.5 / 4.5, "c": 1 / 4.5, "d": 1 / 4.5} {
 			near(t, id, n[id], want, 0.015)
--- a/balance/move_test.go
+++ b/balance/move_test.go
@@ -97,9 +97,9 @@
 	// Weights that move with load were taken for sizes: all balancers moved their keys with each list.
 	b := fleet(2, func(t *Terms) { t.Live = true })
 	b.Listed(Changes, []Server{{ID: "a", Zone: "z", Share: 0.1}}, sec)
-	b.weigh()
-	if a := b.servers[0]; b.size(a) != 1 || a.ready < 0.8 || a.ready >= 1 {
-		t.Errorf("size %.2f, may bear %.2f", b.size(a), a.ready)
+	b.tend(sec)
+	if a := b.servers[0]; a.size != 1 || a.ready < 0.8 || a.ready >= 1 {
+		t.Errorf("size %.2f, may bear %.2f", a.size, a.ready)
 	}
 	for range 50 {
 		b.Listed(Changes, []Server{{ID: "a", Zone: "z", Share: 0.1}}, sec)
@@ -121,6 +121,7 @@
 	}
 	b.rate, b.jam = fade.Count{N: 1, At: 60 * sec}, 1 // hardly a req came in the old shape
 	open := take(b, 1, "once", "k")
+	b.servers[3].known = false // off the list
 	next := b.t
 	next.MustAsk, next.Live, next.Copies, next.Tail = false, true, 40, 0.3
 	next.RuleSets = []RuleSet{{Name: "once", Effect: Replayable, ResponseTarget: sec / 5, BillingValue: 1}}
@@ -140,7 +141,7 @@
 		t.Error("a bound of the old shape is left")
 	}
 	for _, d := range pull(b, 60*sec, Dispatch) {
-		if d.Server == "a" || d.Server == "c" {
+		if d.Server != "b" {
 			t.Errorf("a dispatch to %s, which is out", d.Server)
 		}
 	}
@@ -159,3 +160,34 @@
 		t.Error("a change of terms within the shape costs what was measured")
 	}
 }
+
+// A cold server is new and so looks idle by a weight that moves with load: it drew five times its share, and all
+// balancers sent their first req the moment that it was listed (rule 4, ebene-main with servers that crash).
+func TestColdAmongIdle(t *testing.T) {
+	b := fleet(40, func(t *Terms) { t.Live, t.Copies, t.Overload, t.FallTime, t.StartCapacity = true, 20, 3, sec, 0.4 })
+	list := []Server{}
+	for _, s := range b.servers {
+		list = append(list, Server{ID: s.ID, Zone: "z", Share: 0.2})
+	}
+	for range 100 {
+		b.Listed(Changes, list, sec)
+	}
+	b.rate.N, b.rate.At = 35*float64(span/sec), 10*sec
+	b.Listed(Changes, []Server{{ID: list[0].ID, Zone: "z", Share: 1, Since: 10 * sec}}, 10*sec)
+	b.tend(10 * sec)
+	s := b.servers[0]
+	near(t, "part of all", s.ready/b.total, 0.4/39.4, 0.002)
+	if b.afford(s, s.ready/b.total, 10*sec) || s.spent < 1 || s.spent > 2 {
+		t.Errorf("spent %.2f: every balancer's first req comes at once", s.spent)
+	}
+	for _, c := range []struct {
+		copies int
+		rate   float64
+		want   bool
+	}{{20, 35, true}, {20, 350, false}, {41, 350, true}} {
+		b.t.Copies, b.rate.N, b.rate.At = c.copies, c.rate*float64(span/sec), 10*sec
+		if got := b.many(10 * sec); got != c.want {
+			t.Errorf("%d balancers with %.0f reqs a second: got %v", c.copies, c.rate, got)
+		}
+	}
+}
