Rule sets and tenants are found, and held to, by one piece of code each

The module, its baselines, the emulator's seats, the sockets rig and the proxy's admission each had their own search for a rule set by name; the baselines wrote the module's rules on denying and dispatching again once more. Now: Terms.RuleSet, Terms.Tenant, RuleSet.Harmless, RuleSet.Again. The judge keeps its own, as evidence must not ask what it judges. The sockets rig built all terms anew for each req; it holds them. A balancer's seed and zone in a run are worked out in one place for both modes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -92,7 +92,8 @@
 	unit, lat              float64     // time for each place in flight, and of an answer; 0: not measured
 	grow, spent            float64     // in-flight cap that grows with answers; budget of a cold server, in reqs
 	cold, ready, score     float64     // part of its capacity by age; weight and score now
-	size, ease, blips      float64     // mean listed weight of late; part of answers that refuted a failure
+	size, ease             float64     // what it can bear beside others; mean listed weight of late
+	blips                  float64     // part of its answers that followed a failure, which they refute
 }
 
 type Balancer struct { // one instance
@@ -128,8 +129,8 @@
 	was := b.t
 	served := make([]fade.Count, len(t.Tenants))
 	for i, x := range t.Tenants {
-		if was := b.tenant(x.Name); was >= 0 {
-			served[i] = b.served[was]
+		if had := was.Tenant(x.Name); had >= 0 {
+			served[i] = b.served[had]
 		}
 	}
 	b.t, b.served, b.pace = t, served, firstBackoff
@@ -137,7 +138,7 @@
 		b.pace = min(b.pace, x.ResponseTarget)
 	}
 	for _, r := range b.open {
-		r.tenant = b.tenant(r.Tenant)
+		r.tenant = b.t.Tenant(r.Tenant)
 	}
 	if t.Live != was.Live || t.Copies > 2*was.Copies || was.Copies > 2*t.Copies {
 		b.begun, b.rate, b.jam = now, fade.Count{At: now}, 0
@@ -152,29 +153,23 @@
 	}
 }
 
-func (b *Balancer) tenant(name string) int {
-	return slices.IndexFunc(b.t.Tenants, func(x Tenant) bool { return x.Name == name })
-}
-
 // Req takes a req.
 func (b *Balancer) Req(a Arrival, now int64) {
-	r := &req{Arrival: a, rules: &RuleSet{Effect: NonReplayable, ResponseTarget: a.Budget}, taken: now,
-		most: b.t.MaxDispatches, tenant: b.tenant(a.Tenant), luck: b.dice.Next()}
+	r := &req{Arrival: a, rules: b.t.RuleSet(a.RuleSet), tenant: b.t.Tenant(a.Tenant), luck: b.dice.Next(),
+		most: b.t.MaxDispatches}
+	if r.rules == nil { // not known: the strictest
+		r.rules = &RuleSet{Effect: NonReplayable, ResponseTarget: a.Budget}
+	}
 	// After a lull, as when its clients were sent away, what it measured of its rate is of the past.
 	if float64(now-b.reqAt) > max(float64(sec), lull*float64(span)/max(1, b.rate.Now(now, span))) {
 		b.begun, b.rate = now, fade.Count{At: now}
 	}
 	b.reqAt = now
-	if i := slices.IndexFunc(b.t.RuleSets, func(x RuleSet) bool { return x.Name == a.RuleSet }); i >= 0 {
-		r.rules = &b.t.RuleSets[i]
-	}
 	r.value = b.value(r, now)
 	b.target.Add(float64(r.rules.ResponseTarget))
 	b.worth.Add(r.value)
-	if r.giveUp = math.MaxInt64; a.Open { // its time has not begun: it may wait for a server all of its target
-		r.taken += int64((1 - holdShare) * float64(r.rules.ResponseTarget))
-	} else {
-		b.start(r, now)
+	if b.start(r, now); a.Open { // its time has not begun: it may wait for a server all of its target
+		r.taken, r.giveUp = now+int64((1-holdShare)*float64(r.rules.ResponseTarget)), math.MaxInt64
 	}
 	if a.Key == "" {
 		r.Key = fmt.Sprint(r.luck) // without a key chance decides
@@ -188,7 +183,7 @@
 // start starts a req's time. What comes past the response target is worth little: it ends before it.
 func (b *Balancer) start(r *req, now int64) {
 	r.taken, r.giveUp = now, now+r.Budget
-	if r.rules.OverdueValue <= 0 || b.t.Tail > 0 && r.rules.harmless() {
+	if r.rules.OverdueValue <= 0 || b.t.Tail > 0 && r.rules.Harmless() {
 		r.giveUp = min(r.giveUp, now+r.rules.ResponseTarget)
 	}
 	r.giveUp -= 2 * b.t.Tick
@@ -253,6 +248,7 @@
 	}
 }
 
+// drop forgets a req that has ended and has nothing out.
 func (b *Balancer) drop(r *req) {
 	if r.ended && r.outs == 0 {
 		delete(b.reqs, r.ID)
@@ -281,12 +277,12 @@
 	if o == Served || o == TimedOut {
 		b.jam += 0.1 * (float64(took)/float64(d.req.rules.ResponseTarget) - b.jam)
 		b.late[d.rested].N = 0.85 * b.late[d.rested].Now(now, restSpan)
+		s.unit = fade.Toward(s.unit, float64(took)/d.rank, s.lat > 0)
 	}
 	switch o {
 	case Served:
 		s.answered = now
 		b.rate.Add(now, span)
-		s.unit = fade.Toward(s.unit, float64(took)/d.rank, s.lat > 0)
 		s.lat = fade.Toward(s.lat, float64(took), s.lat > 0)
 		s.grow += 0.5
 		s.blips += 0.05 * (float64(min(1, s.streak)) - s.blips)
@@ -300,7 +296,6 @@
 	case TimedOut:
 		b.late[d.rested].N += 0.15
 		// One that answers others meanwhile or is slow anyway is crowded, not dead: overload ejects nobody.
-		s.unit = fade.Toward(s.unit, float64(took)/d.rank, s.lat > 0)
 		if s.learn(false); s.answered <= d.sent && float64(took) >= quiet*s.lat {
 			s.streak++
 		}
@@ -505,8 +500,10 @@
 	for _, s := range b.servers {
 		s.ready = 0
 		if s.known && s.State == Running && (b.dazed || !s.ejected && !s.silent) {
-			if s.ready = s.cold * s.size; b.t.Live {
-				s.ready *= min(s.ease, b.ease+s.ease*math.Floor(s.cold)) // a cold one looks idle, as it is new
+			if s.ready = s.cold * s.size; b.t.Live && s.cold < 1 {
+				s.ready *= min(s.ease, b.ease) // it looks idle, as it is new
+			} else if b.t.Live {
+				s.ready *= s.ease // placement leans away from the crowded
 			}
 			if s.unit > 0 {
 				s.ready *= math.Sqrt(b.unit / (s.unit * s.size))
@@ -542,7 +539,7 @@
 	return now + b.t.Tick
 }
 
-// secondAt is when a copy may join a dispatch: many balancers know servers too little.
+// secondAt is when, where waste is cheap, a copy may join a dispatch: many balancers know servers too little.
 func (b *Balancer) secondAt(r *req) int64 {
 	if r.outs != 1 || b.t.WastePrice > cheapWaste || !b.canSend(r) {
 		return math.MaxInt64
@@ -561,13 +558,13 @@
 	b.drop(r)
 }
 
-// harmless says whether a req may be denied also when it may have run.
-func (x *RuleSet) harmless() bool {
+// Harmless says whether a req may be denied also when it may have run.
+func (x *RuleSet) Harmless() bool {
 	return x.Effect == Replayable || x.Effect == Uniqued && x.Group == GroupAll
 }
 
 func (b *Balancer) canDeny(r *req) bool {
-	return r.rules.harmless() || !slices.ContainsFunc(r.sends, func(d *dispatch) bool { return d.maybe })
+	return r.rules.Harmless() || !slices.ContainsFunc(r.sends, func(d *dispatch) bool { return d.maybe })
 }
 
 // canSend says whether the rules leave room for a further dispatch to some server.
@@ -576,18 +573,16 @@
 		(r.rules.Effect != NonReplayable || b.canDeny(r))
 }
 
+// Again says whether what was sent to one server and may have run there may go to another: no effect twice.
+func (x *RuleSet) Again(one, other Server, sent, now int64) bool {
+	same := x.Group == GroupAll || one.Zone == other.Zone && (x.Group == GroupZone || one.Cell == other.Cell)
+	return x.Effect == Replayable || x.Effect == Uniqued && same && now < sent+x.Window
+}
+
 // allowed says whether the req may go to this server without taking effect twice.
 func (r *req) allowed(s *server, now int64) bool {
 	for _, d := range r.sends {
-		if d.out && d.srv == s {
-			return false
-		}
-		if !d.maybe || r.rules.Effect == Replayable {
-			continue
-		}
-		same := r.rules.Group == GroupAll || d.srv.Zone == s.Zone &&
-			(r.rules.Group == GroupZone || d.srv.Cell == s.Cell)
-		if r.rules.Effect == NonReplayable || !same || now >= d.sent+r.rules.Window {
+		if d.out && d.srv == s || d.maybe && !r.rules.Again(d.srv.Server, s.Server, d.sent, now) {
 			return false
 		}
 	}
@@ -621,12 +616,12 @@
 		if slices.ContainsFunc(r.sends, func(d *dispatch) bool { return d.srv == s }) {
 			w *= 1e-9 // one that was tried is only better than none
 		}
-		h := draw.Hash(r.Key, s.ID)
+		key := r.Key
 		if s.cold < 1 && many {
 			// Hundreds of balancers would push it over with one popular key: it gets its part of each key.
-			h = draw.Hash(fmt.Sprint(r.luck), s.ID)
+			key = fmt.Sprint(r.luck)
 		}
-		s.score = -w / math.Log(h)
+		s.score = -w / math.Log(draw.Hash(key, s.ID))
 		for i, x := 0, s; i < spill && x != nil; i++ {
 			if ranked[i] == nil || x.score > ranked[i].score {
 				ranked[i], x = x, ranked[i]
--- a/balance/types.go
+++ b/balance/types.go
@@ -1,5 +1,7 @@
 package balance
 
+import "slices"
+
 // Effect says whether a req may run more than once.
 type Effect int
 
@@ -62,6 +64,20 @@
 	Tick          int64
 }
 
+// RuleSet finds one by its name; nil where there is none.
+func (t *Terms) RuleSet(name string) *RuleSet {
+	i := slices.IndexFunc(t.RuleSets, func(x RuleSet) bool { return x.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &t.RuleSets[i]
+}
+
+// Tenant finds the place of one by its name; -1 where there is none.
+func (t *Terms) Tenant(name string) int {
+	return slices.IndexFunc(t.Tenants, func(x Tenant) bool { return x.Name == name })
+}
+
 // State is where a listed server stands.
 type State int
 
--- a/emu/seat.go
+++ b/emu/seat.go
@@ -101,13 +101,16 @@
 	out bool
 }
 
+// SeedOf is a balancer's own seed in a run, in virtual time and on sockets alike.
+func SeedOf(seed uint64, balancer int) uint64 { return seed*1000003 + uint64(balancer) + 1 }
+
 // NewSeats puts a policy in each balancer's place; terms are those of the deployment.
 func NewSeats(f *Fleet, c *Virtual, zones []string, t balance.Terms, cl Clients, seed uint64,
 	policy func(t balance.Terms, now int64) Policy, result func(Result)) *Seats {
 	s := &Seats{fleet: f, clock: c, terms: t, clients: cl, result: result, log: sha256.New()}
 	s.dice.Seed = seed
 	for i, zone := range zones {
-		t.Seed, t.Zone, t.Copies = seed*1000003+uint64(i)+1, zone, len(zones)
+		t.Seed, t.Zone, t.Copies = SeedOf(seed, i), zone, len(zones)
 		st := &seat{Seats: s, id: i, zone: zone, policy: policy(t, c.Now()), reqs: map[uint64]*asked{}}
 		entries, _ := f.List()
 		for _, e := range entries {
@@ -246,10 +249,8 @@
 	r.sends = append(r.sends, s)
 	r.outs++
 	var rules balance.RuleSet
-	for _, x := range st.terms.RuleSets {
-		if x.Name == r.RuleSet {
-			rules = x
-		}
+	if x := st.terms.RuleSet(r.RuleSet); x != nil {
+		rules = *x
 	}
 	st.fleet.Judge.Sent(st.id, id, r.name)
 	s.job = &Job{Req: r.name, From: st.id, Sent: now, Work: r.Work, Key: r.Key, Rules: rules, Done: func(o balance.Outcome) {
--- a/lab/baseline.go
+++ b/lab/baseline.go
@@ -4,6 +4,7 @@
 // same rules on dispatching again and on denying, and differ in which server they take. They must never leave the lab.
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -95,11 +96,9 @@
 
 func (p *plain) Req(a balance.Arrival, now int64) {
 	r := &plainReq{Arrival: a, giveUp: now + a.Budget}
-	for _, x := range p.t.RuleSets {
-		if x.Name == a.RuleSet {
-			r.rules = x
-			r.giveUp = min(r.giveUp, now+x.ResponseTarget)
-		}
+	if x := p.t.RuleSet(a.RuleSet); x != nil {
+		r.rules = *x
+		r.giveUp = min(r.giveUp, now+x.ResponseTarget)
 	}
 	r.giveUp -= 2 * p.t.Tick
 	p.reqs[a.ID] = r
@@ -144,15 +143,7 @@
 		p.servers = nil
 	}
 	for _, e := range entries {
-		i, had := slices.BinarySearchFunc(p.servers, e.ID, func(s balance.Server, id string) int {
-			switch {
-			case s.ID < id:
-				return -1
-			case s.ID > id:
-				return 1
-			}
-			return 0
-		})
+		i, had := slices.BinarySearchFunc(p.servers, e.ID, func(s balance.Server, id string) int { return cmp.Compare(s.ID, id) })
 		if had {
 			p.servers[i] = e
 		} else {
@@ -210,8 +201,7 @@
 }
 
 func (p *plain) harmless(r *plainReq) bool {
-	return r.rules.Effect == balance.Replayable || r.rules.Effect == balance.Uniqued && r.rules.Group == balance.GroupAll ||
-		!slices.ContainsFunc(r.sends, func(s plainSend) bool { return s.maybe || s.out })
+	return r.rules.Harmless() || !slices.ContainsFunc(r.sends, func(s plainSend) bool { return s.maybe || s.out })
 }
 
 // dispatch takes a server of those that the rules leave.
@@ -224,11 +214,7 @@
 			return true
 		}
 		return slices.ContainsFunc(r.sends, func(x plainSend) bool {
-			if !x.maybe || r.rules.Effect == balance.Replayable {
-				return false
-			}
-			same := r.rules.Group == balance.GroupAll || x.srv.Zone == s.Zone && (r.rules.Group == balance.GroupZone || x.srv.Cell == s.Cell)
-			return r.rules.Effect == balance.NonReplayable || !same || now >= x.at+r.rules.Window
+			return x.maybe && !r.rules.Again(x.srv, s, x.at, now)
 		})
 	})
 	if len(left) == 0 {
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -237,12 +237,15 @@
 	return t
 }
 
+// zone is where the n-th balancer or server stands.
+func (e *Experiment) zone(n int) string { return e.Fleet.Zones[n%len(e.Fleet.Zones)] }
+
 // machines spreads the kinds of machine over the zones.
 func (e *Experiment) machines() (all []emu.Machine) {
 	for _, m := range e.Fleet.Machines {
 		for range m.Count {
 			n := len(all)
-			all = append(all, emu.Machine{ID: fmt.Sprintf("s-%03d", n+1), Zone: e.Fleet.Zones[n%len(e.Fleet.Zones)],
+			all = append(all, emu.Machine{ID: fmt.Sprintf("s-%03d", n+1), Zone: e.zone(n),
 				Cell: int64(n % len(e.Fleet.Zones)), Cores: m.Cores, Speed: m.Speed, Share: m.Share})
 		}
 	}
--- a/lab/run.go
+++ b/lab/run.go
@@ -126,7 +126,7 @@
 	m := newMeasure(e, f)
 	zones := make([]string, e.Fleet.Balancers)
 	for i := range zones {
-		zones[i] = e.Fleet.Zones[i%len(e.Fleet.Zones)]
+		zones[i] = e.zone(i)
 	}
 	seats := emu.NewSeats(fleet, clock, zones, e.terms(), e.clients(), seed, policy, m.add)
 	if err := fleet.Schedule(e.faults()); err != nil {
--- a/lab/sockets.go
+++ b/lab/sockets.go
@@ -39,6 +39,7 @@
 // rig is one run on sockets.
 type rig struct {
 	e     *Experiment
+	terms balance.Terms
 	clock *emu.Wall
 	fleet *emu.Fleet
 	ctx   context.Context
@@ -112,7 +113,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	clock := emu.NewWall()
 	defer clock.Stop()
-	r := &rig{e: e, clock: clock, ctx: ctx, open: map[net.Conn]string{}}
+	r := &rig{e: e, terms: e.terms(), clock: clock, ctx: ctx, open: map[net.Conn]string{}}
 	clock.Do(func() {
 		r.fleet = emu.NewFleet(clock, seed, e.nature(), e.wire(), e.machines(), int64(e.Fleet.Grace))
 		r.fleet.Kill = r.killAll
@@ -175,8 +176,6 @@
 	return fronts, nil
 }
 
-func (r *rig) zone(proxy int) string { return r.e.Fleet.Zones[proxy%len(r.e.Fleet.Zones)] }
-
 // standIn listens for one proxy as one server. While the server's process is gone it does not listen.
 func (r *rig) standIn(proxy int, s *emu.Server) (string, error) {
 	l, err := net.Listen("tcp", hostNet)
@@ -286,7 +285,7 @@
 		var load emu.Load
 		r.clock.Do(func() {
 			r.fleet.Judge.Sent(proxy, s.ID, id)
-			if _, arrives := r.fleet.Way(r.zone(proxy), s); arrives {
+			if _, arrives := r.fleet.Way(r.e.zone(proxy), s); arrives {
 				s.Offer(job)
 			}
 		})
@@ -328,10 +327,8 @@
 }
 
 func (r *rig) rules(name string) balance.RuleSet {
-	for _, x := range r.e.terms().RuleSets {
-		if x.Name == name {
-			return x
-		}
+	if x := r.terms.RuleSet(name); x != nil {
+		return *x
 	}
 	return balance.RuleSet{Name: name, Effect: balance.NonReplayable}
 }
@@ -414,7 +411,7 @@
 // configuration is what a proxy is told, as the platform would tell it.
 func (r *rig) configuration(listen, discovery string, seed uint64, proxy int) ([]byte, error) {
 	x := r.e
-	t := x.terms()
+	t := r.terms
 	kinds := map[balance.Effect]string{balance.Replayable: "retryable", balance.Uniqued: "dedup", balance.NonReplayable: "fragile"}
 	sets, tenants := []any{}, []any{}
 	for _, s := range x.RuleSets {
@@ -430,9 +427,9 @@
 	}
 	servers, version := r.fleet.List()
 	return json.Marshal(map[string]any{"name": fmt.Sprint("n", proxy), "listen": listen, "discovery": discovery,
-		"seed": fmt.Sprintf("%x", seed*1000003+uint64(proxy)+1), "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 4096},
+		"seed": fmt.Sprintf("%x", emu.SeedOf(seed, proxy)), "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 4096},
 		"known": json.RawMessage(r.line(proxy, true, version, servers)),
-		"settings": map[string]any{"FleetSize": t.Copies, "Zone": r.zone(proxy), "TickNs": t.Tick, "Discovery": "on_request",
+		"settings": map[string]any{"FleetSize": t.Copies, "Zone": r.e.zone(proxy), "TickNs": t.Tick, "Discovery": "on_request",
 			"Ceilings": map[string]any{"MaxDispatches": t.MaxDispatches, "ParallelTries": t.Parallel, "Cancel": t.CanCancel, "RetryAfter": true,
 				"MaxRetryAfterNs": t.MaxAdvice, "DialTimeoutNs": int64(250e6), "ConnIdleNs": int64(60e9)},
 			"Contract": map[string]any{"AskWithinNs": t.AskWithin, "StartCapacity": t.StartCapacity, "RampTimeNs": t.RampTime},
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -6,7 +6,6 @@
 import (
 	"errors"
 	"net/http"
-	"slices"
 
 	"ivybank/balance"
 	"ivybank/http1"
@@ -51,16 +50,15 @@
 // sound says whether a call is one that a host could use.
 func (p *Proxy) sound(call http1.Call) error {
 	terms := p.terms
-	set := slices.IndexFunc(terms.RuleSets, func(s balance.RuleSet) bool { return s.Name == call.RuleSet })
-	tenant := slices.IndexFunc(terms.Tenants, func(t balance.Tenant) bool { return t.Name == call.Tenant })
+	set := terms.RuleSet(call.RuleSet)
 	switch {
 	case call.ID == "":
 		return errors.New("no id")
 	case call.Timeout <= 0:
 		return errors.New("no client timeout")
-	case set < 0 || tenant < 0 && len(terms.Tenants) > 0:
+	case set == nil || terms.Tenant(call.Tenant) < 0 && len(terms.Tenants) > 0:
 		return errors.New("rule set or tenant not known")
-	case call.Method == http.MethodGet && terms.RuleSets[set].Effect == balance.Replayable:
+	case call.Method == http.MethodGet && set.Effect == balance.Replayable:
 	case call.Method != http.MethodPost && call.Method != http.MethodPut:
 		return errors.New("method does not go with the rule set")
 	}
