--- a/cmd/ivybank/daily_test.go
+++ b/cmd/ivybank/daily_test.go
@@ -47,10 +47,7 @@
 
 // A host that is out gets nothing, whatever the list says meanwhile, until the call that puts it back.
 func TestHold(t *testing.T) {
-	one, two := newHost(t, saying(text(200, "", "one"), true)), newHost(t, saying(text(200, "", "two"), true))
-	d := newRegistry(t)
-	p := prepare(t, d.addr, 1024, entry("s-1", one.Addr().String(), "ready"), entry("s-2", two.Addr().String(), "ready"))
-	p.listener = inherit(t, p.addr)
+	p, one, two, d := pairOnInherited(t)
 	p.start(t)
 	<-d.asked
 	ask := func(p *program, n int) {
@@ -161,32 +158,15 @@
 // New settings are taken whole or not at all, and never by reqs that are open.
 func TestRetune(t *testing.T) {
 	release := make(chan string)
-	h := newHost(t, func(c net.Conn, r *http.Request) bool {
-		if r.Header.Get("Request-Id") == "slow" {
-			_, _ = io.WriteString(c, <-release)
-			return true
-		}
-		_, _ = io.WriteString(c, text(200, "", "body"))
-		return true
-	})
+	h := newHost(t, onRelease(release, text(200, "", "body")))
 	p := begin(t, nowhere, 1024, entry("s-1", h.Addr().String(), "ready"))
-	whole, err := os.ReadFile(p.config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	hup := func(file string) {
-		t.Helper()
-		p.rewrite(t, file)
-		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
-			t.Fatal(err)
-		}
-	}
+	whole := p.text(t)
 	edit := func(from, to string) string {
 		t.Helper()
-		if !strings.Contains(string(whole), from) {
+		if !strings.Contains(whole, from) {
 			t.Fatalf("no %q in the configuration", from)
 		}
-		return strings.Replace(string(whole), from, to, 1)
+		return strings.Replace(whole, from, to, 1)
 	}
 	renamed := edit(`"Name":"once"`, `"Name":"new"`) // shows if anything of a file was taken
 	for name, file := range map[string]string{
@@ -206,7 +186,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			warned := p.out.count("new configuration ignored")
-			hup(file)
+			p.hup(t, file)
 			eventually(t, "one warning", func() bool { return p.out.count("new configuration ignored") == warned+1 })
 			if r, _ := p.ask(t, call("POST", "a", "once", "")); r.StatusCode != 200 {
 				t.Errorf("got %d under the old rules, want 200", r.StatusCode)
@@ -221,7 +201,7 @@
 	before := h.seen() + 1
 	eventually(t, "the open req is at the host", func() bool { return h.seen() == before })
 	// The name comes back with another effect: what is open must still not go again.
-	hup(strings.Replace(edit(`"Effect":"fragile"`, `"Effect":"retryable"`), `"Name":"again"`, `"Name":"added"`, 1))
+	p.hup(t, strings.Replace(edit(`"Effect":"fragile"`, `"Effect":"retryable"`), `"Name":"again"`, `"Name":"added"`, 1))
 	eventually(t, "the file is taken", func() bool { return p.counters(t)["reloads"] == 1 })
 	release <- text(500, "", "")
 	if r, _ := answer(t, in); r.StatusCode != 502 {
@@ -348,10 +328,7 @@
 
 // Either process of an upgrade may be killed at any moment: the other goes on, with all that the platform gives and all holds.
 func TestUpgradeKilled(t *testing.T) {
-	one, two := newHost(t, saying(text(200, "", "one"), true)), newHost(t, saying(text(200, "", "two"), true))
-	d := newRegistry(t)
-	p := prepare(t, d.addr, 1024, entry("s-1", one.Addr().String(), "ready"), entry("s-2", two.Addr().String(), "ready"))
-	p.listener = inherit(t, p.addr)
+	p, one, _, _ := pairOnInherited(t)
 	p.start(t)
 	if got := p.operate(t, "PUT", "/hosts/s-1/maint"); got != 200 {
 		t.Fatalf("got %d", got)
--- a/cmd/ivybank/helpers_test.go
+++ b/cmd/ivybank/helpers_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -308,6 +309,47 @@
 	return p
 }
 
+// text is the configuration as it stands.
+func (p *program) text(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile(p.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// hup replaces the configuration and has the program read it.
+func (p *program) hup(t *testing.T, text string) {
+	t.Helper()
+	p.rewrite(t, text)
+	if err := p.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// onRelease answers as saying does, but to the req "slow" what it is released with.
+func onRelease(release <-chan string, answer string) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, r *http.Request) bool {
+		said := answer
+		if r.Header.Get("Request-Id") == "slow" {
+			said = <-release
+		}
+		_, _ = io.WriteString(c, said)
+		return true
+	}
+}
+
+// pairOnInherited is a proxy that is not started yet, on a listener of the platform's, with two hosts and discovery.
+func pairOnInherited(t *testing.T) (p *program, one, two *standin, d *registry) {
+	t.Helper()
+	one, two = newHost(t, saying(text(200, "", "one"), true)), newHost(t, saying(text(200, "", "two"), true))
+	d = newRegistry(t)
+	p = prepare(t, d.addr, 1024, entry("s-1", one.Addr().String(), "ready"), entry("s-2", two.Addr().String(), "ready"))
+	p.listener = inherit(t, p.addr)
+	return p, one, two, d
+}
+
 // rewrite replaces the configuration.
 func (p *program) rewrite(t *testing.T, text string) {
 	t.Helper()
--- a/cmd/ivybank/keys_test.go
+++ b/cmd/ivybank/keys_test.go
@@ -414,15 +414,7 @@
 	write(t, filepath.Join(folder, "operator"), "keys-disk.toml", string(operator))
 	small := strings.NewReplacer("length = \"25s\"", "length = \"6s\"", "rate = 850.0", "rate = 300.0", "at = \"3s\"", "at = \"1s\"", "at = \"6s\"", "at = \"2s\"",
 		"at = \"12s\"", "at = \"2500ms\"", "at = \"15s\"", "at = \"3s\"", "at = \"19s\"", "at = \"4500ms\"").Replace(string(text))
-	write(t, folder, "keys.toml", small)
-	out, errs, code := ivybank(t, folder, "lab", "run", "keys.toml")
-	if code != 0 {
-		t.Fatalf("got %d: %s%s", code, out, errs)
-	}
-	rows := played(t, folder, "keys")
-	if len(rows) != 2 {
-		t.Fatalf("got %d runs", len(rows))
-	}
+	rows, out := rehearsed(t, folder, small, "keys", 2)
 	for _, row := range rows {
 		broken := row["breaches_1"] != "0" || row["breaches_2"] != "0"
 		if keys := row["variant"] == "on disk"; keys && broken {
--- a/cmd/ivybank/lab_test.go
+++ b/cmd/ivybank/lab_test.go
@@ -102,6 +102,20 @@
 	return runs
 }
 
+// rehearsed plays an experiment of so many runs to its end.
+func rehearsed(t *testing.T, folder, text, name string, runs int) (rows []map[string]string, out string) {
+	t.Helper()
+	write(t, folder, "small.toml", text)
+	out, errs, code := ivybank(t, folder, "lab", "run", "small.toml")
+	if code != 0 {
+		t.Fatalf("got %d: %s%s", code, out, errs)
+	}
+	if rows = played(t, folder, name); len(rows) != runs {
+		t.Fatalf("got %d runs, want %d", len(rows), runs)
+	}
+	return rows, out
+}
+
 // The built program is played against stand-ins on loopback, and table and chart are kept.
 func TestLabSockets(t *testing.T) {
 	text, err := os.ReadFile("../../lab/experiments/sockets.toml")
@@ -114,15 +128,7 @@
 	if strings.Contains(small, "20s\"\nwarm") || !strings.Contains(small, "seeds = [1]") {
 		t.Fatal("the experiment is not what this test makes smaller")
 	}
-	write(t, folder, "small.toml", small)
-	out, errs, code := ivybank(t, folder, "lab", "run", "small.toml")
-	if code != 0 {
-		t.Fatalf("got %d: %s%s", code, out, errs)
-	}
-	rows := played(t, folder, "sockets")
-	if len(rows) != 1 {
-		t.Fatalf("got %d runs", len(rows))
-	}
+	rows, out := rehearsed(t, folder, small, "sockets", 1)
 	got := rows[0]
 	for _, rule := range []string{"breaches_1", "breaches_2", "breaches_3", "breaches_4"} {
 		if got[rule] != "0" {
--- a/cmd/ivybank/main_test.go
+++ b/cmd/ivybank/main_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -279,24 +278,13 @@
 	old, next := newRegistry(t), newRegistry(t)
 	p := begin(t, old.addr, 1024, entry("s-1", one.Addr().String(), "ready"))
 	<-old.asked
-	text, err := os.ReadFile(p.config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	hup := func(file string) {
-		if err := os.WriteFile(p.config, []byte(file), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
-			t.Fatal(err)
-		}
-	}
-	hup("{")
+	text := p.text(t)
+	p.hup(t, "{")
 	served := func(want string) func() bool {
 		return func() bool { _, body := p.ask(t, call("GET", "x", "again", "")); return body == want }
 	}
 	eventually(t, "the old list serves", served("one"))
-	hup(strings.Replace(string(text), old.addr, next.addr, 1))
+	p.hup(t, strings.Replace(text, old.addr, next.addr, 1))
 	if from := <-next.asked; from != "1" {
 		t.Fatalf("asked from %q, want the version held", from)
 	}
@@ -305,7 +293,7 @@
 	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	hup(string(text)) // also while it drains
+	p.hup(t, text) // also while it drains
 	if err := p.Wait(); err != nil {
 		t.Fatalf("got %v, want exit 0: %s", err, p.out)
 	}
@@ -396,13 +384,11 @@
 					t.Fatal(err)
 				}
 			}
-			cmd := exec.Command(binary)
-			cmd.Env = append(os.Environ(), "GW_CONFIG="+path)
-			out, err := cmd.CombinedOutput()
-			if cmd.ProcessState.ExitCode() != 2 {
-				t.Fatalf("got %v, want exit 2: %s", err, out)
+			out, code := (&program{config: path}).fails(t)
+			if code != 2 {
+				t.Fatalf("got %d, want exit 2: %s", code, out)
 			}
-			if strings.Count(string(out), "\n") != 1 {
+			if strings.Count(out, "\n") != 1 {
 				t.Errorf("got %q, want one plain line", out)
 			}
 		})
--- a/cmd/ivybank/move_test.go
+++ b/cmd/ivybank/move_test.go
@@ -2,11 +2,7 @@
 
 import (
 	"io"
-	"net"
-	"net/http"
-	"os"
 	"strings"
-	"syscall"
 	"testing"
 )
 
@@ -21,11 +17,7 @@
 	h := newHost(t, saying(text(200, "", "one"), true))
 	d := newRegistry(t)
 	p := prepare(t, d.addr, 1024)
-	whole, err := os.ReadFile(p.config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.rewrite(t, unasked(string(whole)))
+	p.rewrite(t, unasked(p.text(t)))
 	p.start(t)
 	<-d.asked
 	d.lines <- list(1, true, entry("s-1", h.Addr().String(), "ready"))
@@ -44,14 +36,7 @@
 // out by hand stays out, and the list is followed in each shape.
 func TestMove(t *testing.T) {
 	release := make(chan string)
-	one := newHost(t, func(c net.Conn, r *http.Request) bool {
-		if r.Header.Get("Request-Id") == "slow" {
-			_, _ = io.WriteString(c, <-release)
-			return true
-		}
-		_, _ = io.WriteString(c, text(200, "", "one"))
-		return true
-	})
+	one := newHost(t, onRelease(release, text(200, "", "one")))
 	two := newHost(t, saying(text(200, "", "two"), true))
 	d := newRegistry(t)
 	p := begin(t, d.addr, 1024, entry("s-1", one.Addr().String(), "ready"), entry("s-2", two.Addr().String(), "ready"))
@@ -59,23 +44,17 @@
 	if got := p.operate(t, "PUT", "/hosts/s-2/maint"); got != 200 {
 		t.Fatalf("got %d", got)
 	}
-	whole, err := os.ReadFile(p.config)
-	if err != nil {
-		t.Fatal(err)
-	}
+	whole := p.text(t)
 	conn, in := p.dial(t)
 	_, _ = io.WriteString(conn, call("POST", "slow", "once", ""))
 	before := one.seen() + 1
 	eventually(t, "the open req is at the host", func() bool { return one.seen() == before })
 	hup := func(file string, reloads int) {
 		t.Helper()
-		p.rewrite(t, file)
-		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
-			t.Fatal(err)
-		}
+		p.hup(t, file)
 		eventually(t, "the file is taken", func() bool { return p.counters(t)["reloads"] == reloads })
 	}
-	moved := strings.Replace(unasked(string(whole)), `"Effect":"fragile"`, `"Effect":"retryable"`, 1)
+	moved := strings.Replace(unasked(whole), `"Effect":"fragile"`, `"Effect":"retryable"`, 1)
 	hup(moved, 1)
 	for range 20 {
 		if _, body := p.ask(t, call("GET", "x", "again", "")); body != "one" {
@@ -89,7 +68,7 @@
 	hup(strings.Replace(moved, `"live"`, `"heavy"`, 1)+" ", 1) // refused: the reloads stay at one
 	eventually(t, "one warning", func() bool { return p.out.count("new configuration ignored") == 1 })
 	// Back: a file that leaves out what the running one names is refused, so it names the defaults.
-	hup(strings.Replace(string(whole), `"Discovery":"on_request"`, `"Discovery":"on_request","Weights":"nominal","ScoringMix":{"Tail":0}`, 1), 2)
+	hup(strings.Replace(whole, `"Discovery":"on_request"`, `"Discovery":"on_request","Weights":"nominal","ScoringMix":{"Tail":0}`, 1), 2)
 	if n := <-d.asked; n == "" {
 		t.Error("the module asks from no version")
 	}
