--- a/balance/balance.go
+++ b/balance/balance.go
@@ -114,6 +114,7 @@
 	target, worth     fade.Mean     // response target and billing value of reqs
 	keys              fade.Keys     // reqs by key
 	planned, dazed    bool
+	advice            Advice
 }
 
 // New makes an instance; the list follows as Listed(Restored).
@@ -153,6 +154,9 @@
 	}
 }
 
+// Advised takes what other balancers' word comes to.
+func (b *Balancer) Advised(a Advice) { b.advice = a }
+
 // Req takes a req.
 func (b *Balancer) Req(a Arrival, now int64) {
 	r := &req{Arrival: a, rules: b.t.RuleSet(a.RuleSet), tenant: b.t.Tenant(a.Tenant), luck: b.dice.Next(),
@@ -371,9 +375,8 @@
 			s.spent = 1 + b.dice.Next() // not the first of all balancers at once
 		}
 	}
-	if s.Server, s.known = e, e.State != Gone; s.Share <= 0 {
-		s.Share = 1
-	}
+	s.Server, s.known = e, e.State != Gone
+	s.Share = cmp.Or(max(0, s.Share), 1)
 	s.ease = (1-easeStep)*cmp.Or(s.ease, s.Share) + easeStep*s.Share
 }
 
@@ -508,6 +511,7 @@
 			if s.unit > 0 {
 				s.ready *= math.Sqrt(b.unit / (s.unit * s.size))
 			}
+			s.ready *= cmp.Or(b.advice.Wary[s.ID], 1)
 			b.total += s.ready
 		}
 	}
@@ -515,7 +519,7 @@
 
 // serve decides on one req and says when it is to be looked at again.
 func (b *Balancer) serve(r *req, now int64) int64 {
-	if now >= r.giveUp && !r.streaming {
+	if (now >= r.giveUp || r.Shed) && !r.streaming {
 		b.finish(r)
 	}
 	if r.ended || r.streaming {
@@ -551,7 +555,7 @@
 func (b *Balancer) finish(r *req) {
 	d := Decision{Kind: Abort, Req: r.ID}
 	if b.canDeny(r) {
-		d.Kind, d.Time = Deny, min(b.t.MaxAdvice, r.rules.ResponseTarget/5)
+		d.Kind, d.Time = Deny, min(b.t.MaxAdvice, cmp.Or(r.Back, r.rules.ResponseTarget/5))
 	}
 	b.do(d)
 	r.ended = true
@@ -597,7 +601,8 @@
 
 // pick is the weighted rendezvous: of the servers that are not skipped, the one with the top score.
 func (b *Balancer) pick(r *req, now int64) *server {
-	if !b.canSend(r) || float64(b.inflight) >= b.bound(r, now) {
+	short := b.advice.Bounded && b.advice.Further < min(1, len(r.sends))
+	if short || !b.canSend(r) || float64(b.inflight) >= b.bound(r, now) {
 		return nil
 	}
 	var ranked [spill]*server
@@ -687,6 +692,7 @@
 		d.rested = 0
 		b.do(Decision{Kind: Close, Server: s.ID})
 	}
+	b.advice.Further -= min(1, len(r.sends))
 	if r.sends = append(r.sends, d); !r.Open {
 		b.enter(d)
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -134,6 +134,15 @@
 	Budget  int64 // time left before the client gives up this try
 	Work    int64 // expected work, 0 when not told
 	Open    bool  // its body is still coming: its time counts from Whole
+	Shed    bool  // all balancers together deny its like: it is denied at once,
+	Back    int64 // and its client advised to wait so long, 0: as ever
+}
+
+// Advice is what other balancers' word comes to. It only ever makes this one more careful; none is the zero value.
+type Advice struct {
+	Bounded bool               // dispatches beyond a req's first are bounded:
+	Further int                // so many may go until the next advice
+	Wary    map[string]float64 // part of its share that a server gets for now
 }
 
 // Kind is what a Decision asks of the host.
--- a/cmd/ivybank/lab_test.go
+++ b/cmd/ivybank/lab_test.go
@@ -44,7 +44,7 @@
 		"lab":                        "expected run, replay or report",
 		"lab run":                    "accepts 1 arg",
 		"lab run gone.toml":          "gone.toml",
-		"lab run bad.toml":           "bad.toml:3: mode: expected virtual or sockets",
+		"lab run bad.toml":           "bad.toml:3: mode: expected virtual, sockets or processes",
 		"lab run --speed bad.toml":   "unknown flag",
 		"lab report gone":            "result.json",
 		"lab trace --layout nosuch":  "layout \"nosuch\"",
--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -23,6 +23,8 @@
 
 	"ivybank/conf"
 	"ivybank/door"
+	"ivybank/duty"
+	"ivybank/fleet"
 	"ivybank/holds"
 	"ivybank/once"
 	"ivybank/proxy"
@@ -46,6 +48,9 @@
 		Sockets int     `json:"sockets"`
 	} `json:"limits"`
 	Admin    string          `json:"admin_addr"` // absent: no door
+	Peer     string          `json:"peer_listen"`
+	Peers    []string        `json:"peers"`
+	operator *conf.Operator  // nil: none
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
@@ -66,6 +71,35 @@
 	return o, s, err
 }
 
+// apply puts in force what the operator file says of the log.
+func (o *orders) apply() {
+	if o.operator != nil {
+		o.operator.Apply()
+	}
+}
+
+// loadAll reads the configuration and, where there is one, the operator file.
+func loadAll(path, operator string) (orders, proxy.Start, error) {
+	var op *conf.Operator
+	if operator != "" {
+		var err error
+		if op, err = conf.LoadOperator(operator); err != nil {
+			return orders{}, proxy.Start{}, err
+		}
+	}
+	o, s, err := load(path)
+	if err != nil {
+		return o, s, err
+	}
+	if s.Fleet, err = fleetOf(op, o); err != nil {
+		return o, s, fmt.Errorf("%s: %w", path, err)
+	}
+	if o.operator = op; op != nil {
+		s.Keys = keysOf(op)
+	}
+	return o, s, nil
+}
+
 // read turns the configuration into what the proxy starts from.
 func read(text []byte) (o orders, s proxy.Start, err error) {
 	if err := json.Unmarshal(text, &o); err != nil {
@@ -166,6 +200,46 @@
 	return x
 }
 
+// fleetOf is what an operator file sets on peers, at the addresses that it or the platform's configuration names; nil where neither
+// does, or the settings let proxies not tell one another anything.
+func fleetOf(op *conf.Operator, o orders) (*proxy.Fleet, error) {
+	if op == nil || op.Fleet == nil {
+		return nil, nil
+	}
+	x := op.Fleet
+	v, err := terms.Flatten(o.Settings)
+	if err != nil {
+		return nil, err
+	}
+	f := &proxy.Fleet{Name: x.Name, Listen: x.Listen}
+	addrs, me := x.Peers, x.Me
+	if len(addrs) == 0 {
+		if len(o.Peers) == 0 || o.Peer == "" || v.At["Ceilings.MayTell"] != "" && !v.Bool("Ceilings.MayTell") {
+			return nil, nil
+		}
+		f.Listen, addrs, me = o.Peer, o.Peers, int(v.Int("Me"))
+	}
+	for _, a := range addrs {
+		at, err := netip.ParseAddrPort(a)
+		if err != nil {
+			return nil, fmt.Errorf("peers: %q: expected address:port", a)
+		}
+		f.Peers = append(f.Peers, at)
+	}
+	if me < 0 || me >= len(addrs) {
+		return nil, fmt.Errorf("settings: Me=%d: expected a place among the %d peers", me, len(addrs))
+	}
+	f.Terms = fleet.Terms{Me: me, Of: len(addrs), Datagrams: x.Datagrams, AckWait: int64(x.AckWait), Quiet: int64(x.Quiet)}
+	if s := x.Overload; s != nil {
+		f.Terms.Overload, f.Terms.Over = &fleet.Overload{Further: s.Further, Most: s.Most}, s.Over
+	}
+	if s := x.Probes; s != nil && (v.At["Ceilings.Probes"] == "" || v.Bool("Ceilings.Probes")) {
+		f.Terms.Probes = &duty.Terms{Every: int64(s.Every), After: int64(s.After)}
+		f.ProbePath, f.ProbeTimeout = s.Path, int64(s.Timeout)
+	}
+	return f, v.Err
+}
+
 // library sends nbio's log to logrus.
 type library struct{}
 
@@ -190,21 +264,12 @@
 	// Caught from the first moment: uncaught it ends the program. One that comes before the file is read waits.
 	reread := make(chan os.Signal, 1)
 	signal.Notify(reread, syscall.SIGHUP)
-	var keys *proxy.Keys
-	if operator != "" {
-		o, err := conf.LoadOperator(operator)
-		if err != nil {
-			return err
-		}
-		o.Apply()
-		keys = keysOf(o)
-	}
 	path := os.Getenv("GW_CONFIG")
-	o, start, err := load(path)
+	o, start, err := loadAll(path, operator)
 	if err != nil {
 		return err
 	}
-	start.Keys = keys
+	o.apply()
 	logging.SetLogger(library{})
 	// A poller that waits in the kernel holds a processor of Go's until it is taken away from it, so the
 	// pollers come on top of the cores.
@@ -224,7 +289,7 @@
 	}()
 	go func() {
 		for range reread {
-			next, start, err := load(path)
+			next, start, err := loadAll(path, operator)
 			if err == nil {
 				err = follows(o, next)
 			}
@@ -233,6 +298,7 @@
 				continue
 			}
 			o = next
+			o.apply()
 			p.Retune(start)
 		}
 	}()
--- a/door/door.go
+++ b/door/door.go
@@ -31,6 +31,7 @@
 	Back               // the host is put back
 	Empty              // send the clients away
 	Refill             // take clients again
+	Fleet              // what this process makes of its peers, as JSON
 )
 
 // Call is one call of an operator.
@@ -56,6 +57,8 @@
 	kinds := map[string]Call{}
 	part := strings.Split(strings.TrimPrefix(path, "/"), "/")
 	switch {
+	case path == "/fleet":
+		kinds[http.MethodGet] = Call{Kind: Fleet}
 	case path == "/healthcheck":
 		kinds[http.MethodGet] = Call{Kind: Health}
 	case path == "/healthcheck/fail":
--- a/emu/fleet.go
+++ b/emu/fleet.go
@@ -19,7 +19,13 @@
 	Servers []string // ids; empty: Count of them by chance, or the zone's
 	Count   int
 	Zone    string
-	Size    float64 // slow: times slower; errors, reset, lossy: part of reqs; late: seconds more
+	Size    float64 // slow: times slower; errors, reset, lossy: part of reqs; late: seconds more; surge: times the load; starve: part of the time
+
+	// What befalls proxies and what passes between them.
+	Proxies              []int   // by place; empty: Count of them by chance
+	Way                  string  // split: out or in; empty: both
+	Loss, Double, Garble float64 // datagrams: parts of them
+	Delay, Spread        int64   // datagrams: how long they take, and by chance more; proxy_kill: Spread is by chance added to For
 }
 
 // Kinds are the faults there are, with what each does.
@@ -37,7 +43,16 @@
 	"wrong":          "discovery lists the servers as ready whatever they do",
 	"drain":          "servers are listed as draining, then start anew, cold",
 	"restart":        "processes start anew at once, cold",
-	"proxy_kill":     "sockets: client proxies are killed and start again over what they left",
+	"proxy_kill":     "client proxies are killed in one instant; each starts again after For",
+	"proxy_end":      "client proxies are told to end",
+	"proxy_pause":    "client proxies are stopped, and go on at the end",
+	"proxy_starve":   "client proxies are stopped for a part Size of each 100 ms",
+	"split":          "no datagram passes between the proxies and all others, or one way alone",
+	"datagrams":      "datagrams between proxies get lost, late, doubled, overtaken, garbled",
+	"unlink":         "the proxies and the servers do not reach each other",
+	"undiscovered":   "the proxies do not reach discovery",
+	"surge":          "Size times as many reqs come",
+	"pour":           "all reqs come to the proxies, the others get none",
 }
 
 // Wire is the network's figures.
@@ -54,7 +69,7 @@
 	Servers []*Server // by id
 	Judge   *Judge
 	Log     func(format string, a ...any)
-	Kill    func() // kills the proxies and starts them again; nil in virtual time
+	Others  func(Fault) (undo func()) // does what befalls proxies; nil where nothing can
 
 	dice     draw.Dice
 	version  int64
@@ -166,7 +181,7 @@
 		}
 		f.Clock.At(start+x.At, func() {
 			f.Log("fault begins: %s", x.Kind)
-			undo := f.strike(x)
+			undo := f.Strike(x)
 			if x.For > 0 {
 				f.Clock.At(f.Clock.Now()+x.For, func() {
 					f.Log("fault ends: %s", x.Kind)
@@ -188,17 +203,28 @@
 	if len(x.Servers) > 0 || x.Zone != "" {
 		return hit
 	}
-	left := slices.Clone(f.Servers)
-	for range min(x.Count, len(left)) {
-		i := int(f.dice.Next() * float64(len(left)))
-		hit = append(hit, left[i])
-		left = slices.Delete(left, i, i+1)
+	for _, i := range Drawn(&f.dice, len(f.Servers), x.Count) {
+		hit = append(hit, f.Servers[i])
 	}
 	return hit
 }
 
-// strike does what a fault does and gives what undoes it.
-func (f *Fleet) strike(x Fault) (undo func()) {
+// Drawn draws so many of n by chance.
+func Drawn(d *draw.Dice, n, count int) (all []int) {
+	left := make([]int, n)
+	for i := range left {
+		left[i] = i
+	}
+	for range min(count, n) {
+		i := int(d.Next() * float64(len(left)))
+		all = append(all, left[i])
+		left = slices.Delete(left, i, i+1)
+	}
+	return all
+}
+
+// Strike does what a fault does, now, and gives what undoes it.
+func (f *Fleet) Strike(x Fault) (undo func()) {
 	hit := f.struck(x)
 	each := func(do func(*Server)) {
 		for _, s := range hit {
@@ -261,13 +287,13 @@
 	case "late":
 		f.late += int64(x.Size * 1e9)
 		return func() { f.late -= int64(x.Size * 1e9) }
-	case "proxy_kill":
-		if f.Kill != nil {
-			f.Kill()
-		}
 	case "wrong":
 		each(func(s *Server) { f.wrong[s.ID]++; f.change(s, f.states[s.ID]) })
 		return func() { each(func(s *Server) { f.wrong[s.ID]--; f.change(s, f.states[s.ID]) }) }
+	default:
+		if f.Others != nil {
+			return f.Others(x)
+		}
 	}
 	return func() {}
 }
--- a/emu/server.go
+++ b/emu/server.go
@@ -106,6 +106,9 @@
 // Up says whether connections come up.
 func (s *Server) Up() bool { return !s.ails.crashed && !s.ails.vanished && !s.fallen }
 
+// Well says whether a probe is answered.
+func (s *Server) Well() bool { return s.Up() && !s.ails.hung }
+
 // Silent says whether nothing at all comes back, not even that a connection is refused.
 func (s *Server) Silent() bool { return s.ails.vanished }
 
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 
 	"ivybank/balance"
 	"ivybank/conf"
@@ -24,7 +25,7 @@
 	Format string        `toml:"format"`
 	Name   string        `toml:"name"`
 	About  string        `toml:"about"`
-	Mode   string        `toml:"mode"` // virtual or sockets
+	Mode   string        `toml:"mode"` // virtual, sockets or processes
 	Seeds  []uint64      `toml:"seeds"`
 	Length conf.Duration `toml:"length"`
 	Warm   conf.Duration `toml:"warm"` // from the start, left out of the figures
@@ -54,7 +55,8 @@
 	} `toml:"fleet"`
 
 	Load struct {
-		Rate    float64       `toml:"rate"` // reqs a second, all balancers together
+		Rate    float64       `toml:"rate"`   // reqs a second, all balancers together
+		Uneven  float64       `toml:"uneven"` // the n-th balancer gets as 1 over n to this power; 0: all the same
 		Keys    int           `toml:"keys"`
 		Skew    float64       `toml:"skew"` // of keys: the n-th is asked for as 1 over n to this power
 		Work    conf.Duration `toml:"work"`
@@ -62,7 +64,8 @@
 		Timeout conf.Duration `toml:"timeout"`
 		Retries int           `toml:"retries"`
 		Wait    conf.Duration `toml:"wait"`
-		Key     string        `toml:"idempotent"` // sockets: the field in which each ask's tries carry one key
+		Ignores bool          `toml:"ignores_advice"` // clients come again after wait whatever they are told
+		Key     string        `toml:"idempotent"`     // sockets: the field in which each ask's tries carry one key
 		Tenants []struct {
 			Name  string  `toml:"name"`
 			Share float64 `toml:"share"`
@@ -77,6 +80,8 @@
 		Target conf.Duration `toml:"response_target"`
 		Value  float64       `toml:"value"`
 		Share  float64       `toml:"share"` // of reqs
+
+		Proxies []int `toml:"proxies"` // where its reqs come; empty: everywhere
 	} `toml:"ruleset"`
 
 	Trace *Trace `toml:"trace"`
@@ -89,6 +94,14 @@
 		Count   int           `toml:"count"`
 		Zone    string        `toml:"zone"`
 		Size    float64       `toml:"size"`
+
+		Proxies []int         `toml:"proxies"`
+		Way     string        `toml:"way"`
+		Loss    float64       `toml:"loss"`
+		Double  float64       `toml:"double"`
+		Garble  float64       `toml:"garble"`
+		Delay   conf.Duration `toml:"delay"`
+		Spread  conf.Duration `toml:"spread"`
 	} `toml:"fault"`
 
 	Variants []Variant `toml:"variant"`
@@ -102,6 +115,9 @@
 	Policy   string `toml:"policy"`   // virtual
 	Operator string `toml:"operator"` // sockets: an operator file, beside the experiment's
 	Build    string `toml:"build"`    // sockets: the program; empty: this one
+
+	Others      []string `toml:"others"`       // processes: build and operator file of the last few proxies, which differ
+	OthersCount int      `toml:"others_count"` // how many
 }
 
 // Trace is a load from a trace file in place of a generated one.
@@ -149,7 +165,7 @@
 	rules := []conf.Rule{
 		{e.Format != Format, "format", fmt.Sprintf("expected %q", Format)},
 		{e.Name == "" || e.Name != filepath.Base(e.Name), "name", "expected a name that can be a folder's"},
-		{e.Mode != "virtual" && e.Mode != "sockets", "mode", "expected virtual or sockets"},
+		{!slices.Contains([]string{"virtual", "sockets", "processes"}, e.Mode), "mode", "expected virtual, sockets or processes"},
 		{len(e.Seeds) == 0, "seeds", "expected one seed at least"},
 		{e.Length <= 0 && e.Trace == nil, "length", "expected a time above 0"},
 		{e.Warm > 0 && e.Warm >= e.Length && e.Trace == nil, "warm", "expected less than length"},
@@ -164,7 +180,7 @@
 		{!slices.Contains([]string{"", "fixed", "uniform", "exponential"}, e.Load.Spread), "load.spread", "expected fixed, uniform or exponential"},
 		{e.Load.Timeout <= 0, "load.timeout", "expected a time above 0"},
 		{e.Load.Retries < 0, "load.retries", "expected 0 or more"},
-		{e.Load.Key != "" && e.Mode != "sockets", "load.idempotent", "only on sockets"},
+		{e.Load.Key != "" && e.Mode == "virtual", "load.idempotent", "only on sockets"},
 		{len(e.RuleSets) == 0, "ruleset", "expected one at least"},
 		{len(e.Variants) == 0, "variant", "expected one at least"},
 	}
@@ -181,23 +197,29 @@
 		rules = append(rules, conf.Rule{r.Name == "" || names[r.Name], p + "name", "expected a name of its own"},
 			conf.Rule{!effect, p + "effect", "expected replayable, uniqued or non-replayable"}, conf.Rule{!group, p + "group", "expected all, zone or cell"},
 			conf.Rule{r.Target <= 0, p + "response_target", "expected a time above 0"}, conf.Rule{r.Share < 0, p + "share", "expected 0 or more"},
-			conf.Rule{r.Value < 0, p + "value", "expected 0 or more"})
+			conf.Rule{r.Value < 0, p + "value", "expected 0 or more"},
+			conf.Rule{slices.ContainsFunc(r.Proxies, func(i int) bool { return i < 0 || i >= e.Fleet.Balancers }), p + "proxies", "expected places below balancers"})
 		names[r.Name] = true
 	}
 	for i, x := range e.Faults {
 		p := fmt.Sprintf("fault.%d.", i)
 		_, known := emu.Kinds[x.Kind]
-		sized := slices.Contains([]string{"slow", "errors", "reset", "lossy", "late"}, x.Kind)
+		sized := slices.Contains([]string{"slow", "errors", "reset", "lossy", "late", "surge", "proxy_starve"}, x.Kind)
 		rules = append(rules, conf.Rule{!known, p + "kind", "no such kind of fault"}, conf.Rule{sized && x.Size <= 0, p + "size", "expected a number above 0"},
 			conf.Rule{x.Kind == "cut" && x.Zone == "", p + "zone", "expected the zone that is cut off"},
-			conf.Rule{x.Kind == "proxy_kill" && e.Mode != "sockets", p + "kind", "only on sockets is there a proxy to kill"})
+			conf.Rule{e.Mode == "virtual" && strings.HasPrefix(x.Kind, "proxy_"), p + "kind", "only on sockets is there a proxy to kill"},
+			conf.Rule{slices.ContainsFunc(x.Proxies, func(i int) bool { return i < 0 || i >= e.Fleet.Balancers }), p + "proxies", "expected places below balancers"},
+			conf.Rule{!slices.Contains([]string{"", "out", "in"}, x.Way), p + "way", "expected out or in"},
+			conf.Rule{x.Kind == "pour" && len(x.Proxies) == 0, p + "proxies", "expected one at least"},
+			conf.Rule{x.Kind == "proxy_starve" && x.Size >= 1, p + "size", "expected a part below 1"})
 	}
 	variants := map[string]bool{}
 	for i, v := range e.Variants {
 		p := fmt.Sprintf("variant.%d.", i)
 		rules = append(rules, conf.Rule{v.Name == "" || variants[v.Name], p + "name", "expected a name of its own"},
+			conf.Rule{len(v.Others) > 2 || (len(v.Others) > 0) != (v.OthersCount > 0), p + "others", "expected a build and an operator file, with others_count"},
 			conf.Rule{e.Mode == "virtual" && !slices.Contains(Policies, v.Policy), p + "policy", fmt.Sprintf("expected one of %v", Policies)},
-			conf.Rule{e.Mode == "sockets" && v.Policy != "", p + "policy", "on sockets the program decides"})
+			conf.Rule{e.Mode != "virtual" && v.Policy != "", p + "policy", "on sockets the program decides"})
 		variants[v.Name] = true
 	}
 	if t := e.Trace; t != nil {
@@ -226,7 +248,7 @@
 func (e *Experiment) terms() balance.Terms {
 	t := balance.Terms{MaxDispatches: 3, CanCancel: true, MaxAdvice: 15e8, MustAsk: true, AskWithin: 2e9,
 		StartCapacity: e.Fleet.StartCapacity, RampTime: int64(e.Fleet.Ramp), CrossPrice: 0.01, WastePrice: 0.05, Tick: 5e6,
-		Copies: e.Fleet.Balancers}
+		Copies: e.Fleet.Balancers, Overload: e.Fleet.FallOver, FallTime: int64(e.Fleet.FallAfter)}
 	for _, r := range e.RuleSets {
 		t.RuleSets = append(t.RuleSets, balance.RuleSet{Name: r.Name, Effect: effects[r.Effect], Group: groups[r.Group],
 			Window: int64(r.Window), ResponseTarget: int64(r.Target), BillingValue: r.Value})
@@ -264,7 +286,8 @@
 
 func (e *Experiment) faults() (all []emu.Fault) {
 	for _, x := range e.Faults {
-		all = append(all, emu.Fault{Kind: x.Kind, At: int64(x.At), For: int64(x.For), Servers: x.Servers, Count: x.Count, Zone: x.Zone, Size: x.Size})
+		all = append(all, emu.Fault{Kind: x.Kind, At: int64(x.At), For: int64(x.For), Servers: x.Servers, Count: x.Count, Zone: x.Zone, Size: x.Size,
+			Proxies: x.Proxies, Way: x.Way, Loss: x.Loss, Double: x.Double, Garble: x.Garble, Delay: int64(x.Delay), Spread: int64(x.Spread)})
 	}
 	return all
 }
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -90,7 +90,7 @@
 func TestExperimentFaults(t *testing.T) {
 	read(t)
 	for change, want := range map[string]string{
-		"mode = \"virtual\" -> mode = \"both\"":               "small.toml:3: mode: expected virtual or sockets",
+		"mode = \"virtual\" -> mode = \"both\"":               "small.toml:3: mode: expected virtual, sockets or processes",
 		"seeds = [1, 2] -> seeds = []":                        "small.toml:4: seeds: expected one seed at least",
 		"length = \"6s\" -> length = \"soon\"":                "small.toml:5: length: \"soon\" is no time: expected one such as \"1.5s\" or \"80ms\"",
 		"length = \"6s\" -> lengths = \"6s\"":                 "small.toml:5: lengths: no such field",
--- a/lab/load.go
+++ b/lab/load.go
@@ -9,6 +9,7 @@
 	"io"
 	"math"
 	"os"
+	"slices"
 	"sort"
 
 	"ivybank/draw"
@@ -30,6 +31,7 @@
 	keys    []float64 // sums of the keys' shares
 	sets    []float64
 	tenants []float64
+	seats   [][]float64 // balancers' shares, by rule set
 }
 
 func sums(n int, share func(i int) float64) (all []float64) {
@@ -54,16 +56,26 @@
 	g.dice.Seed = seed
 	g.keys = sums(e.Load.Keys, func(i int) float64 { return math.Pow(float64(i+1), -e.Load.Skew) })
 	g.sets = sums(len(e.RuleSets), func(i int) float64 { return e.RuleSets[i].Share })
+	for _, r := range e.RuleSets {
+		g.seats = append(g.seats, sums(e.Fleet.Balancers, func(i int) float64 {
+			if len(r.Proxies) > 0 && !slices.Contains(r.Proxies, i) {
+				return 0
+			}
+			return math.Pow(float64(i+1), -e.Load.Uneven)
+		}))
+	}
 	g.tenants = sums(len(e.Load.Tenants), func(i int) float64 { return e.Load.Tenants[i].Share })
 	return g
 }
 
 func (g *generated) next() (emu.Ask, int, error) {
-	g.at += -math.Log(g.dice.Next()) / g.e.Load.Rate * 1e9
+	times, only := g.e.surge(int64(g.at))
+	g.at += -math.Log(g.dice.Next()) / (g.e.Load.Rate * times) * 1e9
 	if g.at >= float64(g.e.Length) {
 		return emu.Ask{}, 0, io.EOF
 	}
-	a := emu.Ask{At: int64(g.at), RuleSet: g.e.RuleSets[among(&g.dice, g.sets)].Name}
+	set := among(&g.dice, g.sets)
+	a := emu.Ask{At: int64(g.at), RuleSet: g.e.RuleSets[set].Name}
 	if k := among(&g.dice, g.keys); k >= 0 {
 		a.Key = fmt.Sprint("k", k)
 	}
@@ -78,7 +90,28 @@
 		work *= 2 * x
 	}
 	a.Work = max(1, int64(work))
-	return a, int(g.dice.Next() * float64(g.e.Fleet.Balancers)), nil
+	at := among(&g.dice, g.seats[set])
+	if len(only) > 0 {
+		at = only[at%len(only)]
+	}
+	return a, at, nil
+}
+
+// surge is by how much the load is raised at a time, and to which proxies all of it comes; none: to all.
+func (e *Experiment) surge(at int64) (times float64, only []int) {
+	times = 1
+	for _, x := range e.Faults {
+		if at < int64(x.At) || x.For > 0 && at >= int64(x.At)+int64(x.For) {
+			continue
+		}
+		switch x.Kind {
+		case "surge":
+			times *= x.Size
+		case "pour":
+			only = x.Proxies
+		}
+	}
+	return times, only
 }
 
 func (g *generated) close() {}
--- /dev/null
+++ b/lab/process.go
@@ -0,0 +1,153 @@
+package lab
+
+// This file owns one client proxy as a process: its start, its end, its pauses. It must never end a process that it did not start.
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"ivybank/fleet"
+)
+
+// process is a client proxy that can be killed, started again and stopped for a while.
+type process struct {
+	cmd    []string
+	env    []string
+	folder string
+	listen string
+	door   string
+	hurt   atomic.Int64 // odd while it is gone or stopped
+	mu     sync.Mutex
+	now    *exec.Cmd
+	ended  chan bool // closed when it has; nil where it was never started
+	meant  bool      // it was ended from here
+	stops  int       // faults that keep it stopped
+	out    output
+}
+
+// output is the end of what a process has written.
+type output struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+const mostOutput = 64 << 10
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.text = append(o.text, b...); len(o.text) > mostOutput {
+		o.text = o.text[len(o.text)-mostOutput/2:]
+	}
+	return len(b), nil
+}
+
+func (x *process) said() string {
+	x.out.mu.Lock()
+	defer x.out.mu.Unlock()
+	return strings.TrimSpace(string(x.out.text[max(0, len(x.out.text)-400):]))
+}
+
+// start begins the process.
+func (x *process) start() error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	cmd := exec.Command(x.cmd[0], x.cmd[1:]...)
+	cmd.Env, cmd.Dir, cmd.Stdout, cmd.Stderr = x.env, x.folder, &x.out, &x.out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan bool)
+	x.now, x.ended, x.meant, x.stops = cmd, ended, false, 0
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends one; false where there is no process. Within the lock.
+func (x *process) signal(s syscall.Signal) bool {
+	select {
+	case <-x.ended:
+		return false
+	default:
+		return x.now.Process.Signal(s) == nil
+	}
+}
+
+// strike kills it, without waiting for its end.
+func (x *process) strike(s syscall.Signal) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.meant = true
+	x.signal(s)
+}
+
+// kill ends it and waits until it has.
+func (x *process) kill() {
+	x.strike(syscall.SIGKILL)
+	<-x.ended
+}
+
+// pause stops it, or lets it go on once no fault keeps it stopped.
+func (x *process) pause(stop bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if stop {
+		if x.stops++; x.stops == 1 {
+			x.hurt.Add(1)
+			x.signal(syscall.SIGSTOP)
+		}
+	} else if x.stops--; x.stops == 0 {
+		x.signal(syscall.SIGCONT)
+		x.hurt.Add(1)
+	}
+}
+
+// died says whether it ended without being told to.
+func (x *process) died() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	select {
+	case <-x.ended:
+		return !x.meant
+	default:
+		return false
+	}
+}
+
+// ready waits until it serves.
+func (x *process) ready() error {
+	for end := time.Now().Add(readyWait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if a, err := http.Get("http://" + x.listen + "/_health"); err == nil {
+			_ = a.Body.Close()
+			if a.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+	}
+	x.kill()
+	return fmt.Errorf("a proxy is not ready after %s: %s", readyWait, x.said())
+}
+
+var doorClient = http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// view is what a proxy tells of its fleet at its door.
+func (x *process) view() (v fleet.Status, ok bool) {
+	a, err := doorClient.Get("http://" + x.door + "/fleet")
+	if err != nil {
+		return v, false
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	return v, err == nil && a.StatusCode == http.StatusOK && json.Unmarshal(text, &v) == nil
+}
--- a/lab/run.go
+++ b/lab/run.go
@@ -4,9 +4,12 @@
 // never let one run look at another.
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -35,6 +38,18 @@
 	Late                                    float64       // milliseconds: how late the load generator was, 99 in 100; 0 in virtual time
 	Unusable                                string        // why the machine could not keep up, empty where it could
 	Problems                                int           // bad rows of a trace
+
+	Sends      int            // dispatches that came to servers
+	Dispatched int            // reqs, each try of a client one, of which a dispatch came
+	Best       float64        // service of the best cut, by what the servers can do
+	Inverted   float64        // part of asks that were denied while a lesser one that came in the same 100 ms was done
+	Recovered  float64        // seconds from the end of the last surge to 0.95 of the service before the first; 0: no surge; -1: never
+	Probes     map[string]int // by server
+	Peers      []PeerCount    // datagrams by proxy
+	Views      []View
+	Crashes    int                // proxies that have ended by themselves
+	Quarters   []float64          // service by quarters of a second
+	Classes    map[string]float64 // service by rule set
 }
 
 // measure gathers results into figures.
@@ -45,10 +60,21 @@
 	good, asked float64
 	tries       int
 	line        [][2]float64 // value answered in time and asked for, by second
+	quarters    [][2]float64 // the same by quarters of a second
+	windows     []window     // by 100 ms
+	classes     map[string][2]float64
+}
+
+// window is what came in one tenth of a second.
+type window struct {
+	done   float64   // least value that was done
+	any    bool      // one was done
+	denied []float64 // values that were denied
+	asked  []float64
 }
 
 func newMeasure(e *Experiment, f *Figures) *measure {
-	return &measure{e: e, figures: f, took: hdrhistogram.New(1, 600e6, 3)}
+	return &measure{e: e, figures: f, took: hdrhistogram.New(1, 600e6, 3), classes: map[string][2]float64{}}
 }
 
 // add takes what became of one ask.
@@ -67,11 +93,29 @@
 	for len(m.line) <= second {
 		m.line = append(m.line, [2]float64{})
 	}
+	quarter, tenth := int(r.At/250e6), int(r.At/100e6)
+	for len(m.quarters) <= quarter {
+		m.quarters = append(m.quarters, [2]float64{})
+	}
+	for len(m.windows) <= tenth {
+		m.windows = append(m.windows, window{})
+	}
+	m.quarters[quarter][0], m.quarters[quarter][1] = m.quarters[quarter][0]+intime, m.quarters[quarter][1]+value
+	w := &m.windows[tenth]
+	w.asked = append(w.asked, value)
+	switch {
+	case r.Kind == emu.Denied:
+		w.denied = append(w.denied, value)
+	case r.Kind == emu.Done && (!w.any || value < w.done):
+		w.any, w.done = true, value
+	}
 	m.line[second][0] += intime
 	m.line[second][1] += value
 	if r.At < int64(m.e.Warm) {
 		return
 	}
+	c := m.classes[r.RuleSet]
+	m.classes[r.RuleSet] = [2]float64{c[0] + intime, c[1] + value}
 	f := m.figures
 	f.Asks++
 	m.tries += r.Tries
@@ -111,9 +155,86 @@
 		}
 		f.Line = append(f.Line, part)
 	}
+	for _, x := range m.quarters {
+		f.Quarters = append(f.Quarters, x[0]/max(1e-9, x[1]))
+	}
+	m.inversions()
+	f.Best = m.best()
+	f.Classes = map[string]float64{}
+	for name, x := range m.classes {
+		f.Classes[name] = x[0] / max(1e-9, x[1])
+	}
+	f.Recovered = m.recovered()
 	f.Breaches, f.Strain, f.Notes, f.Begun = j.Breaches, j.Strain, j.Notes, j.Begun
 }
 
+// inversions counts who was denied while a lesser one was done.
+func (m *measure) inversions() {
+	inverted, asks := 0, 0
+	for _, w := range m.windows {
+		asks += len(w.asked)
+		for _, v := range w.denied {
+			if w.any && v > w.done {
+				inverted++
+			}
+		}
+	}
+	m.figures.Inverted = float64(inverted) / float64(max(1, asks))
+}
+
+// best is what a cut would serve that knows what comes in each second and what the servers can do: the most worth first. Without a
+// cache of keys, as that makes what they can do depend on who asks.
+func (m *measure) best() float64 {
+	can := 0.0 // reqs a second
+	for _, x := range m.e.Fleet.Machines {
+		can += float64(x.Count*x.Cores) * x.Speed * 1e9 / max(1, float64(m.e.Load.Work))
+	}
+	good, all := 0.0, 0.0
+	for from := 0; from < len(m.windows); from += 10 {
+		var asked []float64
+		for _, w := range m.windows[from:min(len(m.windows), from+10)] {
+			asked = append(asked, w.asked...)
+		}
+		if int64(from)*100e6 < int64(m.e.Warm) {
+			continue
+		}
+		slices.SortFunc(asked, func(x, y float64) int { return cmp.Compare(y, x) })
+		for i, v := range asked {
+			if all += v; float64(i) < can {
+				good += v
+			}
+		}
+	}
+	return good / max(1e-9, all)
+}
+
+// recovered is how long after the last surge the service of a second is again 0.95 of that before the first one.
+func (m *measure) recovered() float64 {
+	first, last := int64(math.MaxInt64), int64(0)
+	for _, x := range m.e.Faults {
+		if x.Kind == "surge" {
+			first, last = min(first, int64(x.At)), max(last, int64(x.At+x.For))
+		}
+	}
+	if last == 0 {
+		return 0
+	}
+	mean := func(from, to int) float64 {
+		good, all := 0.0, 0.0
+		for _, x := range m.quarters[min(from, len(m.quarters)):min(to, len(m.quarters))] {
+			good, all = good+x[0], all+x[1]
+		}
+		return good / max(1e-9, all)
+	}
+	calm := mean(int(int64(m.e.Warm)/250e6), int(first/250e6))
+	for q := int(last / 250e6); q < len(m.quarters); q++ {
+		if mean(q, q+4) >= 0.95*calm {
+			return float64(q)/4 - float64(last)/1e9
+		}
+	}
+	return -1
+}
+
 // virtual plays one run in virtual time.
 func virtual(e *Experiment, v Variant, seed uint64, policy func(t balance.Terms, now int64) emu.Policy, p *Problems) (*Figures, error) {
 	begun := time.Now()
@@ -179,7 +300,7 @@
 			}}
 			var f *Figures
 			var err error
-			if e.Mode == "sockets" {
+			if e.Mode != "virtual" {
 				f, err = sockets(e, v, seed, p)
 			} else {
 				f, err = virtual(e, v, seed, nil, p)
--- /dev/null
+++ b/lab/standins.go
@@ -0,0 +1,296 @@
+package lab
+
+// This file owns the stand-ins: servers and discovery on loopback that speak the proxy's protocol. They share the model of virtual
+// time; all of it is called with the clock's lock held. Every proxy has listeners of its own, so that each link can fail alone.
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"ivybank/balance"
+	"ivybank/emu"
+)
+
+// standIn listens for one proxy as one server. While the server's process is gone it does not listen.
+func (r *rig) standIn(proxy int, s *emu.Server) (string, error) {
+	l, err := net.Listen("tcp", hostNet)
+	if err != nil {
+		return "", err
+	}
+	addr := l.Addr().String()
+	r.wait.Go(func() {
+		for {
+			r.accept(proxy, s, l)
+			for up := false; !up; { // gone: wait for its start
+				select {
+				case <-r.ctx.Done():
+					return
+				case <-time.After(2 * time.Millisecond):
+				}
+				r.clock.Do(func() { up = s.Up() || s.Silent() })
+			}
+			if l, err = net.Listen("tcp", addr); err != nil {
+				return
+			}
+		}
+	})
+	return addr, nil
+}
+
+// accept takes connections until the server's process has gone, and resets them then.
+func (r *rig) accept(proxy int, s *emu.Server, l net.Listener) {
+	ended := make(chan bool)
+	r.wait.Go(func() {
+		defer l.Close()
+		for {
+			select {
+			case <-r.ctx.Done():
+				r.reset(s.ID, proxy)
+				return
+			case <-ended:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+			gone := false
+			r.clock.Do(func() { gone = !s.Up() && !s.Silent() })
+			if gone {
+				r.reset(s.ID, proxy)
+				return
+			}
+		}
+	})
+	defer close(ended)
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		r.open[c] = fmt.Sprint(s.ID, " ", proxy)
+		r.mu.Unlock()
+		r.wait.Go(func() {
+			r.serve(proxy, s, c)
+			r.mu.Lock()
+			delete(r.open, c)
+			r.mu.Unlock()
+			_ = c.Close()
+		})
+	}
+}
+
+// reset ends all connections of a server's process.
+func (r *rig) reset(id string, proxy int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c, of := range r.open {
+		if of == fmt.Sprint(id, " ", proxy) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}
+}
+
+// serve answers the calls of one connection by the model.
+func (r *rig) serve(proxy int, s *emu.Server, c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		sent := r.clock.Now()
+		q, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		if q.URL.Path == pingPath {
+			if !r.ping(proxy, s, c) {
+				_, _ = in.Peek(1)
+				return
+			}
+			continue
+		}
+		id := q.Header.Get("Request-Id")
+		if id == "" {
+			r.bad.Add(1)
+			return
+		}
+		if key := q.Header.Get(r.e.Load.Key); r.e.Load.Key != "" && key != "" {
+			id = key // executions count by what the client asked for, however often it asked
+		}
+		outcome := make(chan balance.Outcome, 1)
+		job := &emu.Job{Req: id, From: proxy, Sent: sent, Key: q.Header.Get("Affinity-Key"), Rules: r.rules(q.Header.Get("Request-Class")),
+			Done: func(o balance.Outcome) { outcome <- o }}
+		_, _ = fmt.Sscanf(q.Header.Get("Request-Info"), "CostGuessNs=%d", &job.Work)
+		var load emu.Load
+		r.clock.Do(func() {
+			if r.fails.servers[proxy][s.ID] > 0 {
+				return
+			}
+			r.fleet.Judge.Sent(proxy, s.ID, id)
+			r.met.sends++
+			r.met.reqs[id] = true
+			if _, arrives := r.fleet.Way(r.e.zone(proxy), s); arrives {
+				s.Offer(job)
+			}
+		})
+		left := make(chan bool)
+		r.wait.Go(func() { // the proxy gives up by closing, and sends nothing ahead
+			_, _ = in.Peek(1)
+			close(left)
+		})
+		select {
+		case o := <-outcome:
+			cut := false
+			r.clock.Do(func() { load, cut = s.Report(), r.fails.servers[proxy][s.ID] > 0 })
+			if cut {
+				<-left
+				return
+			}
+			if !r.say(c, o, id, load) {
+				return
+			}
+			<-left
+		case <-left:
+			r.clock.Do(func() { s.Cancel(job) })
+			return
+		}
+	}
+}
+
+// pingPath is where probes go.
+const pingPath = "/ping"
+
+// ping answers a probe; false where it says nothing.
+func (r *rig) ping(proxy int, s *emu.Server, c net.Conn) bool {
+	says := false
+	r.clock.Do(func() {
+		if r.fails.servers[proxy][s.ID] > 0 {
+			return
+		}
+		r.met.probes[s.ID]++
+		says = s.Well()
+	})
+	if !says {
+		return false
+	}
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	return err == nil
+}
+
+// dropWatches ends what a proxy has open at discovery.
+func (r *rig) dropWatches(proxy int) {
+	select {
+	case r.drops[proxy] <- true:
+	default:
+	}
+}
+
+// say writes an outcome; false where the connection ends with it.
+func (r *rig) say(c net.Conn, o balance.Outcome, id string, load emu.Load) bool {
+	status, more, body := "200 OK", "", id
+	switch o {
+	case balance.Served:
+	case balance.Refused:
+		status, more, body = "503 Service Unavailable", "Not-Started: 1\r\n", ""
+	case balance.Errored:
+		status, body = "500 Internal Server Error", ""
+	default:
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sServer-Load: TEXT inflight=%d, queue=%d, util=%.2f\r\nContent-Length: %d\r\n\r\n%s", status, more,
+		load.InFlight, load.Waiting, load.Util, len(body), body)
+	return err == nil
+}
+
+func (r *rig) rules(name string) balance.RuleSet {
+	if x := r.terms.RuleSet(name); x != nil {
+		return *x
+	}
+	return balance.RuleSet{Name: name, Effect: balance.NonReplayable}
+}
+
+var states = map[balance.State]string{balance.Running: "ready", balance.Draining: "draining", balance.Gone: "gone"}
+
+// line is one line of the list for a proxy.
+func (r *rig) line(proxy int, reset bool, version int64, servers []balance.Server) []byte {
+	type entry map[string]any
+	list := []entry{}
+	for _, s := range servers {
+		addr := ""
+		for i, x := range r.fleet.Servers {
+			if x.ID == s.ID {
+				addr = r.addrs[proxy][i]
+			}
+		}
+		list = append(list, entry{"instanceId": s.ID, "hostPort": addr, "zone": s.Zone, "cell": s.Cell, "lifecycle": states[s.State],
+			"weight": s.Share, "startedAtMs": float64(s.Since) / 1e6})
+	}
+	text, err := json.Marshal(map[string]any{"generation": version, "reset": reset, "instances": list})
+	if err != nil {
+		panic(err) // strings and numbers always print
+	}
+	return text
+}
+
+// discovery tells one proxy of the list and its changes.
+func (r *rig) discovery(proxy int) (string, error) {
+	l, err := net.Listen("tcp", hostNet)
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		lines := make(chan []byte, 1024)
+		ended := make(chan bool)
+		down := false
+		r.clock.Do(func() {
+			if down = r.fleet.Down() || r.fails.discovery[proxy] > 0; down {
+				return
+			}
+			servers, version := r.fleet.List()
+			lines <- r.line(proxy, true, version, servers)
+			for _, s := range servers {
+				r.fleet.Judge.Told(proxy, s.ID, s.State)
+			}
+			r.fleet.Watch(func(e emu.Entry) {
+				select {
+				case lines <- r.line(proxy, false, e.Version, []balance.Server{e.Server}):
+					r.fleet.Judge.Told(proxy, e.Server.ID, e.Server.State)
+				default: // a proxy that does not read is told nothing
+				}
+			}, func() { close(ended) })
+		})
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		for {
+			var line []byte
+			select {
+			case line = <-lines:
+			case <-time.After(blankFor):
+			case <-ended:
+				return
+			case <-r.drops[proxy]:
+				return
+			case <-q.Context().Done():
+				return
+			}
+			if _, err := w.Write(append(line, '\n')); err != nil {
+				return
+			}
+			_ = http.NewResponseController(w).Flush()
+		}
+	})}
+	r.wait.Go(func() { _ = server.Serve(l) })
+	r.wait.Go(func() { <-r.ctx.Done(); _ = server.Close() })
+	return l.Addr().String(), nil
+}
--- /dev/null
+++ b/lab/timetable.go
@@ -0,0 +1,124 @@
+package lab
+
+// This file owns what a timetable does to proxies and to the links of the rig: kills, stops, partitions. Faults may overlap; one that
+// ends undoes what it did alone. Called within the clock's lock, it must never wait.
+
+import (
+	"syscall"
+	"time"
+
+	"ivybank/draw"
+	"ivybank/emu"
+)
+
+const starvePiece = 100 * time.Millisecond // a starved proxy is stopped for a part of each such piece
+
+// proxies are those that a fault hits: named, or as many as it counts, by chance.
+func (r *rig) proxies(x emu.Fault) []int {
+	if len(x.Proxies) > 0 || x.Count == 0 {
+		return x.Proxies
+	}
+	return emu.Drawn(&r.dice, len(r.procs), x.Count)
+}
+
+func (r *rig) strike(x emu.Fault) (undo func()) {
+	hit := r.proxies(x)
+	switch x.Kind {
+	case "proxy_kill":
+		r.kill(hit, x)
+	case "proxy_end":
+		for _, i := range hit {
+			p := r.procs[i]
+			p.hurt.Add(1)
+			p.strike(syscall.SIGTERM)
+		}
+	case "proxy_pause":
+		for _, i := range hit {
+			r.procs[i].pause(true)
+		}
+		return func() {
+			for _, i := range hit {
+				r.procs[i].pause(false)
+			}
+		}
+	case "proxy_starve":
+		over := make(chan bool)
+		for _, i := range hit {
+			r.wait.Go(func() { r.starve(r.procs[i], x.Size, over) })
+		}
+		return func() { close(over) }
+	case "split":
+		if r.links != nil {
+			r.links.split(hit, x.Way, 1)
+			return func() { r.links.split(hit, x.Way, -1) }
+		}
+	case "datagrams":
+		if r.links != nil {
+			return r.links.roughen(Rough{Loss: x.Loss, Double: x.Double, Garble: x.Garble, Delay: x.Delay, Spread: x.Spread})
+		}
+	case "unlink":
+		r.unlink(hit, x.Servers, 1)
+		return func() { r.unlink(hit, x.Servers, -1) }
+	case "undiscovered":
+		for _, i := range hit {
+			r.fails.discovery[i]++
+			r.dropWatches(i)
+		}
+		return func() {
+			for _, i := range hit {
+				r.fails.discovery[i]--
+			}
+		}
+	}
+	return func() {}
+}
+
+// unlink cuts links between proxies and servers; nothing is said to either side.
+func (r *rig) unlink(hit []int, servers []string, by int) {
+	for _, i := range hit {
+		for _, s := range servers {
+			r.fails.servers[i][s] += by
+		}
+	}
+}
+
+// kill kills proxies in one instant and starts each again: all at the time that the fault states, or spread by chance.
+func (r *rig) kill(hit []int, x emu.Fault) {
+	for _, i := range hit {
+		r.procs[i].hurt.Add(1)
+		r.procs[i].strike(syscall.SIGKILL)
+	}
+	for _, i := range hit {
+		back := x.For + int64(r.dice.Next()*float64(x.Spread))
+		r.wait.Go(func() {
+			p := r.procs[i]
+			<-p.ended
+			select {
+			case <-r.ctx.Done():
+				return
+			case <-time.After(time.Duration(back)):
+			}
+			if p.start() == nil && p.ready() == nil { // else what follows shows it
+				p.hurt.Add(1)
+			}
+		})
+	}
+}
+
+// starve stops a proxy for a part of each piece of time.
+func (r *rig) starve(p *process, part float64, over chan bool) {
+	dice := draw.Dice{Seed: 1}
+	for {
+		stop := time.Duration(float64(starvePiece) * part)
+		p.pause(true)
+		time.Sleep(stop)
+		p.pause(false)
+		select {
+		case <-over:
+			return
+		case <-r.ctx.Done():
+			return
+		case <-time.After(starvePiece - stop + time.Duration(dice.Next()*5e6)):
+		}
+	}
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,213 @@
+// Package peer is what client proxies tell one another: one small typed value to a datagram of 256 bytes at most and back. It
+// owns the form on the wire and its version. It must never decide what a datagram means, nor hand on one in part.
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Most is the longest datagram, in bytes, that the platform carries between proxies.
+const Most = 256
+
+// version is that of the form: builds with another one ignore each other. A field more does not change it, as fields that are not
+// known are skipped.
+const version = 1
+
+const (
+	head = 5 // version and the fleet's name as a number
+	tail = 4 // checksum
+	// What the parts of a datagram take at the most, in bytes; Pack goes by them.
+	baseSize, newsSize, sumSize, hintSize = 44, 28, 16, 20
+)
+
+// Kind is what a datagram asks or answers.
+type Kind uint8
+
+// The kinds. All of them may carry news, sums and hints.
+const (
+	Push  Kind = iota // wants no answer
+	Ping              // wants an Ack with its number
+	Ack               // answers a Ping; with About the one that was pinged on behalf of another
+	Ask               // asks to ping About on the sender's behalf
+	Nack              // About has not answered the one that was asked
+	Leave             // the sender ends
+	kinds
+)
+
+// State is what is said of a member.
+type State uint8
+
+// The states, in the order in which one of a life overrules another.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+	Left
+	states
+)
+
+// News is one thing said of a member.
+type News struct {
+	_     struct{} `cbor:",toarray"`
+	Who   int
+	State State
+	Life  uint64 // of Who: its start in Unix milliseconds, more where it had to refute
+	By    int    // who says so first
+	Quiet uint16 // Suspect: for so many hundredths of a second By has heard nothing of Who
+}
+
+// Sum is the load of a block of members, folded.
+type Sum struct {
+	_     struct{} `cbor:",toarray"`
+	Level uint8    // a block of 2^Level members
+	Block int      // which
+	Life  uint64   // Level 0: of the member
+	Age   uint16   // hundredths of a second since it was measured
+	Of    int      // members counted
+	Load  []byte
+}
+
+// Hint is what one member has met at a server.
+type Hint struct {
+	_      struct{} `cbor:",toarray"`
+	Server uint32   // hash of its id
+	By     int
+	What   Seen
+	Age    uint16 // hundredths of a second
+}
+
+// Seen is what a hint says.
+type Seen uint8
+
+// What may have been seen.
+const (
+	Lost   Seen = iota // several dispatches in a short time were lost or turned away
+	Fine               // a probe was answered
+	Absent             // a probe was not answered
+	seens
+)
+
+// Datagram is one message.
+type Datagram struct {
+	From  int    `cbor:"1,keyasint"`
+	Life  uint64 `cbor:"2,keyasint"`
+	Count uint64 `cbor:"3,keyasint"` // of this life; no two are the same
+	Kind  Kind   `cbor:"4,keyasint,omitempty"`
+	Seq   uint32 `cbor:"5,keyasint,omitempty"`
+	About int    `cbor:"6,keyasint,omitempty"`
+	News  []News `cbor:"7,keyasint,omitempty"`
+	Sums  []Sum  `cbor:"8,keyasint,omitempty"`
+	Hints []Hint `cbor:"9,keyasint,omitempty"`
+}
+
+// The reasons for which a datagram is dropped.
+var (
+	ErrShort   = errors.New("cut short or too long")
+	ErrGarbled = errors.New("garbled")
+	ErrVersion = errors.New("of another version")
+	ErrFleet   = errors.New("of another fleet")
+	ErrForm    = errors.New("not of the form")
+)
+
+var encoder, decoder = modes()
+
+func modes() (cbor.EncMode, cbor.DecMode) {
+	e, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	d, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+		MaxNestedLevels: 4, MaxArrayElements: 64, MaxMapPairs: 32}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return e, d
+}
+
+// Fleet is a fleet's name as it stands on the wire.
+func Fleet(name string) uint32 { return crc32.ChecksumIEEE([]byte(name)) }
+
+// Server is a server's id as it stands on the wire.
+func Server(id string) uint32 { return crc32.ChecksumIEEE([]byte(id)) }
+
+// Encode gives the bytes of a datagram, ErrShort where they would be too many.
+func Encode(fleet uint32, d *Datagram) ([]byte, error) {
+	body, err := encoder.Marshal(d)
+	if err != nil {
+		return nil, err
+	}
+	if head+len(body)+tail > Most {
+		return nil, ErrShort
+	}
+	b := binary.BigEndian.AppendUint32([]byte{version}, fleet)
+	b = append(b, body...)
+	return binary.BigEndian.AppendUint32(b, crc32.ChecksumIEEE(b)), nil
+}
+
+// Decode reads a datagram whole, or says why it is dropped.
+func Decode(fleet uint32, b []byte) (d Datagram, err error) {
+	if len(b) < head+tail+1 || len(b) > Most {
+		return d, ErrShort
+	}
+	whole := b[:len(b)-tail]
+	switch {
+	case b[0] != version:
+		return d, ErrVersion
+	case binary.BigEndian.Uint32(b[len(whole):]) != crc32.ChecksumIEEE(whole):
+		return d, ErrGarbled
+	case binary.BigEndian.Uint32(b[1:]) != fleet:
+		return d, ErrFleet
+	}
+	if decoder.Unmarshal(whole[head:], &d) != nil || !d.sound() {
+		return Datagram{}, ErrForm
+	}
+	return d, nil
+}
+
+func (d *Datagram) sound() bool {
+	ok := d.From >= 0 && d.About >= 0 && d.Kind < kinds
+	for _, n := range d.News {
+		ok = ok && n.Who >= 0 && n.By >= 0 && n.State < states
+	}
+	for _, s := range d.Sums {
+		ok = ok && s.Block >= 0 && s.Of > 0 && s.Level < 32
+	}
+	for _, h := range d.Hints {
+		ok = ok && h.By >= 0 && h.What < seens
+	}
+	return ok
+}
+
+// Room is what a datagram still has room for, in bytes.
+type Room int
+
+// Whole is the room of a datagram that carries nothing yet.
+func Whole() Room { return Most - head - tail - baseSize }
+
+// Take says whether so many bytes fit, and takes them.
+func (r *Room) Take(n int) bool {
+	if Room(n) > *r {
+		return false
+	}
+	*r -= Room(n)
+	return true
+}
+
+// News says whether one thing more said of a member fits, and takes its room.
+func (r *Room) News() bool { return r.Take(newsSize) }
+
+// Sum is the same for a sum with so many bytes of load.
+func (r *Room) Sum(load int) bool { return r.Take(sumSize + 10 + load) }
+
+// Hint is the same for a hint.
+func (r *Room) Hint() bool { return r.Take(hintSize) }
+
+// Hundredths gives a time in ns as it stands on the wire, the longest where it is longer.
+func Hundredths(ns int64) uint16 { return uint16(min(max(0, ns/1e7), 1<<16-1)) }
+
+// Ns is the time that Hundredths stands for.
+func Ns(h uint16) int64 { return int64(h) * 1e7 }
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -27,6 +27,8 @@
 	flow       *flow     // its body, where that comes in pieces
 	relay      *hostConn // whose answer is being passed on
 	key        *once.Key // of a keyed req, which has no client of its own
+	luck       float64   // what stays the same over a client's retries, as a number; 0 where no peers are heard
+	shed       bool      // the fleet denies it
 }
 
 // admit is the second stage. What no host could use goes no further: a host that turns it away, or closes on
@@ -71,8 +73,10 @@
 	r.id = p.lastReq
 	p.reqs[r.id] = r
 	p.count.Taken++
+	var back int64
+	r.shed, back = p.sheds(r, now)
 	p.module.Req(balance.Arrival{ID: r.id, RuleSet: r.call.RuleSet, Tenant: r.call.Tenant, Key: r.call.Key,
-		Budget: max(1, budget), Work: r.call.Work, Open: r.flow != nil && !r.flow.whole}, now)
+		Budget: max(1, budget), Work: r.call.Work, Open: r.flow != nil && !r.flow.whole, Shed: r.shed, Back: back}, now)
 }
 
 // withdraw ends the open req, if any, of a client that has gone or broken it off.
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -35,5 +35,8 @@
 		p.final(r, &p.count.Done, http1.Answer{Status: a.Status, Fields: a.Fields, Body: a.Body, Piece: a.Piece})
 	}
 	p.module.Finished(r.id, d.index, o, r.ended, now-d.sent, now)
+	if p.peers != nil && d.host != nil {
+		p.peers.fleet.Finished(d.host.id, o, r.ended, now)
+	}
 	p.forget(r)
 }
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -120,6 +120,7 @@
 		}
 	}
 	p.module.Listed(form, servers, now)
+	p.listPeers(now)
 }
 
 // place keeps where a host is and what the list says of it; nil where it is gone and nothing is known of it.
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -36,6 +36,7 @@
 		}
 		p.drain.begun = true
 		logrus.Info("draining")
+		p.leavePeers(at)
 		if p.start.Inherited == nil {
 			p.after(at, comeOn, p.ending)
 			return
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -46,6 +46,7 @@
 	Holds             *holds.Store
 	Keys              *Keys      // nil: no idempotency keys
 	Seat              *twin.Seat // nil where there is no folder to meet in
+	Fleet             *Fleet     // nil: no peers are heard
 }
 
 // Proxy is one running client proxy. Everything but the event queue belongs to the owner loop.
@@ -71,6 +72,7 @@
 	dice      draw.Dice // for what the module has no say in
 	drain     drain
 	keys      *keys           // nil: none
+	peers     *peers          // nil: none are heard
 	terms     *balance.Terms  // replaced whole, never changed
 	sockets   int             // descriptors that this process may hold now
 	held      holds.Table     // hosts out by hand
@@ -199,6 +201,9 @@
 	if p.start.Holds != nil {
 		go p.follow()
 	}
+	if err := p.openPeers(p.now()); err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
 	p.subscribe(p.now())
 	alarm := time.NewTimer(0)
 	for !p.done {
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -27,6 +27,8 @@
 	switch c.Kind {
 	case door.Out, door.Back:
 		return p.hold(c)
+	case door.Fleet:
+		return p.ask(p.fleetReply)
 	}
 	return p.ask(func(now int64) door.Reply { return p.operate(c, now) })
 }
@@ -160,6 +162,7 @@
 		p.start.LongestTimeout = max(p.start.LongestTimeout, s.LongestTimeout)
 		p.shares()
 		p.count.Reloads++
+		p.refleet(s.Fleet, now)
 		logrus.Infof("new configuration: %d rule sets, %d dispatches at most", len(s.Terms.RuleSets), s.Terms.MaxDispatches)
 		p.rediscover(s.Discovery, now)
 		p.subscribe(now)
--- /dev/null
+++ b/proxy/peers.go
@@ -0,0 +1,311 @@
+package proxy
+
+// This file owns the way between the fleet's part and its peers: one UDP socket, datagrams in and out, its timer, the probes that
+// it asks for, and what it is told of reqs. It must never decide anything, nor let a datagram hold up a req.
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"ivybank/balance"
+	"ivybank/door"
+	"ivybank/fleet"
+	"ivybank/http1"
+	"ivybank/peer"
+	"ivybank/swim"
+)
+
+// mostHeard bounds the datagrams that wait for the owner; more are dropped.
+const mostHeard = 256
+
+// Fleet is what operators set on peers, and where these are.
+type Fleet struct {
+	Name         string
+	Listen       string
+	Peers        []netip.AddrPort // by place, the own one among them
+	Terms        fleet.Terms      // its rule sets, tenants and start are filled in here
+	ProbePath    string
+	ProbeTimeout int64
+}
+
+// peers is the owner's side of them.
+type peers struct {
+	Fleet
+	fleet   *fleet.Fleet
+	conn    *net.UDPConn
+	timer   *timer
+	name    uint32
+	waiting atomic.Int32 // datagrams that the owner has not come to
+	asking  map[string]bool
+	probes  *http.Client
+	drops   dropped
+}
+
+// dropped counts datagrams by why they were.
+type dropped struct {
+	Address, Short, Garbled, Version, Fleet, Form, Crowded, Unsent atomic.Int64
+}
+
+// openPeers begins to hear peers.
+func (p *Proxy) openPeers(now int64) error {
+	x := p.start.Fleet
+	if x == nil {
+		return nil
+	}
+	at, err := net.ResolveUDPAddr("udp4", x.Listen)
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp4", at)
+	if err != nil {
+		return err
+	}
+	t := p.fleetTerms(x.Terms)
+	t.Life = swim.LifeOf(now) // by the clock of the day; should it have been set back, peers tell
+	q := &peers{Fleet: *x, conn: conn, name: peer.Fleet(x.Name), fleet: fleet.New(t, now), asking: map[string]bool{},
+		probes: &http.Client{Timeout: time.Duration(x.ProbeTimeout), Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Duration(p.start.ConnIdle / 2)}}}
+	p.peers = q
+	p.listPeers(now)
+	go p.hear(q)
+	p.tickPeers(now)
+	logrus.WithFields(logrus.Fields{"fleet": x.Name, "place": t.Me, "of": t.Of}).Infof("peers are heard on %s", x.Listen)
+	return nil
+}
+
+// fleetTerms adds what the proxy's own terms say.
+func (p *Proxy) fleetTerms(t fleet.Terms) fleet.Terms {
+	t.RuleSets, t.Tenants, t.MaxAdvice, t.Seed = p.terms.RuleSets, p.terms.Tenants, p.terms.MaxAdvice, p.terms.Seed^uint64(t.Me)
+	return t
+}
+
+// refleet takes new terms of the fleet's part; where the peers are other ones the socket stays and all else begins anew.
+func (p *Proxy) refleet(x *Fleet, now int64) {
+	q := p.peers
+	switch {
+	case x == nil && q == nil:
+		return
+	case x != nil && q != nil && x.Listen == q.Listen:
+		old := q.Terms
+		q.Fleet, q.name = *x, peer.Fleet(x.Name)
+		if t := p.fleetTerms(x.Terms); !reflect.DeepEqual(old, x.Terms) || !q.fleet.Same(t) {
+			t.Life = max(swim.LifeOf(now), q.fleet.Members().Life()+1)
+			q.fleet = fleet.New(t, now)
+			p.module.Advised(balance.Advice{})
+			p.listPeers(now)
+		}
+		return
+	case q != nil:
+		q.fleet.Leave()
+		p.carryPeers(now)
+		p.stop(q.timer)
+		_ = q.conn.Close()
+		p.peers = nil
+		p.module.Advised(balance.Advice{})
+	}
+	if p.start.Fleet = x; x != nil {
+		if err := p.openPeers(now); err != nil {
+			logrus.Warnf("peers are not heard: %v", err)
+		}
+	}
+}
+
+// hear reads datagrams until the socket is closed; what is nobody's or no datagram goes no further.
+func (p *Proxy) hear(q *peers) {
+	b := make([]byte, peer.Most+1)
+	for {
+		n, from, err := q.conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		place := slices.Index(q.Peers, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		if place < 0 {
+			q.drops.Address.Add(1)
+			continue
+		}
+		d, err := peer.Decode(q.name, b[:n])
+		if err != nil {
+			q.drops.count(err)
+			continue
+		}
+		if d.From != place {
+			q.drops.Address.Add(1)
+			continue
+		}
+		if q.waiting.Load() >= mostHeard {
+			q.drops.Crowded.Add(1)
+			continue
+		}
+		q.waiting.Add(1)
+		p.post(p.now(), nil, func(at int64) {
+			q.waiting.Add(-1)
+			if p.peers == q {
+				q.fleet.Heard(&d, at)
+				p.carryPeers(at)
+			}
+		})
+	}
+}
+
+func (x *dropped) count(err error) {
+	switch err {
+	case peer.ErrShort:
+		x.Short.Add(1)
+	case peer.ErrGarbled:
+		x.Garbled.Add(1)
+	case peer.ErrVersion:
+		x.Version.Add(1)
+	case peer.ErrFleet:
+		x.Fleet.Add(1)
+	default:
+		x.Form.Add(1)
+	}
+}
+
+// tickPeers has the fleet's part do what is due.
+func (p *Proxy) tickPeers(now int64) {
+	q := p.peers
+	if q == nil {
+		return
+	}
+	next := q.fleet.Tick(now)
+	p.carryPeers(now)
+	q.timer = p.after(now, max(1e6, next-now), p.tickPeers)
+}
+
+// carryPeers carries out what the fleet's part decides.
+func (p *Proxy) carryPeers(now int64) {
+	q := p.peers
+	for a, ok := q.fleet.Next(); ok; a, ok = q.fleet.Next() {
+		switch a.Kind {
+		case fleet.Send:
+			b, err := peer.Encode(q.name, &a.Datagram)
+			if err == nil && a.To < len(q.Peers) {
+				_, err = q.conn.WriteToUDPAddrPort(b, q.Peers[a.To])
+			}
+			if err != nil {
+				q.drops.Unsent.Add(1)
+			}
+		case fleet.Probe:
+			p.probe(q, a.Server)
+		case fleet.Advise:
+			p.module.Advised(a.Advice)
+		case fleet.Tell:
+			logrus.WithFields(a.Fields).Info("fleet: " + a.Text)
+		}
+	}
+}
+
+// probe asks a host whether it is well, beside the owner.
+func (p *Proxy) probe(q *peers, id string) {
+	h := p.host(id)
+	if h == nil || q.asking[id] {
+		return
+	}
+	q.asking[id] = true
+	url := fmt.Sprintf("http://%s%s", h.addr, q.ProbePath)
+	go func() {
+		well := false
+		if a, err := q.probes.Get(url); err == nil {
+			_ = a.Body.Close()
+			well = a.StatusCode == http.StatusOK
+		}
+		p.post(p.now(), nil, func(at int64) {
+			delete(q.asking, id)
+			if p.peers == q {
+				q.fleet.Probed(id, well, at)
+			}
+		})
+	}()
+}
+
+// listPeers tells the fleet's part which hosts are listed.
+func (p *Proxy) listPeers(now int64) {
+	if p.peers == nil {
+		return
+	}
+	ids := make([]string, 0, len(p.hosts))
+	for _, h := range p.hosts {
+		if h.ready {
+			ids = append(ids, h.id)
+		}
+	}
+	p.peers.fleet.Servers(ids, now)
+}
+
+// leavePeers tells the others that this process ends.
+func (p *Proxy) leavePeers(now int64) {
+	if p.peers != nil {
+		p.peers.fleet.Leave()
+		p.carryPeers(now)
+	}
+}
+
+// sheds asks whether the fleet denies a req, and for how long its client is to stay away.
+func (p *Proxy) sheds(r *req, now int64) (shed bool, back int64) {
+	if p.peers == nil {
+		return false, 0
+	}
+	r.luck = sameness(&r.call)
+	set := slices.IndexFunc(p.terms.RuleSets, func(x balance.RuleSet) bool { return x.Name == r.call.RuleSet })
+	return p.peers.fleet.Arrive(set, p.terms.Tenant(r.call.Tenant), r.luck, again(&r.call), now)
+}
+
+// again says whether a client says of its call that it is a retry.
+func again(c *http1.Call) bool {
+	return slices.ContainsFunc(c.Fields, func(f http1.Field) bool { return strings.EqualFold(f.Name, "Client-Retry") && f.Value == "1" })
+}
+
+// sameness is a number between 0 and 1 that belongs to what a client's retry has in common with its first try, and is the same at
+// all proxies.
+func sameness(c *http1.Call) float64 {
+	const odd = 0x9e3779b97f4a7c15
+	h := xxhash.Sum64String(c.RuleSet)
+	for _, x := range [...]string{c.Tenant, c.Key, c.Method, c.Target} {
+		h = (h ^ xxhash.Sum64String(x)) * odd
+		h ^= h >> 29
+	}
+	h = (h ^ xxhash.Sum64(c.Body)) * odd
+	return (float64((h^h>>32)>>11) + 0.5) / (1 << 53)
+}
+
+// told tells of a final answer.
+func (p *Proxy) told(r *req, done bool, now int64) {
+	if p.peers == nil || r.shed {
+		return
+	}
+	set := p.terms.RuleSet(r.call.RuleSet)
+	if done && (set == nil || now-r.taken <= set.ResponseTarget) {
+		p.peers.fleet.Done(now)
+	} else {
+		p.peers.fleet.Lost(r.luck, now)
+	}
+}
+
+// fleetReply is what an operator is told of the fleet.
+func (p *Proxy) fleetReply(now int64) door.Reply {
+	q := p.peers
+	if q == nil {
+		return door.No(http.StatusNotFound, "no peers are heard: the operator file has no [fleet]")
+	}
+	d := &q.drops
+	text, err := json.MarshalIndent(struct {
+		fleet.Status
+		Dropped map[string]int64 `json:"dropped"`
+	}{q.fleet.Status(now), map[string]int64{"address": d.Address.Load(), "short": d.Short.Load(), "garbled": d.Garbled.Load(), "version": d.Version.Load(),
+		"fleet": d.Fleet.Load(), "form": d.Form.Load(), "crowded": d.Crowded.Load(), "unsent": d.Unsent.Load()}}, "", " ")
+	if err != nil {
+		return door.No(http.StatusInternalServerError, err.Error())
+	}
+	return door.Yes(string(text))
+}
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -14,6 +14,7 @@
 	}
 	*kind++
 	r.ended = true
+	p.told(r, kind == &p.count.Done, p.now())
 	p.drop(r.flow)
 	p.forget(r)
 	if r.key != nil {
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -59,6 +59,9 @@
 	r.dispatches = append(r.dispatches, d)
 	r.outs++
 	p.count.Sent++
+	if p.peers != nil {
+		p.peers.fleet.Sent(id, d.index > 0, now)
+	}
 	if d.host == nil {
 		p.post(now, nil, func(at int64) { p.broke(d, &broken{unsent, errUnknown}, at) })
 		return
--- /dev/null
+++ b/shed/shed_test.go
@@ -0,0 +1,191 @@
+package shed
+
+import (
+	"math"
+	"testing"
+
+	"ivybank/fold"
+)
+
+// four rule sets of rising worth, one tenant.
+func four() Terms { return Terms{Values: []float64{1, 2, 4, 8}, Shares: []float64{1}, Over: 0.2} }
+
+func offer(c *Cut, by ...float64) (l fold.Load) {
+	for set, x := range by {
+		l.Offered[c.Class(set, 0)] += x
+	}
+	return l
+}
+
+// overload is a fleet that can bear so much and serves no more: what is let in past it lacks.
+type overload struct {
+	c     *Cut
+	bears float64
+	now   int64
+}
+
+func (o *overload) step(l fold.Load) {
+	o.now += 250 * ms
+	let := 0.0
+	for i, x := range l.Offered {
+		if o.c.On {
+			x *= o.c.Pass[i]
+		}
+		let += x
+	}
+	l.Served = min(let, o.bears)
+	l.Lacked = let - l.Served
+	o.c.Step(&l, 12, o.now)
+}
+
+func TestLeastWorthFirst(t *testing.T) {
+	o := &overload{c: New(four()), bears: 100, now: sec}
+	l := offer(o.c, 72, 54, 36, 18) // 1.8 times what can be borne
+	for range 120 {
+		o.step(l)
+	}
+	let := 0.0
+	for i, x := range l.Offered {
+		let += x * o.c.Pass[i]
+	}
+	if !o.c.On || math.Abs(let-100) > 5 {
+		t.Errorf("on %v, %.1f let in, want about what can be borne", o.c.On, let)
+	}
+	p := [4]float64{}
+	for set := range p {
+		p[set] = o.c.Pass[o.c.Class(set, 0)]
+	}
+	if p[3] != 1 || p[2] != 1 || p[1] < 0.7 || p[1] > 1 || p[0] > 0.1 {
+		t.Errorf("let in %v, want the least worth to go first", p)
+	}
+	// The same req gets the same verdict, its neighbour in luck as well.
+	class := o.c.Class(1, 0)
+	if !o.c.Lets(class, p[1]-0.01) || o.c.Lets(class, p[1]+0.01) {
+		t.Error("the verdict does not go by luck")
+	}
+	for range 12 {
+		o.step(offer(o.c, 32, 24, 16, 8))
+	}
+	if o.c.On {
+		t.Error("the cut outlives the overload")
+	}
+}
+
+// Within its share a tenant's reqs go before those that another asks past its own, of whatever value within the same worth.
+func TestShares(t *testing.T) {
+	o := &overload{c: New(Terms{Values: []float64{1}, Shares: []float64{0.7, 0.3}, Over: 0.2}), bears: 100, now: sec}
+	var l fold.Load
+	l.Offered[o.c.Class(0, 0)], l.Offered[o.c.Class(0, 1)] = 60, 120
+	for range 120 {
+		o.step(l)
+	}
+	if one, two := o.c.Pass[o.c.Class(0, 0)], o.c.Pass[o.c.Class(0, 1)]; one != 1 || math.Abs(two*120-40) > 6 {
+		t.Errorf("let in %.2f and %.2f, want all of the one and the room that it leaves for the other", one, two)
+	}
+}
+
+// Load that swings about what can be borne each second moves the cut a handful of times in ten minutes.
+func TestSwings(t *testing.T) {
+	o := &overload{c: New(four()), bears: 100, now: sec}
+	mean := 100.0
+	for i := range 4 * 600 {
+		want := 80.0
+		if i/4%2 == 0 {
+			want = 125
+		}
+		mean += 0.22 * (want - mean) // as a rate over a second shows it
+		o.step(offer(o.c, 0.4*mean, 0.3*mean, 0.2*mean, 0.1*mean))
+	}
+	if o.c.Moves > 12 {
+		t.Errorf("%d moves", o.c.Moves)
+	}
+}
+
+// When half of the members are no longer counted the limit goes with them, and comes back with them.
+func TestHalves(t *testing.T) {
+	c := New(four())
+	l := offer(c, 72, 54, 36, 18)
+	l.Served, l.Lacked = 100, 80
+	c.Step(&l, 12, 1)
+	c.Step(&l, 12, sec)
+	half := offer(c, 36, 27, 18, 9)
+	half.Served = 50
+	c.Step(&half, 6, sec+250*ms)
+	if math.Abs(c.Part-100.0/180) > 0.02 {
+		t.Errorf("part %.2f let in by a half", c.Part)
+	}
+	l.Lacked = 0
+	c.Step(&l, 12, sec+500*ms)
+	if math.Abs(c.Part-100.0/180) > 0.03 {
+		t.Errorf("part %.2f let in after", c.Part)
+	}
+}
+
+func TestClasses(t *testing.T) {
+	many := Terms{Over: 0.2}
+	for i := range 40 {
+		many.Values, many.Shares = append(many.Values, float64(i+1)), append(many.Shares, 1.0/40)
+	}
+	c := New(many)
+	for set := range 40 {
+		for tenant := range 40 {
+			if x := c.Class(set, tenant); x < 0 || x >= fold.Classes {
+				t.Fatalf("class %d", x)
+			}
+		}
+	}
+	if c.Class(-1, 0) != -1 || c.Class(99, 0) != -1 || !c.Lets(-1, 1) {
+		t.Error("a rule set that is not known is shed")
+	}
+}
+
+func TestSpare(t *testing.T) {
+	s := NewSpare(0.1, 0)
+	s.Further()
+	for range 95 {
+		s.First()
+	}
+	if s.Left() != 9 {
+		t.Errorf("%d left of 95 first ones, want 9", s.Left())
+	}
+	own := fold.Load{First: 10}
+	s.Step(&own, &own, sec) // alone: what it has saved up is a short burst
+	if s.Left() != 2 {
+		t.Errorf("%d left after a step, want no more than a burst", s.Left())
+	}
+	for s.Left() > 0 {
+		s.Further()
+	}
+	// One that wants more gets a part of what others leave; those that want nothing get nothing.
+	all := fold.Load{First: 110, Wanted: 20}
+	want := fold.Load{First: 10, Wanted: 20}
+	for i := range int64(10) {
+		s.Step(&all, &want, sec+(i+1)*100*ms)
+	}
+	if s.Left() != 2 {
+		t.Errorf("%d lent, want a burst", s.Left())
+	}
+	for s.Left() > 0 {
+		s.Further()
+	}
+	left := s.Left()
+	s.Step(&all, &own, 4*sec)
+	if s.Left() != left {
+		t.Error("lent to one that wants nothing")
+	}
+	// Where most dispatches of the fleet fail there is no further one.
+	s.First()
+	s.tokens = 5
+	bad := fold.Load{First: 100, Failed: 60}
+	if s.Step(&bad, &own, 5*sec); s.Left() != 0 {
+		t.Errorf("%d left while all fail", s.Left())
+	}
+	bad.Failed = 40
+	if s.Step(&bad, &own, 6*sec); s.Left() != 0 {
+		t.Error("it came back at once")
+	}
+	bad.Failed = 20
+	if s.Step(&bad, &own, 7*sec); s.Left() == 0 {
+		t.Error("none left after most are served again")
+	}
+}
--- /dev/null
+++ b/swim/swim.go
@@ -0,0 +1,633 @@
+// Package swim says who is a member of the fleet: SWIM (Das, Gupta, Motivala, 2002) with Lifeguard's local health (Dadgar,
+// Phillips, Currey, 2018), free of I/O. It is handed datagrams and the time, and hands out datagrams. It owns the table of
+// members. It must never let what it says of a member hold up a req, nor declare one dead that it has just heard.
+package swim
+
+import (
+	"math"
+	"slices"
+
+	"ivybank/draw"
+	"ivybank/peer"
+)
+
+const (
+	ms, sec = int64(1e6), int64(1e9)
+
+	helpers    = 3                                       // members asked to ping on one's behalf
+	confirmers = 3                                       // further members whose suspicion brings the death forward to its least time
+	spread     = 3                                       // a piece of news goes out so many times the logarithm of the members
+	mostHealth = 6                                       // steps by which trouble of one's own lengthens one's waits
+	knock      = 4                                       // every so many periods one who is not a member is pinged
+	farewells  = 2                                       // times that each of a few is told of the end
+	lateTick   = 30 * ms                                 // a tick later than this is time in which this process did not run
+	maxQuiet   = 600 * sec                               // silences longer than this are told as this
+	window     = 64                                      // datagrams of one life that may come out of order
+	tickEvery  = 50 * ms                                 // between looks at what is due
+	lostNews   = 8                                       // pieces of news that one member's word may add in one datagram
+	longAgo    = -1 << 62                                // before anything was heard
+	fewMembers = 16                                      // so few tell all others of their end
+	lifeSpan   = 1000 * 3600 * 24 * 365 * 10 << lifeBits // past this one's own start no life can be
+)
+
+// Terms is what a member is told of the fleet. Times are nanoseconds.
+type Terms struct {
+	Me, Of  int   // own place, places in all
+	Period  int64 // between pings
+	AckWait int64 // for an answer, directly and by way of others
+	Quiet   int64 // nobody is dead who was heard within so long
+	Seed    uint64
+}
+
+// Check says what is wrong with them, empty where nothing is.
+func (t Terms) Check() string {
+	switch {
+	case t.Of <= 0 || t.Me < 0 || t.Me >= t.Of:
+		return "the own place is not among the places"
+	case t.Period <= 0 || t.AckWait <= 0 || t.Quiet <= 0:
+		return "times have to be above 0"
+	}
+	return ""
+}
+
+// Member is what is known of one.
+type Member struct {
+	Known bool // was heard of since this process's start
+	State peer.State
+	Life  uint64
+	Since int64 // when it came to its state
+	Heard int64 // latest sign of its life that this process has had
+	By    int   // who suspected it first
+}
+
+// Alive says whether it takes part. A suspect does, until it is dead.
+func (m Member) Alive() bool { return m.Known && m.State <= peer.Suspect }
+
+type member struct {
+	Member
+	doubts []int  // who suspects it; emptied with the suspicion
+	told   int    // times that its news went out
+	fresh  bool   // its news has not gone out often enough
+	count  uint64 // newest datagram of its life,
+	seen   uint64 // and which of those before it came, as bits
+}
+
+// ping is one that waits for its answer.
+type ping struct {
+	seq   uint32
+	who   int
+	at    int64
+	asked bool // helpers were asked
+	nacks int  // of them, who has answered that there is no answer
+	back  int  // pinged for another: who; -1 for oneself
+	seqOf uint32
+}
+
+// Send is a datagram for a member.
+type Send struct {
+	To int
+	peer.Datagram
+}
+
+// Change is one that came to another state.
+type Change struct {
+	Who  int
+	From string // "" where it was not known
+	To   peer.State
+	By   int
+	At   int64
+}
+
+// Swim is one member's view of all.
+type Swim struct {
+	t       Terms
+	life    uint64
+	members []member // one for each place
+	order   []int    // in which they are pinged; drawn anew when it is through
+	next    int
+	pings   []ping // emptied as they are answered or over
+	out     []Send // emptied by Out
+	changes []Change
+	fresh   []int // members whose news has not gone out often enough; emptied as it does
+	doubted []int // suspects; emptied as they are cleared or dead
+	dice    draw.Dice
+	seq     uint32
+	count   uint64
+	pingAt  int64
+	ticked  int64
+	health  int // 0: well; how much longer this process waits as it seems to be slow itself
+	periods int
+	left    bool
+	version int // counts changes of who is alive
+	alive   int
+	Away    int64 // time in which this process did not run, as far as it noticed
+	Dropped struct{ Twice, Past, Nobody int }
+}
+
+// New begins a life: its start in Unix milliseconds. Nobody is a member until heard.
+func New(t Terms, life uint64, now int64) *Swim {
+	s := &Swim{t: t, life: life, members: make([]member, t.Of), dice: draw.Dice{Seed: t.Seed}, ticked: now, pingAt: now}
+	for i := range s.members {
+		s.members[i].Heard = longAgo
+	}
+	s.members[t.Me] = member{Member: Member{Known: true, Life: life, Since: now, Heard: now}}
+	s.rouse(t.Me)
+	s.alive = 1
+	return s
+}
+
+// Life is this process's, higher each time that it had to refute.
+func (s *Swim) Life() uint64 { return s.life }
+
+// Health is how slow this process takes itself to be, 0 for not at all.
+func (s *Swim) Health() int { return s.health }
+
+// Version changes whenever somebody comes to be alive or no longer is.
+func (s *Swim) Version() int { return s.version }
+
+// Count is how many are alive, this one included.
+func (s *Swim) Count() int { return s.alive }
+
+// Member is what is known of a place.
+func (s *Swim) Member(i int) Member { return s.members[i].Member }
+
+// Alive says whether a place's member takes part.
+func (s *Swim) Alive(i int) bool { return s.members[i].Alive() }
+
+// Living are the places of all that take part, in order.
+func (s *Swim) Living() (all []int) {
+	for i := range s.members {
+		if s.members[i].Alive() {
+			all = append(all, i)
+		}
+	}
+	return all
+}
+
+// Out hands over what is to be sent; Changes who came to another state. Both begin anew with it.
+func (s *Swim) Out() []Send {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+// Changes hands over who came to another state since the last call.
+func (s *Swim) Changes() []Change {
+	c := s.changes
+	s.changes = nil
+	return c
+}
+
+// Datagram begins one of this life, with the news that most need telling.
+func (s *Swim) Datagram(k peer.Kind) (peer.Datagram, peer.Room) {
+	s.count++
+	d := peer.Datagram{From: s.t.Me, Life: s.life, Count: s.count, Kind: k}
+	room := peer.Whole()
+	s.tell(&d, &room)
+	return d, room
+}
+
+// tell adds the pieces of news that went out least often. The table of members is also that of news: each has one.
+func (s *Swim) tell(d *peer.Datagram, room *peer.Room) {
+	slices.SortStableFunc(s.fresh, func(x, y int) int { return s.members[x].told - s.members[y].told })
+	most := int(math.Ceil(spread * math.Log2(float64(s.alive)+1)))
+	for _, i := range s.fresh {
+		if len(d.News) >= newsEach || !room.News() {
+			break
+		}
+		d.News = append(d.News, s.news(i))
+		s.members[i].told++
+	}
+	s.fresh = slices.DeleteFunc(s.fresh, func(i int) bool {
+		m := &s.members[i]
+		m.fresh = m.told < most
+		return !m.fresh
+	})
+}
+
+// newsEach leaves room for what else a datagram carries.
+const newsEach = 3
+
+func (s *Swim) news(i int) peer.News {
+	m := &s.members[i]
+	n := peer.News{Who: i, State: m.State, Life: m.Life, By: m.By}
+	if m.State == peer.Suspect {
+		n.Quiet = peer.Hundredths(min(maxQuiet, s.ticked-m.Heard))
+	}
+	return n
+}
+
+func (s *Swim) send(to int, k peer.Kind, seq uint32, about int) {
+	d, _ := s.Datagram(k)
+	d.Seq, d.About = seq, about
+	s.out = append(s.out, Send{to, d})
+}
+
+// Fresh says whether a datagram is a member's, of its present life and not met before; else it is to be dropped and says nothing.
+func (s *Swim) Fresh(d *peer.Datagram) bool {
+	if d.From >= s.t.Of || d.From == s.t.Me || d.Life > s.life+lifeSpan {
+		s.Dropped.Nobody++
+		return false
+	}
+	m := &s.members[d.From]
+	switch {
+	case m.Known && (d.Life>>lifeBits < m.Life>>lifeBits || m.State == peer.Left && d.Life <= m.Life):
+		s.Dropped.Past++
+		if d.Kind == peer.Ping {
+			// One whose clock was set back begins with a life that is past. It is told, and takes a later one.
+			s.remind(d.From, s.news(d.From))
+		}
+		return false
+	case !m.Known || d.Life>>lifeBits > m.Life>>lifeBits:
+		m.count, m.seen = 0, 0
+	}
+	switch past := m.count - d.Count; {
+	case d.Count > m.count:
+		if ahead := d.Count - m.count; ahead < window {
+			m.seen = m.seen<<ahead | 1
+		} else {
+			m.seen = 1
+		}
+		m.count = d.Count
+	case past >= window:
+		s.Dropped.Past++
+		return false
+	case m.seen&(1<<past) != 0:
+		s.Dropped.Twice++
+		return false
+	default:
+		m.seen |= 1 << past
+	}
+	return true
+}
+
+// lifeBits of a life count refutations, the others the start. A life handed to New holds the start alone.
+const lifeBits = 8
+
+// LifeOf is the life of a process that starts at a clock time.
+func LifeOf(unixNs int64) uint64 { return uint64(max(1, unixNs/ms)) << lifeBits }
+
+// Heard takes a fresh datagram.
+func (s *Swim) Heard(d *peer.Datagram, now int64) {
+	m := &s.members[d.From]
+	m.Heard = now
+	switch {
+	case d.Kind == peer.Leave:
+		s.become(d.From, peer.Left, d.Life, d.From, now)
+		return
+	case !m.Known || d.Life > m.Life:
+		s.become(d.From, peer.Alive, d.Life, d.From, now)
+	case m.State == peer.Dead || m.State == peer.Suspect:
+		// What was just heard lives, whatever is said. It is told what is said of it, so that it can refute that to all.
+		s.rouse(d.From)
+		n := s.news(d.From)
+		if m.State == peer.Dead {
+			s.become(d.From, peer.Suspect, m.Life, m.By, now)
+		}
+		if d.Kind != peer.Ping {
+			s.remind(d.From, n)
+		}
+	}
+	for _, n := range d.News[:min(len(d.News), lostNews)] {
+		s.learn(n, now)
+	}
+	switch d.Kind {
+	case peer.Ping:
+		s.send(d.From, peer.Ack, d.Seq, s.t.Me)
+	case peer.Ack, peer.Nack:
+		s.answered(d, now)
+	case peer.Ask:
+		if d.About < s.t.Of && d.About != s.t.Me {
+			s.ping(d.About, d.From, d.Seq, now)
+		}
+	}
+}
+
+// remind tells a member what is said of it.
+func (s *Swim) remind(who int, n peer.News) {
+	d, _ := s.Datagram(peer.Push)
+	d.News = append([]peer.News{n}, d.News[:min(len(d.News), newsEach-1)]...)
+	s.out = append(s.out, Send{who, d})
+}
+
+// answered ends a ping, or passes its answer on to the one on whose behalf it was.
+func (s *Swim) answered(d *peer.Datagram, now int64) {
+	i := slices.IndexFunc(s.pings, func(p ping) bool { return p.seq == d.Seq })
+	if i < 0 {
+		return
+	}
+	p := &s.pings[i]
+	if d.Kind == peer.Nack {
+		p.nacks++
+		return
+	}
+	if d.About != p.who {
+		return
+	}
+	if s.members[p.who].Known {
+		s.members[p.who].Heard = now // by way of another
+	}
+	if p.back >= 0 {
+		s.send(p.back, peer.Ack, p.seqOf, p.who)
+	} else {
+		s.health = max(0, s.health-1)
+	}
+	s.pings = slices.Delete(s.pings, i, i+1)
+}
+
+func (s *Swim) ping(who, back int, seqOf uint32, now int64) {
+	s.seq++
+	s.pings = append(s.pings, ping{seq: s.seq, who: who, at: now, back: back, seqOf: seqOf})
+	if m := &s.members[who]; m.Known && m.State != peer.Alive {
+		s.rouse(who) // it is told, to refute
+	}
+	s.send(who, peer.Ping, s.seq, who)
+}
+
+// learn takes one piece of news.
+func (s *Swim) learn(n peer.News, now int64) {
+	if n.Who >= s.t.Of || n.By >= s.t.Of || n.Life > s.life+lifeSpan {
+		return
+	}
+	if n.Who == s.t.Me {
+		if n.Life >= s.life && (n.State != peer.Alive || n.Life > s.life) && !s.left {
+			// Refuted by the living. Being suspected is a sign of being slow oneself; a life beyond one's own is an earlier process's
+			// whose clock was ahead.
+			if n.State == peer.Suspect {
+				s.health = min(mostHealth, s.health+1)
+			}
+			s.life = n.Life + 1
+			s.members[s.t.Me].Life = s.life
+			s.rouse(s.t.Me)
+		}
+		return
+	}
+	m := &s.members[n.Who]
+	sign := now - peer.Ns(n.Quiet) // latest sign of life that By had
+	switch {
+	case !m.Known:
+		if n.State <= peer.Suspect {
+			s.become(n.Who, n.State, n.Life, n.By, now)
+			m.Heard = max(m.Heard, sign)
+		}
+	case n.Life < m.Life || n.Life == m.Life && n.State < m.State:
+	case n.State == peer.Suspect && m.State == peer.Suspect && n.Life == m.Life:
+		m.Heard = max(m.Heard, sign)
+		s.doubt(n.Who, n.By)
+	case n.Life == m.Life && n.State == m.State:
+	case n.State == peer.Suspect:
+		m.Heard = max(m.Heard, sign)
+		s.become(n.Who, n.State, n.Life, n.By, now)
+		s.look(n.Who)
+	case n.State == peer.Dead && now-m.Heard < s.t.Quiet/2:
+		// It was heard here just now: one that others cannot reach is not dead. It is told, and refutes.
+		if n.Life > m.Life {
+			s.become(n.Who, peer.Alive, n.Life, n.By, now)
+		}
+		s.look(n.Who)
+	default:
+		if n.State == peer.Alive {
+			m.Heard = max(m.Heard, now-s.t.Quiet/2) // it lived a while ago
+		}
+		s.become(n.Who, n.State, n.Life, n.By, now)
+	}
+}
+
+// look has one pinged next.
+func (s *Swim) look(who int) {
+	if i := slices.Index(s.order, who); i > s.next {
+		s.order[s.next], s.order[i] = s.order[i], s.order[s.next]
+	} else if i < 0 || i < s.next {
+		s.order = slices.Insert(s.order, s.next, who)
+	}
+}
+
+// doubt adds one more who suspects a member.
+func (s *Swim) doubt(who, by int) {
+	m := &s.members[who]
+	if !slices.Contains(m.doubts, by) && len(m.doubts) <= confirmers {
+		m.doubts = append(m.doubts, by)
+		m.By = by
+		s.rouse(who) // passed on, as it is further evidence
+	}
+}
+
+// rouse has a member's news go out again.
+func (s *Swim) rouse(i int) {
+	if m := &s.members[i]; !m.fresh {
+		m.fresh = true
+		s.fresh = append(s.fresh, i)
+	}
+	s.members[i].told = 0
+}
+
+// become brings a member to a state.
+func (s *Swim) become(i int, state peer.State, life uint64, by int, now int64) {
+	m := &s.members[i]
+	was, from := m.Alive(), ""
+	if m.Known {
+		from = Word(m.State)
+	}
+	if !m.Known || m.State != state {
+		m.Since = now
+		s.changes = append(s.changes, Change{i, from, state, by, now})
+	}
+	if life>>lifeBits > m.Life>>lifeBits && m.Known {
+		s.version++ // another process at the same place
+	}
+	m.Known, m.State, m.Life, m.By, m.doubts = true, state, life, by, nil
+	if state == peer.Suspect {
+		// At the least a ping went unanswered, first directly and then by way of others.
+		m.doubts, m.Heard = []int{by}, max(m.Heard, now-s.t.AckWait*5/2)
+		if !slices.Contains(s.doubted, i) {
+			s.doubted = append(s.doubted, i)
+		}
+	}
+	s.rouse(i)
+	if m.Alive() != was {
+		s.version++
+		if was {
+			s.alive--
+		} else {
+			s.alive++
+			s.look(i)
+		}
+	}
+}
+
+// Tick does what is due and says when to come again. It is to be called often: a tick that comes late shows that this process did
+// not run meanwhile, and then nobody else's silence counts.
+func (s *Swim) Tick(now int64) (next int64) {
+	if away := now - s.ticked - tickEvery; away > lateTick {
+		s.stood(away, now)
+	}
+	s.ticked = now
+	s.overdue(now)
+	s.bury(now)
+	if now >= s.pingAt && !s.left {
+		s.pingAt = now + s.wait(s.t.Period)
+		s.round(now)
+	}
+	return now + tickEvery
+}
+
+// stood takes account of time in which this process did not run.
+func (s *Swim) stood(away, now int64) {
+	s.Away += away
+	s.health = min(mostHealth, s.health+1)
+	for i := range s.members {
+		if m := &s.members[i]; m.Heard > longAgo {
+			m.Heard = min(now, m.Heard+away)
+		}
+	}
+	for i := range s.pings {
+		s.pings[i].at = min(now, s.pings[i].at+away)
+	}
+}
+
+// wait lengthens a time while this process seems to be slow itself.
+func (s *Swim) wait(t int64) int64 { return t + t*int64(s.health)/2 }
+
+// round pings the next in order.
+func (s *Swim) round(now int64) {
+	s.periods++
+	if s.periods%knock == 0 || s.alive == 1 {
+		s.knockAtOne(now)
+	}
+	for range len(s.order) + 2 {
+		if s.next >= len(s.order) {
+			s.order, s.next = s.Living(), 0
+			s.shuffle(s.order)
+		}
+		if len(s.order) == 0 {
+			return
+		}
+		who := s.order[s.next]
+		s.next++
+		if who != s.t.Me && s.members[who].Alive() {
+			s.ping(who, -1, 0, now)
+			return
+		}
+	}
+}
+
+// knockAtOne pings one that is not a member: it may have come, or be on this side again after a partition.
+func (s *Swim) knockAtOne(now int64) {
+	var away []int
+	for i := range s.members {
+		if i != s.t.Me && !s.members[i].Alive() {
+			away = append(away, i)
+		}
+	}
+	if len(away) > 0 {
+		s.ping(away[int(s.dice.Next()*float64(len(away)))], -1, 0, now)
+	}
+}
+
+func (s *Swim) shuffle(x []int) {
+	for i := len(x) - 1; i > 0; i-- {
+		j := int(s.dice.Next() * float64(i+1))
+		x[i], x[j] = x[j], x[i]
+	}
+}
+
+// some draws members that take part, other than two.
+func (s *Swim) some(n, but int) []int {
+	all := slices.DeleteFunc(s.Living(), func(i int) bool { return i == s.t.Me || i == but || s.members[i].State != peer.Alive })
+	s.shuffle(all)
+	return all[:min(n, len(all))]
+}
+
+// overdue looks after pings that have no answer: others are asked, then the one is suspected.
+func (s *Swim) overdue(now int64) {
+	wait := s.wait(s.t.AckWait)
+	s.pings = slices.DeleteFunc(s.pings, func(p ping) bool {
+		switch {
+		case now < p.at+wait:
+			return false
+		case p.back >= 0:
+			s.send(p.back, peer.Nack, p.seqOf, p.who)
+			return true
+		case !s.members[p.who].Alive():
+			return true
+		}
+		return false
+	})
+	// The others may send, which must not change the table that is walked through.
+	for i := range s.pings {
+		p := &s.pings[i]
+		if now < p.at+wait || p.asked {
+			continue
+		}
+		p.asked = true
+		for _, h := range s.some(helpers, p.who) {
+			s.send(h, peer.Ask, p.seq, p.who)
+		}
+	}
+	for i := 0; i < len(s.pings); {
+		p := s.pings[i]
+		if !p.asked || now < p.at+2*wait+wait/2 {
+			i++
+			continue
+		}
+		s.pings = slices.Delete(s.pings, i, i+1)
+		m := &s.members[p.who]
+		if p.nacks == 0 && s.alive > 2 {
+			s.health = min(mostHealth, s.health+1) // no helper has said a word: the fault may be here
+		}
+		switch {
+		case m.Heard > p.at:
+		case m.State == peer.Alive:
+			s.become(p.who, peer.Suspect, m.Life, s.t.Me, now)
+		case m.State == peer.Suspect:
+			s.doubt(p.who, s.t.Me)
+		}
+	}
+}
+
+// Patience is how long a suspect may be silent: it falls from its most to its least as further members confirm (Lifeguard).
+func (s *Swim) Patience(doubts int) int64 {
+	least := float64(s.t.Quiet) * max(1, math.Log10(float64(s.alive)))
+	most := 2 * least
+	k, part := float64(min(confirmers, s.alive-2)), 1.0
+	if k > 0 { // somebody is there to confirm
+		part = math.Log(float64(max(1, doubts))) / math.Log(k+1)
+	}
+	return s.wait(int64(max(least, most-(most-least)*part)))
+}
+
+// bury declares those dead that were suspected and silent for long enough.
+func (s *Swim) bury(now int64) {
+	for _, i := range s.doubted {
+		m := &s.members[i]
+		switch quiet := now - m.Heard; {
+		case m.State != peer.Suspect:
+		case quiet >= s.Patience(len(m.doubts)):
+			s.become(i, peer.Dead, m.Life, s.t.Me, now)
+		case quiet < s.t.AckWait && m.Since < m.Heard:
+			// Heard since it was suspected. It refutes to all; here its word is enough.
+			m.State, m.doubts, m.Since = peer.Alive, nil, now
+			s.changes = append(s.changes, Change{i, Word(peer.Suspect), peer.Alive, i, now})
+		}
+	}
+	s.doubted = slices.DeleteFunc(s.doubted, func(i int) bool { return s.members[i].State != peer.Suspect })
+}
+
+// Leave tells of the end of this process.
+func (s *Swim) Leave() {
+	s.left = true
+	n := helpers
+	if s.alive <= fewMembers {
+		n = s.alive
+	}
+	for _, to := range s.some(n, -1) {
+		for range farewells {
+			s.send(to, peer.Leave, 0, s.t.Me)
+		}
+	}
+}
+
+// Word is a state's name.
+func Word(s peer.State) string {
+	return [...]string{peer.Alive: "alive", peer.Suspect: "suspect", peer.Dead: "dead", peer.Left: "left"}[s]
+}
