Membership in virtual time: kills, loss, pauses, partitions, 2,000 instances; tests of processes

A process started again was not heard by members that had learnt of its new life from others: the count of its datagrams was still that of the old one, so all were dropped as past, pings failed, and everybody took himself for slow. The count belongs to the start that was heard. Answers that were kept back by the limit were suspicions too: questions and answers go into debt now, sums that can wait pay it.

--- a/balance/move_test.go
+++ b/balance/move_test.go
@@ -191,3 +191,51 @@
 		}
 	}
 }
+
+// What other balancers' word comes to: a req that all deny is denied before it is sent, a further dispatch waits for the budget, a server
+// of which care is due gets less.
+func TestAdvice(t *testing.T) {
+	t.Run("shed", func(t *testing.T) {
+		b := New(Terms{Seed: 1, Copies: 1, MaxDispatches: 3, MaxAdvice: sec, Tick: 5 * ms, RuleSets: []RuleSet{{Name: "a", Effect: NonReplayable, ResponseTarget: sec, BillingValue: 1}}}, 0)
+		b.Listed(Whole, []Server{{ID: "s", Share: 1}}, 0)
+		b.Req(Arrival{ID: 1, RuleSet: "a", Budget: 3 * sec, Shed: true, Back: 700 * ms}, 0)
+		var got []Decision
+		for d, ok := b.Next(0); ok; d, ok = b.Next(0) {
+			if d.Kind == Deny || d.Kind == Dispatch {
+				got = append(got, d)
+			}
+		}
+		if len(got) != 1 || got[0].Kind != Deny || got[0].Time != 700*ms {
+			t.Errorf("got %+v, want one deny with its wait", got)
+		}
+	})
+	t.Run("further", func(t *testing.T) {
+		for further, want := range []int{1, 2} {
+			b := New(Terms{Seed: 1, Copies: 1, MaxDispatches: 3, Tick: 5 * ms, RuleSets: []RuleSet{{Name: "a", Effect: Replayable, ResponseTarget: sec, BillingValue: 1}}}, 0)
+			b.Advised(Advice{Bounded: true, Further: further})
+			b.Listed(Whole, []Server{{ID: "s", Share: 1}, {ID: "u", Share: 1}, {ID: "v", Share: 1}}, 0)
+			b.Req(Arrival{ID: 1, RuleSet: "a", Budget: 3 * sec}, 0)
+			sent := 0
+			for now := int64(0); now < 60*ms; now += 5 * ms {
+				for d, ok := b.Next(now); ok; d, ok = b.Next(now) {
+					if d.Kind == Dispatch {
+						sent++
+						b.Finished(1, sent-1, Errored, false, ms, now)
+					}
+				}
+			}
+			if sent != want {
+				t.Errorf("%d further ones allowed: %d dispatches, want %d", further, sent, want)
+			}
+		}
+	})
+	t.Run("care", func(t *testing.T) {
+		b := New(Terms{Seed: 1, Copies: 1, Tick: 5 * ms}, 0)
+		b.Listed(Whole, []Server{{ID: "s", Share: 1}, {ID: "u", Share: 1}}, 0)
+		b.Advised(Advice{Wary: map[string]float64{"s": 0.25}})
+		b.tend(0)
+		if s, u := b.servers[0].ready, b.servers[1].ready; s != u/4 {
+			t.Errorf("ready %v and %v, want a quarter", s, u)
+		}
+	})
+}
--- a/emu/emu_test.go
+++ b/emu/emu_test.go
@@ -8,7 +8,7 @@
 	"ivybank/draw"
 )
 
-func fleet(t *testing.T, n int, change func(*Nature)) (*Virtual, *Fleet) {
+func rehearsed(t *testing.T, n int, change func(*Nature)) (*Virtual, *Fleet) {
 	t.Helper()
 	c := NewVirtual(1e12)
 	nature := Nature{Queue: 1 << 20}
@@ -36,7 +36,7 @@
 		{"M/M/2 at 0.8", 2, 0.8, 0.8 * 0.8 / (1 - 0.8*0.8)},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			c, f := fleet(t, 1, nil)
+			c, f := rehearsed(t, 1, nil)
 			s := f.Servers[0]
 			s.Cores = x.cores
 			dice := draw.Dice{Seed: 5}
@@ -88,7 +88,7 @@
 		"restart": {Fault{Kind: "restart"}, -1, -1, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c, f := fleet(t, 2, func(n *Nature) { n.RampTime, n.StartCapacity = 100*s, 0.01 })
+			c, f := rehearsed(t, 2, func(n *Nature) { n.RampTime, n.StartCapacity = 100*s, 0.01 })
 			x.fault.At, x.fault.For, x.fault.Servers = s, 3*s, []string{"a"}
 			if err := f.Schedule([]Fault{x.fault}); err != nil {
 				t.Fatal(err)
@@ -113,7 +113,7 @@
 		})
 	}
 	t.Run("one begins while another ends", func(t *testing.T) {
-		c, f := fleet(t, 1, nil)
+		c, f := rehearsed(t, 1, nil)
 		_ = f.Schedule([]Fault{{Kind: "slow", At: s, For: 2 * s, Servers: []string{"a"}, Size: 4}, {Kind: "slow", At: 2 * s, For: 2 * s, Servers: []string{"a"}, Size: 10}})
 		for _, want := range []float64{0, 4, 40, 10, 1} {
 			c.Run(c.Now() + s/2)
@@ -124,7 +124,7 @@
 		}
 	})
 	t.Run("the network", func(t *testing.T) {
-		c, f := fleet(t, 2, nil)
+		c, f := rehearsed(t, 2, nil)
 		_ = f.Schedule([]Fault{{Kind: "cut", At: s, For: s, Zone: "x"}, {Kind: "lossy", At: 3 * s, For: s, Servers: []string{"b"}, Size: 0.5},
 			{Kind: "discovery_down", At: 5 * s, For: s}, {Kind: "late", At: 7 * s, For: s, Size: 2}, {Kind: "wrong", At: 9 * s, For: 3 * s, Servers: []string{"a"}},
 			{Kind: "drain", At: 10 * s, For: s, Servers: []string{"a"}}})
@@ -160,7 +160,7 @@
 func TestServer(t *testing.T) {
 	const s = int64(1e9)
 	t.Run("queue", func(t *testing.T) {
-		c, f := fleet(t, 1, func(n *Nature) { n.Queue = 1 })
+		c, f := rehearsed(t, 1, func(n *Nature) { n.Queue = 1 })
 		a := f.Servers[0]
 		var got []balance.Outcome
 		for range 3 {
@@ -174,7 +174,7 @@
 		}
 	})
 	t.Run("cache", func(t *testing.T) {
-		c, f := fleet(t, 1, func(n *Nature) { n.CacheKeys, n.CacheFor, n.CacheSaves = 1, 10*s, 0.75 })
+		c, f := rehearsed(t, 1, func(n *Nature) { n.CacheKeys, n.CacheFor, n.CacheSaves = 1, 10*s, 0.75 })
 		a := f.Servers[0]
 		if ask(c, a, s, s-1) == balance.Served || ask(c, a, s, s) != balance.Served {
 			t.Fatal("the first takes all its work")
@@ -189,7 +189,7 @@
 		}
 	})
 	t.Run("given up", func(t *testing.T) {
-		c, f := fleet(t, 1, nil)
+		c, f := rehearsed(t, 1, nil)
 		a := f.Servers[0]
 		one := &Job{Work: s, Done: func(balance.Outcome) { t.Error("an answer to nobody") }}
 		served := false
@@ -269,7 +269,7 @@
 		}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c, f := fleet(t, 2, func(n *Nature) { n.RampTime, n.StartCapacity, n.FallOver, n.FallAfter = 1000*s, 0.5, 2, s })
+			c, f := rehearsed(t, 2, func(n *Nature) { n.RampTime, n.StartCapacity, n.FallOver, n.FallAfter = 1000*s, 0.5, 2, s })
 			f.Servers[1].Cell = 1
 			x.do(c, f)
 			f.Judge.Close()
--- /dev/null
+++ b/emu/peers_test.go
@@ -0,0 +1,235 @@
+package emu
+
+import (
+	"fmt"
+	"testing"
+
+	"ivybank/fleet"
+	"ivybank/peer"
+)
+
+const ms, second = int64(1e6), int64(1e9)
+
+// crowd is a fleet of members without load, and who was held to be dead by whom.
+type crowd struct {
+	*Peers
+	clock *Virtual
+	n     int
+}
+
+func newCrowd(n int, datagrams float64, seed uint64) *crowd {
+	c := &crowd{clock: NewVirtual(1e12), n: n}
+	var terms []fleet.Terms
+	for i := range n {
+		terms = append(terms, fleet.Terms{Me: i, Of: n, Seed: seed, Datagrams: datagrams, AckWait: 300 * ms, Quiet: 2300 * ms,
+			Overload: &fleet.Overload{Further: 0.1, Most: 2000}})
+	}
+	c.Peers = NewPeers(c.clock, terms, seed, n <= 32, nil)
+	return c
+}
+
+func (c *crowd) run(d int64) { c.clock.Run(c.clock.Now() + d) }
+
+// holds counts the members that run and hold one to be in a state.
+func (c *crowd) holds(who int, s peer.State) (n int) {
+	for i := range c.n {
+		if m := c.Fleet(i).Members().Member(who); i != who && c.Up(i) && m.Known && m.State == s {
+			n++
+		}
+	}
+	return n
+}
+
+// whole says whether each member that runs holds just the others that run to be alive.
+func (c *crowd) whole() error {
+	up := 0
+	for i := range c.n {
+		if c.Up(i) {
+			up++
+		}
+	}
+	for i := range c.n {
+		if got := c.Fleet(i).Members().Count(); c.Up(i) && got != up {
+			return fmt.Errorf("member %d holds %d alive of %d", i, got, up)
+		}
+	}
+	return nil
+}
+
+// One of twelve that is killed is known to be dead by all within 3 s, whoever it is and whenever; after its return all know its new life.
+func TestKilledIsKnown(t *testing.T) {
+	c := newCrowd(12, 24, 1)
+	c.run(5 * second)
+	if err := c.whole(); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 24 {
+		who := i * 5 % 12
+		c.Kill(who)
+		c.run(3 * second)
+		if n := c.holds(who, peer.Dead); n != 11 {
+			t.Errorf("kill %d: %d of 11 hold %d to be dead after 3 s", i, n, who)
+		}
+		c.Start(who)
+		c.run(4*second + int64(i)*37*ms)
+		if err := c.whole(); err != nil {
+			t.Errorf("kill %d: 4 s after its return: %v", i, err)
+		}
+	}
+}
+
+// At 5% loss and 100 ms of delay nobody is taken for dead in ten minutes.
+func TestNoFalseDeath(t *testing.T) {
+	for seed := range uint64(3) {
+		c := newCrowd(12, 24, seed+1)
+		c.Strike(Fault{Kind: "datagrams", Loss: 0.05, Delay: 100 * ms, Spread: 20 * ms, Double: 0.02})
+		c.run(5 * second)
+		for at := range 1200 {
+			c.run(500 * ms)
+			for who := range c.n {
+				if n := c.holds(who, peer.Dead); n > 0 {
+					t.Fatalf("seed %d: after %d half seconds %d hold %d to be dead", seed, at, n, who)
+				}
+			}
+		}
+	}
+}
+
+// A member that is stopped for 2 s is not taken for dead by most, nor does it take the others for dead when it goes on.
+func TestPaused(t *testing.T) {
+	c := newCrowd(12, 24, 3)
+	c.run(5 * second)
+	for i := range 20 {
+		who := i * 7 % 12
+		c.Stop(who, true)
+		c.run(2 * second)
+		c.Stop(who, false)
+		most := 0
+		for range 20 {
+			c.run(50 * ms)
+			most = max(most, c.holds(who, peer.Dead))
+		}
+		if most > 5 {
+			t.Errorf("pause %d: %d hold it to be dead", i, most)
+		}
+		if got := c.Fleet(who).Members().Count(); got < 12 {
+			t.Errorf("pause %d: the one that goes on holds %d alive", i, got)
+		}
+		c.run(3 * second)
+	}
+	if err := c.whole(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A member that gets a fifth of a core, or runs by fits, does not take its neighbours for dead.
+func TestStarved(t *testing.T) {
+	c := newCrowd(12, 24, 4)
+	c.run(5 * second)
+	c.Strike(Fault{Kind: "proxy_starve", Proxies: []int{3}, Size: 0.8})
+	for range 300 {
+		c.run(100*ms + ms)
+		if n := c.Fleet(3).Members().Count(); n < 12 {
+			t.Fatalf("it holds %d alive", n)
+		}
+	}
+}
+
+// Halves take each other for dead, and are one fleet again soon after; one-way, those that are not heard are dead to the others alone.
+func TestParted(t *testing.T) {
+	for _, way := range []string{"", "out", "in"} {
+		c := newCrowd(12, 24, 5)
+		c.run(5 * second)
+		heal := c.Strike(Fault{Kind: "split", Proxies: []int{0, 1, 2, 3, 4, 5}, Way: way})
+		c.run(20 * second)
+		if got := c.Fleet(0).Members().Count(); way == "" && got != 6 {
+			t.Errorf("a half holds %d alive", got)
+		}
+		heal()
+		c.run(12 * second)
+		if err := c.whole(); err != nil {
+			t.Errorf("way %q: 12 s after the partition: %v", way, err)
+		}
+	}
+}
+
+// Three parts, all killed in one of them while parted: what is whole again is those that run.
+func TestThreeParts(t *testing.T) {
+	c := newCrowd(12, 24, 6)
+	c.run(5 * second)
+	one, two := c.Strike(Fault{Kind: "split", Proxies: []int{0, 1, 2, 3}}), c.Strike(Fault{Kind: "split", Proxies: []int{4, 5, 6, 7}})
+	c.run(6 * second)
+	c.Strike(Fault{Kind: "proxy_kill", Proxies: []int{4, 5, 6, 7}})
+	c.run(4 * second)
+	one()
+	two()
+	c.run(12 * second)
+	if err := c.whole(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A process whose clock was set back begins with a life that is past, and is a member all the same.
+func TestClockSetBack(t *testing.T) {
+	c := newCrowd(3, 24, 7)
+	c.run(5 * second)
+	c.Kill(1)
+	c.Back(1, 1<<20)
+	c.run(second)
+	c.Start(1)
+	c.run(8 * second)
+	if err := c.whole(); err != nil {
+		t.Error(err)
+	}
+}
+
+// One that ends by itself is known to have left at once, and is no suspect.
+func TestLeaves(t *testing.T) {
+	c := newCrowd(12, 24, 8)
+	c.run(5 * second)
+	c.Strike(Fault{Kind: "proxy_end", Proxies: []int{4}})
+	c.run(500 * ms)
+	if n := c.holds(4, peer.Left); n != 11 {
+		t.Errorf("%d of 11 know it", n)
+	}
+}
+
+// Hundreds and thousands send less than their bound, find one another, and know of a death.
+func TestManyMembers(t *testing.T) {
+	sizes := []int{300}
+	if !testing.Short() {
+		sizes = append(sizes, 2000)
+	}
+	for _, n := range sizes {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := newCrowd(n, 9.5, 9)
+			c.run(20 * second)
+			before := make([]int, n)
+			for i := range n {
+				before[i], _ = c.Sent(i)
+			}
+			c.run(5 * second)
+			for i := range n {
+				if got, _ := c.Sent(i); got-before[i] > 50 {
+					t.Errorf("member %d sent %d in 5 s", i, got-before[i])
+				}
+			}
+			known := 0
+			for i := range n {
+				known += c.Fleet(i).Members().Count()
+			}
+			if part := float64(known) / float64(n*n); part < 0.99 {
+				t.Errorf("%.3f of all are known to each other", part)
+			}
+			_, of := c.Fleet(7).Picture(c.clock.Now())
+			if of < n*95/100 {
+				t.Errorf("%d counted in the picture of one", of)
+			}
+			c.Kill(5)
+			c.run(20 * second)
+			if held := c.holds(5, peer.Dead); held < n*9/10 {
+				t.Errorf("%d hold the killed one to be dead after 20 s", held)
+			}
+		})
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,6 +36,7 @@
 	stoodLong   = 500 * ms // a process that did not run for so long judges all it holds anew,
 	deafFor     = 100 * ms // and takes nothing that waited for it
 	retryFor    = 20 * sec // a client that was sent away is known to come again for so long
+	debt        = 1.0      // seconds of its datagrams that questions and answers may go ahead of the rate
 	burst       = 4.0      // datagrams beyond the rate at once
 	patience    = 10 * sec // between two lines of the log on the same thing
 	waitLeast   = 0.35     // of the longest wait that a client honours: those sent away come back spread from here to it
@@ -130,7 +131,7 @@
 // New begins alone.
 func New(t Terms, now int64) *Fleet {
 	f := &Fleet{t: t, dice: draw.Dice{Seed: t.Seed}, ticked: now, pushAt: now, tokens: burst}
-	period := int64(8 / t.Datagrams * float64(sec)) // a ping and its answer are a quarter of what may be sent
+	period := int64(6 / t.Datagrams * float64(sec)) // a ping and its answer are a third of what may be sent
 	f.swim = swim.New(swim.Terms{Me: t.Me, Of: t.Of, Period: period, AckWait: t.AckWait, Quiet: t.Quiet, Seed: t.Seed ^ 1}, t.Life, now)
 	most, part := math.Inf(1), math.Inf(1)
 	if t.Overload != nil {
@@ -464,7 +465,8 @@
 		if a.Kind != Send {
 			return a, true
 		}
-		if f.tokens < 1 && a.Datagram.Kind != peer.Leave {
+		// Questions and answers may run into debt, which sums that can wait then pay: an answer that is kept back is a suspicion.
+		if a.Datagram.Kind == peer.Push && f.tokens < 1 || f.tokens < -debt*f.t.Datagrams {
 			f.Count.Held++
 			continue
 		}
@@ -543,7 +545,7 @@
 	for i := range f.t.Of {
 		m := f.swim.Member(i)
 		if !m.Known {
-			s.Members = append(s.Members, Seen{Member: i, State: "unknown"})
+			s.Members = append(s.Members, Seen{Member: i, State: "presumed"})
 			continue
 		}
 		s.Members = append(s.Members, Seen{i, swim.Word(m.State), m.Life, (now - m.Since) / ms, (now - m.Heard) / ms})
--- a/lab/rehearsal.go
+++ b/lab/rehearsal.go
@@ -3,6 +3,8 @@
 // This file owns runs whose faults are chosen as they go: what a test starts, strikes and asks. It must never judge.
 
 import (
+	"net"
+
 	"ivybank/emu"
 	"ivybank/fleet"
 )
@@ -55,3 +57,21 @@
 
 // Play plays the experiment's load with its timetable, and gives what came of it.
 func (x *Rehearsal) Play() (*Figures, error) { return x.r.figures(Variant{}, 1, &Problems{}) }
+
+// Pose ends a proxy and takes its place among the others: what is written to peers comes from its address. End closes it.
+func (x *Rehearsal) Pose(proxy int) (as *net.UDPConn, peers []*net.UDPAddr, err error) {
+	x.r.procs[proxy].hurt.Add(1)
+	x.r.procs[proxy].kill()
+	l := x.r.links
+	if as, err = net.ListenUDP("udp4", l.listen[proxy]); err != nil {
+		return nil, nil, err
+	}
+	for j, c := range l.conns[proxy] {
+		if j == proxy {
+			peers = append(peers, nil)
+			continue
+		}
+		peers = append(peers, c.LocalAddr().(*net.UDPAddr))
+	}
+	return as, peers, nil
+}
--- a/swim/swim.go
+++ b/swim/swim.go
@@ -20,10 +20,12 @@
 	mostHealth = 6                                       // steps by which trouble of one's own lengthens one's waits
 	knock      = 4                                       // every so many periods one who is not a member is pinged
 	farewells  = 2                                       // times that each of a few is told of the end
+	verdict    = 3                                       // waits from a ping until the one is suspected
 	lateTick   = 30 * ms                                 // a tick later than this is time in which this process did not run
 	maxQuiet   = 600 * sec                               // silences longer than this are told as this
 	window     = 64                                      // datagrams of one life that may come out of order
 	tickEvery  = 50 * ms                                 // between looks at what is due
+	crowd      = 1.2                                     // logarithm, to 10, of the members from which patience grows
 	lostNews   = 8                                       // pieces of news that one member's word may add in one datagram
 	longAgo    = -1 << 62                                // before anything was heard
 	fewMembers = 16                                      // so few tell all others of their end
@@ -52,7 +54,7 @@
 
 // Member is what is known of one.
 type Member struct {
-	Known bool // was heard of since this process's start
+	Known bool // was heard of since this process's start; else it is presumed to be there, as it is configured
 	State peer.State
 	Life  uint64
 	Since int64 // when it came to its state
@@ -61,14 +63,15 @@
 }
 
 // Alive says whether it takes part. A suspect does, until it is dead.
-func (m Member) Alive() bool { return m.Known && m.State <= peer.Suspect }
+func (m Member) Alive() bool { return !m.Known || m.State <= peer.Suspect }
 
 type member struct {
 	Member
 	doubts []int  // who suspects it; emptied with the suspicion
 	told   int    // times that its news went out
 	fresh  bool   // its news has not gone out often enough
-	count  uint64 // newest datagram of its life,
+	start  uint64 // of the process whose datagrams are counted; its life may be known from others before it is heard
+	count  uint64 // newest datagram of that,
 	seen   uint64 // and which of those before it came, as bits
 }
 
@@ -124,15 +127,16 @@
 	Dropped struct{ Twice, Past, Nobody int }
 }
 
-// New begins a life: its start in Unix milliseconds. Nobody is a member until heard.
+// New begins a life. Who is configured is presumed to be there, and found missing by the same pings as any.
 func New(t Terms, life uint64, now int64) *Swim {
-	s := &Swim{t: t, life: life, members: make([]member, t.Of), dice: draw.Dice{Seed: t.Seed}, ticked: now, pingAt: now}
+	s := &Swim{t: t, life: life, members: make([]member, t.Of), dice: draw.Dice{Seed: t.Seed}, ticked: now}
+	s.pingAt = now + int64(s.dice.Next()*float64(t.Period))
 	for i := range s.members {
 		s.members[i].Heard = longAgo
 	}
 	s.members[t.Me] = member{Member: Member{Known: true, Life: life, Since: now, Heard: now}}
 	s.rouse(t.Me)
-	s.alive = 1
+	s.alive = t.Of
 	return s
 }
 
@@ -238,8 +242,11 @@
 			s.remind(d.From, s.news(d.From))
 		}
 		return false
-	case !m.Known || d.Life>>lifeBits > m.Life>>lifeBits:
-		m.count, m.seen = 0, 0
+	case d.Life>>lifeBits > m.start:
+		m.start, m.count, m.seen = d.Life>>lifeBits, 0, 0
+	case d.Life>>lifeBits < m.start:
+		s.Dropped.Past++
+		return false
 	}
 	switch past := m.count - d.Count; {
 	case d.Count > m.count:
@@ -366,18 +373,20 @@
 	sign := now - peer.Ns(n.Quiet) // latest sign of life that By had
 	switch {
 	case !m.Known:
-		if n.State <= peer.Suspect {
-			s.become(n.Who, n.State, n.Life, n.By, now)
-			m.Heard = max(m.Heard, sign)
-		}
+		m.Heard = max(m.Heard, sign)
+		s.become(n.Who, n.State, n.Life, n.By, now)
 	case n.Life < m.Life || n.Life == m.Life && n.State < m.State:
 	case n.State == peer.Suspect && m.State == peer.Suspect && n.Life == m.Life:
 		m.Heard = max(m.Heard, sign)
 		s.doubt(n.Who, n.By)
 	case n.Life == m.Life && n.State == m.State:
 	case n.State == peer.Suspect:
+		heard := m.Heard
 		m.Heard = max(m.Heard, sign)
 		s.become(n.Who, n.State, n.Life, n.By, now)
+		if quiet := now - heard; quiet > s.t.Quiet/2 && quiet < 2*s.t.Quiet {
+			s.doubt(n.Who, s.t.Me) // it used to be heard here, and is not
+		}
 		s.look(n.Who)
 	case n.State == peer.Dead && now-m.Heard < s.t.Quiet/2:
 		// It was heard here just now: one that others cannot reach is not dead. It is told, and refutes.
@@ -424,7 +433,7 @@
 // become brings a member to a state.
 func (s *Swim) become(i int, state peer.State, life uint64, by int, now int64) {
 	m := &s.members[i]
-	was, from := m.Alive(), ""
+	was, from, presumed := m.Alive(), "", !m.Known
 	if m.Known {
 		from = Word(m.State)
 	}
@@ -437,13 +446,17 @@
 	}
 	m.Known, m.State, m.Life, m.By, m.doubts = true, state, life, by, nil
 	if state == peer.Suspect {
-		// At the least a ping went unanswered, first directly and then by way of others.
-		m.doubts, m.Heard = []int{by}, max(m.Heard, now-s.t.AckWait*5/2)
+		m.doubts = []int{by}
+		if quiet := now - m.Heard; by == s.t.Me && quiet > 2*s.t.Quiet {
+			m.Heard = now - verdict*s.t.AckWait // it was not heard here for long anyway: its silence counts from the ping
+		}
 		if !slices.Contains(s.doubted, i) {
 			s.doubted = append(s.doubted, i)
 		}
 	}
-	s.rouse(i)
+	if !presumed || state != peer.Alive { // that one is there who is configured is no news
+		s.rouse(i)
+	}
 	if m.Alive() != was {
 		s.version++
 		if was {
@@ -543,15 +556,13 @@
 	wait := s.wait(s.t.AckWait)
 	s.pings = slices.DeleteFunc(s.pings, func(p ping) bool {
 		switch {
+		case p.back >= 0 && now >= p.at+s.t.AckWait*3/4: // however slow this one is, the asker counts on it
+			s.send(p.back, peer.Nack, p.seqOf, p.who) // in time for the one who asked
+			return true
 		case now < p.at+wait:
 			return false
-		case p.back >= 0:
-			s.send(p.back, peer.Nack, p.seqOf, p.who)
-			return true
-		case !s.members[p.who].Alive():
-			return true
 		}
-		return false
+		return p.back < 0 && !s.members[p.who].Alive()
 	})
 	// The others may send, which must not change the table that is walked through.
 	for i := range s.pings {
@@ -566,7 +577,7 @@
 	}
 	for i := 0; i < len(s.pings); {
 		p := s.pings[i]
-		if !p.asked || now < p.at+2*wait+wait/2 {
+		if !p.asked || now < p.at+verdict*wait {
 			i++
 			continue
 		}
@@ -585,9 +596,14 @@
 	}
 }
 
+// slow lengthens a time for fleets in which word takes longer to get about.
+func (s *Swim) slow(t int64) int64 {
+	return int64(float64(t) * max(1, math.Log10(float64(s.alive))/crowd))
+}
+
 // Patience is how long a suspect may be silent: it falls from its most to its least as further members confirm (Lifeguard).
 func (s *Swim) Patience(doubts int) int64 {
-	least := float64(s.t.Quiet) * max(1, math.Log10(float64(s.alive)))
+	least := float64(s.slow(s.t.Quiet))
 	most := 2 * least
 	k, part := float64(min(confirmers, s.alive-2)), 1.0
 	if k > 0 { // somebody is there to confirm
@@ -602,7 +618,7 @@
 		m := &s.members[i]
 		switch quiet := now - m.Heard; {
 		case m.State != peer.Suspect:
-		case quiet >= s.Patience(len(m.doubts)):
+		case quiet >= s.Patience(len(m.doubts)) && now-m.Since >= s.slow(verdict*s.t.AckWait): // it had time to refute
 			s.become(i, peer.Dead, m.Life, s.t.Me, now)
 		case quiet < s.t.AckWait && m.Since < m.Heard:
 			// Heard since it was suspected. It refutes to all; here its word is enough.
