--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -105,16 +105,16 @@
 	todo  []Action // emptied by Next
 	dice  draw.Dice
 
-	offered                                                               [fold.Classes]fade.Count
-	first, further, wanted, probes, refused, late, failed, lacked, served fade.Count
-	away                                                                  [4096]sent // a new one takes an old one's place
-	servers                                                               []string   // by id; set by Servers
-	version                                                               int        // of the members that duties were divided among
-	dutyAt, adviseAt, cutAt, pushAt, ticked, deafUntil                    int64
-	level                                                                 int     // whose turn it is to be told
-	tokens                                                                float64 // datagrams that may go now
-	advice                                                                balance.Advice
-	was                                                                   struct {
+	offered                                                                     [fold.Classes]fade.Count
+	first, further, wanted, probes, refused, late, failed, lacked, served, took fade.Count
+	away                                                                        [4096]sent // a new one takes an old one's place
+	servers                                                                     []string   // by id; set by Servers
+	version                                                                     int        // of the members that duties were divided among
+	dutyAt, adviseAt, cutAt, pushAt, ticked, deafUntil                          int64
+	level                                                                       int     // whose turn it is to be told
+	tokens                                                                      float64 // datagrams that may go now
+	advice                                                                      balance.Advice
+	was                                                                         struct {
 		on, stopped bool
 		move        int
 	}
@@ -234,8 +234,11 @@
 	}
 }
 
-// Done tells that a req was served within its response target.
-func (f *Fleet) Done(now int64) { f.served.Add(now, rateSpan) }
+// Done tells that a req was served within its response target, and how long it took.
+func (f *Fleet) Done(took, now int64) {
+	f.served.Add(now, rateSpan)
+	f.took.N = f.took.Now(now, rateSpan) + float64(took)/float64(sec)
+}
 
 // Probed tells what came of a probe.
 func (f *Fleet) Probed(server string, well bool, now int64) {
@@ -349,7 +352,7 @@
 }
 
 func (f *Fleet) rates() []*fade.Count {
-	all := []*fade.Count{&f.first, &f.further, &f.wanted, &f.probes, &f.refused, &f.late, &f.failed, &f.lacked, &f.served}
+	all := []*fade.Count{&f.first, &f.further, &f.wanted, &f.probes, &f.refused, &f.late, &f.failed, &f.lacked, &f.served, &f.took}
 	for i := range f.offered {
 		all = append(all, &f.offered[i])
 	}
@@ -361,7 +364,7 @@
 	rate := func(c *fade.Count) float64 { return c.Now(now, rateSpan) * float64(sec) / float64(rateSpan) }
 	o := &f.fold.Own
 	*o = fold.Load{First: rate(&f.first), Further: rate(&f.further), Wanted: rate(&f.wanted), Probes: rate(&f.probes),
-		Refused: rate(&f.refused), Late: rate(&f.late), Failed: rate(&f.failed), Lacked: max(0, rate(&f.lacked)), Served: rate(&f.served)}
+		Refused: rate(&f.refused), Late: rate(&f.late), Failed: rate(&f.failed), Lacked: max(0, rate(&f.lacked)), Served: rate(&f.served), Took: rate(&f.took)}
 	for i := range f.offered {
 		o.Offered[i] = rate(&f.offered[i])
 	}
--- a/fold/fold.go
+++ b/fold/fold.go
@@ -32,14 +32,15 @@
 	Served  float64          // cost of reqs that were served in time
 	Limit   float64          // sum of what members hold the fleet can bear, cost a second,
 	Limits  float64          // and how many hold one
+	Took    float64          // seconds that those served took, in a second
 	Offered [Classes]float64 // cost of reqs that came, by class, clients' retries left out
 }
 
 // fixed is how many figures of a load come before its classes.
-const fixed = 11
+const fixed = 12
 
 func (l *Load) figures() [fixed]*float64 {
-	return [fixed]*float64{&l.First, &l.Further, &l.Wanted, &l.Probes, &l.Refused, &l.Late, &l.Failed, &l.Lacked, &l.Served, &l.Limit, &l.Limits}
+	return [fixed]*float64{&l.First, &l.Further, &l.Wanted, &l.Probes, &l.Refused, &l.Late, &l.Failed, &l.Lacked, &l.Served, &l.Limit, &l.Limits, &l.Took}
 }
 
 // Add adds a part of another load.
--- a/shed/cut.go
+++ b/shed/cut.go
@@ -15,13 +15,16 @@
 	ms, sec = int64(1e6), int64(1e9)
 
 	stepEvery = 500 * ms  // between corrections of the limit
-	onset     = 0.08      // part of what was let in and not served from which there is a cut,
+	onset     = 0.10      // part of what was let in and not served from which there is a cut,
 	lasting   = 500 * ms  // once for so long
-	bearable  = 0.02      // part that a cut in force aims at
+	bearable  = 0.05      // part that a cut in force aims at: alone each denies a little more than it had to
 	least     = 2.0       // cost a second below which nothing is an overload
 	fall      = 0.05      // most that a step takes off the limit
 	rise      = 0.01      // what a step without losses adds while reqs are shed; twice that with the next, and so on
-	riseMost  = 0.08      // up to this
+	riseMost  = 0.04      // up to this
+	leap      = 0.5       // what a step adds while answers come as fast as in calm: there is room, whatever is lost,
+	quick     = 1.25      // that is, within this multiple of the time that they took without a cut
+	calmPart  = 0.02      // weight of the newest such time
 	ease      = 0.004     // the same while none are: what was borne then says little of what can be
 	pull      = 0.3       // part of the way to the others' limit that a step goes
 	slackOff  = 0.9       // of the limit: less than this offered for long enough ends the cut
@@ -56,6 +59,7 @@
 	level  float64               // Part at the latest move
 	stepAt int64
 	rise   float64 // of the next step
+	calm   float64 // mean time of an answer without a cut, in seconds; 0: not known
 	short  int64   // since when what is let in is not served; 0: it is
 	under  int64   // since when little is offered; 0: it is not
 	hold   int64
@@ -105,7 +109,15 @@
 	if l.Served+l.Lacked > least {
 		loss = l.Lacked / (l.Served + l.Lacked)
 	}
+	took := 0.0
+	if l.Served > least {
+		took = l.Took / l.Served
+	}
 	if !c.On {
+		if loss < bearable && took > 0 {
+			c.calm = cmp.Or(c.calm, took)
+			c.calm += calmPart * (took - c.calm)
+		}
 		if loss <= onset || l.Served <= 0 {
 			c.short = 0
 		} else if c.short == 0 {
@@ -121,7 +133,7 @@
 	}
 	if now-c.stepAt >= stepEvery {
 		c.stepAt = now
-		c.correct(l, loss, offered)
+		c.correct(l, loss, took, offered)
 	}
 	if offered >= slackOff*c.Limit {
 		c.under = 0
@@ -161,8 +173,10 @@
 }
 
 // correct moves the limit by what became of what was let in, and towards what the others hold.
-func (c *Cut) correct(l *fold.Load, loss, offered float64) {
+func (c *Cut) correct(l *fold.Load, loss, took, offered float64) {
 	switch {
+	case c.calm > 0 && took > 0 && took < quick*c.calm && offered > c.Limit:
+		c.Limit *= 1 + leap
 	case loss > bearable:
 		c.rise = rise
 		c.Limit = max(min(c.Limit, l.Served), c.Limit*(1-min(fall, loss-bearable)))
