Rates of the picture over 0.6 s; time at servers, not the wait here, says whether there is room

After all servers were slow the cut held on for 3 s more: the mean time of answers was over a second and counted what reqs waited at the proxy.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,7 +28,7 @@
 
 	adviseEvery = 100 * ms // between advice to the module
 	cutEvery    = 250 * ms // between looks at the picture
-	rateSpan    = 1 * sec  // over which what is told of rates is remembered
+	rateSpan    = 600 * ms // over which what is told of rates is remembered
 	pushPart    = 0.5      // of the datagrams that a member may send; the rest is for pings and answers
 	leastPush   = 50 * ms
 	pushFor     = 12       // sums are held for so many rounds of telling all levels
@@ -214,13 +214,14 @@
 	f.wary.sent(server, now)
 }
 
-// Finished tells how a dispatch ended, and whether its req has ended as well. Cancelled ones say nothing.
-func (f *Fleet) Finished(server string, o balance.Outcome, ended bool, now int64) {
+// Finished tells how a dispatch ended, whether its req has ended as well, and how long it took. Cancelled ones say nothing.
+func (f *Fleet) Finished(server string, o balance.Outcome, ended bool, took, now int64) {
 	switch o {
 	case balance.Cancelled, balance.NotSent, balance.Unknown:
 		return
 	case balance.Served:
 		f.wary.served(server, now)
+		f.took.N = f.took.Now(now, rateSpan) + float64(took)/float64(sec) // without what the req waited here: servers alone say what they bear
 		return
 	case balance.Refused:
 		f.refused.Add(now, rateSpan)
@@ -234,11 +235,8 @@
 	}
 }
 
-// Done tells that a req was served within its response target, and how long it took.
-func (f *Fleet) Done(took, now int64) {
-	f.served.Add(now, rateSpan)
-	f.took.N = f.took.Now(now, rateSpan) + float64(took)/float64(sec)
-}
+// Done tells that a req was served within its response target.
+func (f *Fleet) Done(now int64) { f.served.Add(now, rateSpan) }
 
 // Probed tells what came of a probe.
 func (f *Fleet) Probed(server string, well bool, now int64) {
@@ -522,6 +520,8 @@
 	Limit float64 `json:"limit"`
 	Part  float64 `json:"let_in"`
 	Moves int     `json:"moves"`
+	Calm  float64 `json:"calm_s"` // mean time of an answer without a cut
+	Took  float64 `json:"took_s"` // and of late
 }
 
 // SpareStatus is the budget of this member.
@@ -542,7 +542,7 @@
 	all, of := f.fold.Picture(now)
 	s := Status{Me: f.t.Me, Life: f.swim.Life(), Health: f.swim.Health(), Alive: f.swim.Count(), Counted: of, AgeMs: f.fold.Age(now) / ms,
 		Offered: all.All(), Served: all.Served, Lacked: all.Lacked, First: all.First, Further: all.Further, Probing: all.Probes,
-		Cut:   CutStatus{f.cut.On, f.cut.Limit, f.cut.Part, f.cut.Moves},
+		Cut:   CutStatus{f.cut.On, f.cut.Limit, f.cut.Part, f.cut.Moves, f.cut.Calm, f.cut.Took},
 		Spare: SpareStatus{f.spare.Left(), f.spare.Stopped}, Counts: f.Count, Odd: f.fold.Impossible,
 		Twice: f.swim.Dropped.Twice, Past: f.swim.Dropped.Past, Nobody: f.swim.Dropped.Nobody, AwayMs: f.swim.Away / ms}
 	for i := range f.t.Of {
--- a/fold/fold.go
+++ b/fold/fold.go
@@ -32,7 +32,7 @@
 	Served  float64          // cost of reqs that were served in time
 	Limit   float64          // sum of what members hold the fleet can bear, cost a second,
 	Limits  float64          // and how many hold one
-	Took    float64          // seconds that those served took, in a second
+	Took    float64          // seconds that dispatches which were served took at servers, in a second
 	Offered [Classes]float64 // cost of reqs that came, by class, clients' retries left out
 }
 
--- a/lab/views.go
+++ b/lab/views.go
@@ -22,6 +22,11 @@
 	On      bool    // a cut is in force
 	Part    float64 // let in
 	Limit   float64
+	Calm    float64 // seconds that answers take without a cut,
+	Took    float64 // and of late
+	Offered float64
+	Served  float64
+	Lacked  float64
 	Left    int // further dispatches
 	Shed    int // so far
 	Moves   int
@@ -69,7 +74,7 @@
 }
 
 func viewOf(at float64, proxy int, s fleet.Status) View {
-	v := View{At: at, Proxy: proxy, Alive: s.Alive, Counted: s.Counted, On: s.Cut.On, Part: s.Cut.Part, Limit: s.Cut.Limit, Left: s.Spare.Left,
+	v := View{At: at, Proxy: proxy, Alive: s.Alive, Counted: s.Counted, On: s.Cut.On, Part: s.Cut.Part, Limit: s.Cut.Limit, Calm: s.Cut.Calm, Took: s.Cut.Took, Offered: s.Offered, Served: s.Served, Lacked: s.Lacked, Left: s.Spare.Left,
 		Shed: s.Counts.Shed, Moves: s.Cut.Moves, Probes: s.Counts.Probes, Sent: s.Counts.Sent}
 	for _, m := range s.Members {
 		if m.State == "dead" {
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -36,7 +36,7 @@
 	}
 	p.module.Finished(r.id, d.index, o, r.ended, now-d.sent, now)
 	if p.peers != nil && d.host != nil {
-		p.peers.fleet.Finished(d.host.id, o, r.ended, now)
+		p.peers.fleet.Finished(d.host.id, o, r.ended, now-d.sent, now)
 	}
 	p.forget(r)
 }
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -286,7 +286,7 @@
 	}
 	set := p.terms.RuleSet(r.call.RuleSet)
 	if done && (set == nil || now-r.taken <= set.ResponseTarget) {
-		p.peers.fleet.Done(now-r.taken, now)
+		p.peers.fleet.Done(now)
 	} else {
 		p.peers.fleet.Lost(r.luck, now)
 	}
--- a/shed/cut.go
+++ b/shed/cut.go
@@ -22,7 +22,7 @@
 	fall      = 0.05      // most that a step takes off the limit
 	rise      = 0.01      // what a step without losses adds while reqs are shed; twice that with the next, and so on
 	riseMost  = 0.04      // up to this
-	leap      = 0.5       // what a step adds while answers come as fast as in calm: there is room, whatever is lost,
+	leap      = 1.0       // what a step adds while answers come as fast as in calm: there is room, whatever is lost,
 	quick     = 1.25      // that is, within this multiple of the time that they took without a cut
 	calmPart  = 0.02      // weight of the newest such time
 	ease      = 0.004     // the same while none are: what was borne then says little of what can be
@@ -51,6 +51,8 @@
 	slots int       // tenants that are told apart
 
 	On     bool
+	Calm   float64               // mean time of an answer without a cut, in seconds; 0: not known
+	Took   float64               // the same of late
 	Limit  float64               // cost a second that all counted members together can bear
 	Part   float64               // of what is offered that is let in
 	Pass   [fold.Classes]float64 // the same by class
@@ -59,7 +61,6 @@
 	level  float64               // Part at the latest move
 	stepAt int64
 	rise   float64 // of the next step
-	calm   float64 // mean time of an answer without a cut, in seconds; 0: not known
 	short  int64   // since when what is let in is not served; 0: it is
 	under  int64   // since when little is offered; 0: it is not
 	hold   int64
@@ -113,10 +114,11 @@
 	if l.Served > least {
 		took = l.Took / l.Served
 	}
+	c.Took = took
 	if !c.On {
 		if loss < bearable && took > 0 {
-			c.calm = cmp.Or(c.calm, took)
-			c.calm += calmPart * (took - c.calm)
+			c.Calm = cmp.Or(c.Calm, took)
+			c.Calm += calmPart * (took - c.Calm)
 		}
 		if loss <= onset || l.Served <= 0 {
 			c.short = 0
@@ -175,7 +177,7 @@
 // correct moves the limit by what became of what was let in, and towards what the others hold.
 func (c *Cut) correct(l *fold.Load, loss, took, offered float64) {
 	switch {
-	case c.calm > 0 && took > 0 && took < quick*c.calm && offered > c.Limit:
+	case c.Calm > 0 && took > 0 && took < quick*c.Calm && offered > c.Limit:
 		c.Limit *= 1 + leap
 	case loss > bearable:
 		c.rise = rise
