--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -23,8 +23,6 @@
 
 	"ivybank/conf"
 	"ivybank/door"
-	"ivybank/duty"
-	"ivybank/fleet"
 	"ivybank/holds"
 	"ivybank/once"
 	"ivybank/proxy"
@@ -229,12 +227,8 @@
 	if me < 0 || me >= len(addrs) {
 		return nil, fmt.Errorf("settings: Me=%d: expected a place among the %d peers", me, len(addrs))
 	}
-	f.Terms = fleet.Terms{Me: me, Of: len(addrs), Datagrams: x.Datagrams, AckWait: int64(x.AckWait), Quiet: int64(x.Quiet)}
-	if s := x.Overload; s != nil {
-		f.Terms.Overload, f.Terms.Over = &fleet.Overload{Further: s.Further, Most: s.Most}, s.Over
-	}
-	if s := x.Probes; s != nil && (v.At["Ceilings.Probes"] == "" || v.Bool("Ceilings.Probes")) {
-		f.Terms.Probes = &duty.Terms{Every: int64(s.Every), After: int64(s.After)}
+	f.Terms = x.Terms(me, len(addrs), v.At["Ceilings.Probes"] == "" || v.Bool("Ceilings.Probes"))
+	if s := x.Probes; s != nil {
 		f.ProbePath, f.ProbeTimeout = s.Path, int64(s.Timeout)
 	}
 	return f, v.Err
--- a/emu/seat.go
+++ b/emu/seat.go
@@ -12,6 +12,7 @@
 
 	"ivybank/balance"
 	"ivybank/draw"
+	"ivybank/fleet"
 )
 
 // Policy is what decides: the module, or what it is compared with.
@@ -37,6 +38,7 @@
 	Timeout int64 // how long one waits, counted from its ask
 	Retries int   // times that one asks again after a deny
 	Wait    int64 // before it does, unless it was told when to come back
+	Ignores bool  // and heeds that
 }
 
 // Kind of a final answer.
@@ -60,16 +62,21 @@
 
 // Seats are the balancers of one run in virtual time.
 type Seats struct {
-	fleet   *Fleet
-	clock   *Virtual
-	terms   balance.Terms
-	clients Clients
-	result  func(Result)
-	log     hash.Hash // of every decision
-	dice    draw.Dice
-	seats   []*seat
-	reqs    uint64
-	Decided int
+	fleet      *Fleet
+	clock      *Virtual
+	terms      balance.Terms
+	clients    Clients
+	result     func(Result)
+	log        hash.Hash // of every decision
+	dice       draw.Dice
+	seats      []*seat
+	reqs       uint64
+	Decided    int
+	Sends      int            // dispatches,
+	Dispatched int            // and tries of which there was one
+	peers      *Peers         // nil: balancers do not hear one another
+	sets       map[string]int // places of rule sets and tenants
+	tenants    map[string]int
 }
 
 type seat struct {
@@ -88,8 +95,11 @@
 	id    uint64
 	name  string
 	first int64 // of its first try
+	taken int64
 	tries int
 	ended bool
+	luck  float64
+	shed  bool
 	sends []*send
 	outs  int
 }
@@ -123,6 +133,48 @@
 	return s
 }
 
+// Meet has the balancers hear one another from now on, by terms of which each gets its own. Only what a policy takes as advice reaches it.
+func (s *Seats) Meet(seed uint64, terms func(me, of int) fleet.Terms) *Peers {
+	var all []fleet.Terms
+	for i := range s.seats {
+		t := terms(i, len(s.seats))
+		t.Seed, t.RuleSets, t.Tenants, t.MaxAdvice = seed, s.terms.RuleSets, s.terms.Tenants, s.terms.MaxAdvice
+		all = append(all, t)
+	}
+	s.sets, s.tenants = map[string]int{}, map[string]int{}
+	for i, r := range s.terms.RuleSets {
+		s.sets[r.Name] = i
+	}
+	for i, x := range s.terms.Tenants {
+		s.tenants[x.Name] = i
+	}
+	s.peers = NewPeers(s.clock, all, seed, false, s.act)
+	var ids []string
+	for _, x := range s.fleet.Servers {
+		ids = append(ids, x.ID)
+	}
+	for i := range s.seats {
+		s.peers.Fleet(i).Servers(ids, s.clock.Now())
+	}
+	s.fleet.Others = s.peers.Strike
+	return s.peers
+}
+
+// act does what a member wants other than sending.
+func (s *Seats) act(i int, a fleet.Action) {
+	st := s.seats[i]
+	switch a.Kind {
+	case fleet.Advise:
+		if p, ok := st.policy.(interface{ Advised(balance.Advice) }); ok {
+			p.Advised(a.Advice)
+		}
+	case fleet.Probe:
+		srv := s.fleet.Server(a.Server)
+		wait, arrives := s.fleet.Way(st.zone, srv)
+		s.clock.At(s.clock.Now()+2*wait, func() { s.peers.Fleet(i).Probed(a.Server, arrives && srv.Well(), s.clock.Now()) })
+	}
+}
+
 // Hash is of all decisions so far: two runs are the same when theirs are.
 func (s *Seats) Hash() string { return hex.EncodeToString(s.log.Sum(nil))[:16] }
 
@@ -132,11 +184,16 @@
 func (st *seat) try(a Ask, first int64, tries int) {
 	st.Seats.reqs++
 	now := st.clock.Now()
-	r := &asked{Ask: a, id: st.Seats.reqs, name: fmt.Sprint(st.Seats.reqs), first: first, tries: tries + 1}
+	r := &asked{Ask: a, id: st.Seats.reqs, name: fmt.Sprint(st.Seats.reqs), first: first, taken: now, tries: tries + 1}
 	st.reqs[r.id] = r
 	st.fleet.Judge.Taken(r.name, now+st.clients.Timeout)
-	st.policy.Req(balance.Arrival{ID: r.id, RuleSet: a.RuleSet, Tenant: a.Tenant, Key: a.Key, Budget: st.clients.Timeout,
-		Work: a.Work}, now)
+	arrival := balance.Arrival{ID: r.id, RuleSet: a.RuleSet, Tenant: a.Tenant, Key: a.Key, Budget: st.clients.Timeout, Work: a.Work}
+	if st.peers != nil {
+		r.luck = draw.Hash(fmt.Sprint(a.At, a.Key), a.RuleSet) // an ask and its retries have it in common
+		arrival.Shed, arrival.Back = st.peers.Fleet(st.id).Arrive(st.sets[a.RuleSet], st.tenants[a.Tenant], r.luck, false, now)
+		r.shed = arrival.Shed
+	}
+	st.policy.Req(arrival, now)
 	st.clock.At(now+st.clients.Timeout, func() {
 		if !r.ended { // the judge has it open still: a lost req
 			r.ended = true
@@ -165,9 +222,16 @@
 	r.ended = true
 	st.fleet.Judge.Final(r.name)
 	now := st.clock.Now()
+	if st.peers != nil && !r.shed {
+		if x := st.terms.RuleSet(r.RuleSet); kind == Done && (x == nil || now-r.taken <= x.ResponseTarget) {
+			st.peers.Fleet(st.id).Done(now)
+		} else {
+			st.peers.Fleet(st.id).Lost(r.luck, now)
+		}
+	}
 	if kind == Denied && r.tries <= st.clients.Retries && now-r.first < st.clients.Timeout {
 		wait := st.clients.Wait
-		if back > 0 {
+		if back > 0 && !st.clients.Ignores {
 			wait = back
 		}
 		st.clock.At(now+max(1, wait), func() { st.try(r.Ask, r.first, r.tries) })
@@ -253,6 +317,12 @@
 		rules = *x
 	}
 	st.fleet.Judge.Sent(st.id, id, r.name)
+	if st.Sends++; n == 0 {
+		st.Dispatched++
+	}
+	if st.peers != nil {
+		st.peers.Fleet(st.id).Sent(id, n > 0, now)
+	}
 	s.job = &Job{Req: r.name, From: st.id, Sent: now, Work: r.Work, Key: r.Key, Rules: rules, Done: func(o balance.Outcome) {
 		wait, arrives := st.fleet.Way(st.zone, srv)
 		if arrives {
@@ -296,6 +366,9 @@
 		st.final(r, r.id, Done, 0)
 	}
 	st.policy.Finished(r.id, n, o, r.ended, now-s.at, now)
+	if st.peers != nil {
+		st.peers.Fleet(st.id).Finished(s.srv.ID, o, r.ended, now-s.at, now)
+	}
 	st.tidy(r)
 	st.decide()
 }
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -56,6 +56,8 @@
 
 	Load struct {
 		Rate    float64       `toml:"rate"`   // reqs a second, all balancers together
+		Swing   float64       `toml:"swing"`  // part by which the rate is raised and lowered in turn,
+		Each    conf.Duration `toml:"each"`   // for so long each
 		Uneven  float64       `toml:"uneven"` // the n-th balancer gets as 1 over n to this power; 0: all the same
 		Keys    int           `toml:"keys"`
 		Skew    float64       `toml:"skew"` // of keys: the n-th is asked for as 1 over n to this power
@@ -113,7 +115,7 @@
 type Variant struct {
 	Name     string `toml:"name"`
 	Policy   string `toml:"policy"`   // virtual
-	Operator string `toml:"operator"` // sockets: an operator file, beside the experiment's
+	Operator string `toml:"operator"` // an operator file, beside the experiment's; virtual: its [fleet]
 	Build    string `toml:"build"`    // sockets: the program; empty: this one
 
 	Others      []string `toml:"others"`       // processes: build and operator file of the last few proxies, which differ
@@ -179,6 +181,8 @@
 		{e.Load.Work <= 0 && e.Trace == nil, "load.work", "expected a time above 0"},
 		{!slices.Contains([]string{"", "fixed", "uniform", "exponential"}, e.Load.Spread), "load.spread", "expected fixed, uniform or exponential"},
 		{e.Load.Timeout <= 0, "load.timeout", "expected a time above 0"},
+		{e.Load.Swing < 0 || e.Load.Swing >= 1, "load.swing", "expected a part from 0 to below 1"},
+		{e.Load.Swing > 0 && e.Load.Each <= 0, "load.each", "expected a time above 0"},
 		{e.Load.Retries < 0, "load.retries", "expected 0 or more"},
 		{e.Load.Key != "" && e.Mode == "virtual", "load.idempotent", "only on sockets"},
 		{len(e.RuleSets) == 0, "ruleset", "expected one at least"},
@@ -207,7 +211,7 @@
 		sized := slices.Contains([]string{"slow", "errors", "reset", "lossy", "late", "surge", "proxy_starve"}, x.Kind)
 		rules = append(rules, conf.Rule{!known, p + "kind", "no such kind of fault"}, conf.Rule{sized && x.Size <= 0, p + "size", "expected a number above 0"},
 			conf.Rule{x.Kind == "cut" && x.Zone == "", p + "zone", "expected the zone that is cut off"},
-			conf.Rule{e.Mode == "virtual" && strings.HasPrefix(x.Kind, "proxy_"), p + "kind", "only on sockets is there a proxy to kill"},
+			conf.Rule{e.Mode == "virtual" && (strings.HasPrefix(x.Kind, "proxy_") || strings.HasPrefix(x.Kind, "un")), p + "kind", "only on sockets is there a proxy to kill or cut off"},
 			conf.Rule{slices.ContainsFunc(x.Proxies, func(i int) bool { return i < 0 || i >= e.Fleet.Balancers }), p + "proxies", "expected places below balancers"},
 			conf.Rule{!slices.Contains([]string{"", "out", "in"}, x.Way), p + "way", "expected out or in"},
 			conf.Rule{x.Kind == "pour" && len(x.Proxies) == 0, p + "proxies", "expected one at least"},
@@ -293,7 +297,7 @@
 }
 
 func (e *Experiment) clients() emu.Clients {
-	return emu.Clients{Timeout: int64(e.Load.Timeout), Retries: e.Load.Retries, Wait: int64(e.Load.Wait)}
+	return emu.Clients{Timeout: int64(e.Load.Timeout), Retries: e.Load.Retries, Wait: int64(e.Load.Wait), Ignores: e.Load.Ignores}
 }
 
 // beside is a file that an experiment names.
--- a/lab/links.go
+++ b/lab/links.go
@@ -46,7 +46,7 @@
 			return nil, err
 		}
 		at := c.LocalAddr().(*net.UDPAddr)
-		_ = c.Close()
+		defer c.Close() // held until all have theirs
 		l.listen, l.cut = append(l.listen, at), append(l.cut, make([]int, n))
 		row := make([]*net.UDPConn, n)
 		for j := range n {
--- a/lab/load.go
+++ b/lab/load.go
@@ -100,6 +100,11 @@
 // surge is by how much the load is raised at a time, and to which proxies all of it comes; none: to all.
 func (e *Experiment) surge(at int64) (times float64, only []int) {
 	times = 1
+	if x := e.Load.Swing; x > 0 {
+		if times += x; at/int64(e.Load.Each)%2 == 1 {
+			times -= 2 * x
+		}
+	}
 	for _, x := range e.Faults {
 		if at < int64(x.At) || x.For > 0 && at >= int64(x.At)+int64(x.For) {
 			continue
--- a/lab/report.go
+++ b/lab/report.go
@@ -27,6 +27,13 @@
 	Commit     string
 	Variants   []string
 	Runs       []*Figures
+	Faults     []Span // of the timetable, marked in the chart
+}
+
+// Span is a fault in seconds of a run.
+type Span struct {
+	Kind     string
+	From, To float64
 }
 
 // NewResult names what the runs are of.
@@ -35,6 +42,9 @@
 	for _, v := range e.Variants {
 		r.Variants = append(r.Variants, v.Name)
 	}
+	for _, x := range e.Faults {
+		r.Faults = append(r.Faults, Span{x.Kind, float64(x.At) / 1e9, float64(x.At+x.For) / 1e9})
+	}
 	return r
 }
 
@@ -45,18 +55,22 @@
 	Median, Low, High, Mean, From, To float64 // of service; From and To hold the mean with a confidence of 95%
 	P50, P90, P99, Denied, Aborted    float64 // medians
 	Breaches                          [5]int
+	Best, Inverted, Recovered         float64 // medians
+	PerAsk, Further                   float64 // dispatches for each ask, and beyond the first of a try for each of these
+	Crashes                           int
 }
 
 // Summaries works out each variant's.
 func (r *Result) Summaries() (all []Summary) {
 	for _, v := range r.Variants {
 		s := Summary{Variant: v}
-		var service, p50, p90, p99, denied, aborted []float64
+		var service, p50, p90, p99, denied, aborted, best, inverted, recovered, perAsk, further []float64
 		for _, f := range r.Runs {
 			if f.Variant != v {
 				continue
 			}
 			s.Runs++
+			s.Crashes += f.Crashes
 			for i, n := range f.Breaches {
 				s.Breaches[i] += n
 			}
@@ -66,12 +80,17 @@
 			}
 			service, p50, p90, p99 = append(service, f.Service), append(p50, f.P50), append(p90, f.P90), append(p99, f.P99)
 			asks := float64(max(1, f.Asks))
+			best, inverted, recovered = append(best, f.Best), append(inverted, f.Inverted), append(recovered, f.Recovered)
+			perAsk = append(perAsk, float64(f.Sends)/asks)
+			further = append(further, float64(f.Sends)/float64(max(1, f.Dispatched))-1)
 			denied, aborted = append(denied, float64(f.Denied)/asks), append(aborted, float64(f.Aborted)/asks)
 		}
 		if n := len(service); n > 0 {
 			s.Median, s.Low, s.High = median(service), slices.Min(service), slices.Max(service)
 			s.Mean, s.From, s.To = interval(service)
 			s.P50, s.P90, s.P99, s.Denied, s.Aborted = median(p50), median(p90), median(p99), median(denied), median(aborted)
+			s.Best, s.Inverted, s.Recovered = median(best), median(inverted), median(recovered)
+			s.PerAsk, s.Further = median(perAsk), median(further)
 		}
 		all = append(all, s)
 	}
@@ -153,25 +172,45 @@
 func (r *Result) runs(w io.Writer) error {
 	rows := [][]string{{"experiment", "mode", "commit", "seed", "variant", "asks", "done", "denied", "aborted", "unanswered", "service",
 		"p50_ms", "p90_ms", "p99_ms", "tries", "executions", "breaches_1", "breaches_2", "breaches_3", "breaches_4", "cold_strain",
-		"decisions", "late_ms", "bad_rows", "unusable"}}
+		"decisions", "late_ms", "bad_rows", "best", "inverted", "recovered_s", "sends", "dispatched", "probes_most", "datagrams_most", "bytes_most", "crashes", "unusable"}}
 	for _, f := range r.Runs {
 		rows = append(rows, []string{r.Experiment, r.Mode, r.Commit, strconv.FormatUint(f.Seed, 10), f.Variant, strconv.Itoa(f.Asks),
 			strconv.Itoa(f.Done), strconv.Itoa(f.Denied), strconv.Itoa(f.Aborted), strconv.Itoa(f.Unanswered), num(f.Service), num(f.P50),
 			num(f.P90), num(f.P99), num(f.Tries), strconv.Itoa(f.Begun), strconv.Itoa(f.Breaches[1]), strconv.Itoa(f.Breaches[2]),
-			strconv.Itoa(f.Breaches[3]), strconv.Itoa(f.Breaches[4]), num(f.Strain), f.Hash, num(f.Late), strconv.Itoa(f.Problems), f.Unusable})
+			strconv.Itoa(f.Breaches[3]), strconv.Itoa(f.Breaches[4]), num(f.Strain), f.Hash, num(f.Late), strconv.Itoa(f.Problems),
+			num(f.Best), num(f.Inverted), num(f.Recovered), strconv.Itoa(f.Sends), strconv.Itoa(f.Dispatched), strconv.Itoa(f.probesMost()),
+			strconv.Itoa(f.peersMost(func(c PeerCount) int { return c.Datagrams })), strconv.Itoa(f.peersMost(func(c PeerCount) int { return c.Bytes })),
+			strconv.Itoa(f.Crashes), f.Unusable})
 	}
 	return table(w, rows)
 }
 
+// probesMost is how many probes came to the server that got most.
+func (f *Figures) probesMost() (most int) {
+	for _, n := range f.Probes {
+		most = max(most, n)
+	}
+	return most
+}
+
+// peersMost is the most that one proxy has sent to others.
+func (f *Figures) peersMost(of func(PeerCount) int) (most int) {
+	for _, c := range f.Peers {
+		most = max(most, of(c))
+	}
+	return most
+}
+
 func (r *Result) summary(w io.Writer) error {
 	rows := [][]string{{"experiment", "mode", "commit", "variant", "runs", "unusable", "service_median", "service_low", "service_high",
 		"service_mean", "mean_from_95", "mean_to_95", "p50_ms", "p90_ms", "p99_ms", "denied", "aborted",
-		"breaches_1", "breaches_2", "breaches_3", "breaches_4"}}
+		"best", "inverted", "recovered_s", "dispatches_per_ask", "further", "crashes", "breaches_1", "breaches_2", "breaches_3", "breaches_4"}}
 	for _, s := range r.Summaries() {
 		row := []string{r.Experiment, r.Mode, r.Commit, s.Variant, strconv.Itoa(s.Runs), strconv.Itoa(s.Unusable)}
-		for _, x := range []float64{s.Median, s.Low, s.High, s.Mean, s.From, s.To, s.P50, s.P90, s.P99, s.Denied, s.Aborted} {
+		for _, x := range []float64{s.Median, s.Low, s.High, s.Mean, s.From, s.To, s.P50, s.P90, s.P99, s.Denied, s.Aborted, s.Best, s.Inverted, s.Recovered, s.PerAsk, s.Further} {
 			row = append(row, num(x))
 		}
+		row = append(row, strconv.Itoa(s.Crashes))
 		for _, n := range s.Breaches[1:] {
 			row = append(row, strconv.Itoa(n))
 		}
@@ -205,6 +244,9 @@
 		}
 		c.Series = append(c.Series, chart.ContinuousSeries{Name: v, XValues: x, YValues: y, Style: chart.Style{StrokeWidth: 2}})
 	}
+	if len(c.Series) > 0 {
+		c.Series = append(c.Series, r.marks()...)
+	}
 	if len(c.Series) == 0 {
 		_, err := io.WriteString(w, "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"400\" height=\"40\"><text x=\"10\" y=\"25\">no usable run</text></svg>\n")
 		return err
@@ -213,6 +255,18 @@
 	return c.Render(chart.SVG, w)
 }
 
+// marks draws each fault as a bar along the foot of the chart, the first lowest.
+func (r *Result) marks() (all []chart.Series) {
+	for i, x := range r.Faults {
+		y := 0.02 + 0.03*float64(i)
+		bar := chart.ContinuousSeries{Name: "fault: " + x.Kind, XValues: []float64{x.From, max(x.To, x.From+0.2)}, YValues: []float64{y, y},
+			Style: chart.Style{StrokeWidth: 4, StrokeColor: chart.ColorAlternateGray}}
+		note := chart.AnnotationSeries{Annotations: []chart.Value2{{XValue: x.From, YValue: y, Label: x.Kind}}}
+		all = append(all, bar, note)
+	}
+	return all
+}
+
 // Table prints the summary for people.
 func (r *Result) Table(w io.Writer) {
 	fmt.Fprintf(w, "%s (%s, commit %s)\n", r.Experiment, r.Mode, r.Commit)
@@ -230,4 +284,11 @@
 		}
 		fmt.Fprintln(w)
 	}
+	if r.Mode != "processes" {
+		return
+	}
+	fmt.Fprintf(w, "%-14s %7s %9s %12s %8s %8s %9s\n", "", "best", "inverted", "recovered s", "per ask", "further", "crashes")
+	for _, s := range r.Summaries() {
+		fmt.Fprintf(w, "%-14s %7.3f %8.1f%% %12.2f %8.3f %8.3f %9d\n", s.Variant, s.Best, 100*s.Inverted, s.Recovered, s.PerAsk, s.Further, s.Crashes)
+	}
 }
--- a/lab/run.go
+++ b/lab/run.go
@@ -15,7 +15,9 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"ivybank/balance"
+	"ivybank/conf"
 	"ivybank/emu"
+	"ivybank/fleet"
 )
 
 // Figures are what came of one run.
@@ -250,6 +252,10 @@
 		zones[i] = e.zone(i)
 	}
 	seats := emu.NewSeats(fleet, clock, zones, e.terms(), e.clients(), seed, policy, m.add)
+	peers, err := e.meet(v, seats, seed)
+	if err != nil {
+		return nil, err
+	}
 	if err := fleet.Schedule(e.faults()); err != nil {
 		return nil, err
 	}
@@ -275,10 +281,36 @@
 	clock.Run(end + int64(e.Load.Timeout)*int64(2+e.Load.Retries) + 1e9)
 	fleet.Judge.Close()
 	m.close(fleet.Judge)
+	f.Sends, f.Dispatched = seats.Sends, seats.Dispatched
+	if peers != nil {
+		f.Peers, f.Views = tell(peers, e.Fleet.Balancers, clock.Now())
+	}
 	f.Hash, f.Events, f.Wall, f.Problems = seats.Hash(), clock.Events, time.Since(begun), p.Count
 	return f, nil
 }
 
+// meet has the balancers of a variant hear one another, where it names an operator file with a fleet.
+func (e *Experiment) meet(v Variant, s *emu.Seats, seed uint64) (*emu.Peers, error) {
+	if v.Operator == "" {
+		return nil, nil
+	}
+	o, err := conf.LoadOperator(e.beside(v.Operator))
+	if err != nil || o.Fleet == nil {
+		return nil, err
+	}
+	return s.Meet(seed, func(me, of int) fleet.Terms { return o.Fleet.Terms(me, of, true) }), nil
+}
+
+// tell gives what members have sent and what they see at the end.
+func tell(p *emu.Peers, n int, now int64) (counts []PeerCount, views []View) {
+	for i := range n {
+		sent, bytes := p.Sent(i)
+		counts = append(counts, PeerCount{Datagrams: sent, Bytes: bytes})
+		views = append(views, viewOf(float64(now)/1e9, i, p.Fleet(i).Status(now)))
+	}
+	return counts, views
+}
+
 func (e *Experiment) load(seed uint64, p *Problems) (load, error) {
 	if e.Trace == nil {
 		return newGenerated(e, seed), nil
--- a/lab/sockets.go
+++ b/lab/sockets.go
@@ -22,7 +22,6 @@
 const (
 	readyWait = 10 * time.Second
 	mostLate  = 25e3 // microseconds: a load generator later than this, 99 in 100, did not play the load that was asked for
-	frontNet  = "127.0.0.3:0"
 	hostNet   = "127.0.0.2:0"
 	blankFor  = 2 * time.Second // discovery sends an empty line so often
 )
@@ -207,24 +206,26 @@
 	return json.Marshal(told)
 }
 
-// free is an address at which nobody listens. No connection goes out from it, so that none takes the port before the program does.
-func free() (string, error) {
-	l, err := net.Listen("tcp", frontNet)
+// free is an address at which nobody listens, held until it is given up right before its process starts. It is this rig's own: no
+// connection goes out from it, and a rig beside this one has another.
+func free() (addr string, give func(), err error) {
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.3:0", 16+pid%200, pid/200%250))
 	if err != nil {
-		return "", err
+		return "", nil, err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return l.Addr().String(), func() { _ = l.Close() }, nil
 }
 
 // proxy starts one client proxy.
 func (r *rig) proxy(v Variant, seed uint64, i int, discovery string) error {
-	listen, err := free()
+	listen, give, err := free()
 	if err != nil {
 		return err
 	}
-	door, err := free()
+	door, giveDoor, err := free()
 	if err != nil {
+		give()
 		return err
 	}
 	folder, err := os.MkdirTemp("", "ivybank-lab")
@@ -254,6 +255,8 @@
 	}
 	x := &process{cmd: append([]string{build}, args...), folder: folder, listen: listen, door: door,
 		env: append(os.Environ(), "GW_CONFIG="+config, "TMPDIR="+folder, "GW_ADMIN_ADDR="+door, "GW_SOCKET_FD=")}
+	give()
+	giveDoor()
 	if err := x.start(); err != nil {
 		return err
 	}
--- a/shed/cut.go
+++ b/shed/cut.go
@@ -8,6 +8,7 @@
 	"math"
 	"slices"
 
+	"ivybank/fade"
 	"ivybank/fold"
 )
 
@@ -28,12 +29,14 @@
 	ease      = 0.004     // the same while none are: what was borne then says little of what can be
 	pull      = 0.3       // part of the way to the others' limit that a step goes
 	slackOff  = 0.9       // of the limit: less than this offered for long enough ends the cut
-	holdFirst = 1 * sec   // for so long at first; each cut that comes back within the time below takes
-	holdTimes = 4         // so many times longer to end,
+	holdFirst = 10 * sec  // for so long at first, which costs nothing, as nobody is denied; each cut that comes back within the time below takes
+	holdTimes = 6         // so many times longer to end,
 	holdMost  = 300 * sec // up to this
 	backSoon  = 60 * sec
-	moveStep  = 0.125 // changes of the part let in smaller than this are no moves
-	resize    = 0.2   // change of the members counted, as a part, at which the limit goes with them
+	calmDown  = 0.15      // seconds, times the square of the moves of late, over which demand is averaged: who swings is looked at longer
+	lateMoves = 120 * sec // over which moves are forgotten
+	moveStep  = 0.125     // changes of the part let in smaller than this are no moves
+	resize    = 0.2       // change of the members counted, as a part, at which the limit goes with them
 )
 
 // Terms is what a cut goes by.
@@ -60,6 +63,9 @@
 	Since  int64                 // when it came or went
 	level  float64               // Part at the latest move
 	stepAt int64
+	seen   fold.Load // demand as it is averaged
+	seenAt int64
+	moved  fade.Count
 	rise   float64 // of the next step
 	short  int64   // since when what is let in is not served; 0: it is
 	under  int64   // since when little is offered; 0: it is not
@@ -131,6 +137,9 @@
 	}
 	if n := float64(of); math.Abs(n-c.of) > resize*c.of {
 		c.Limit *= n / c.of // what members bear goes with them: a half is not the whole
+		for i := range c.seen.Offered {
+			c.seen.Offered[i] *= n / c.of
+		}
 		c.of = n
 	}
 	if now-c.stepAt >= stepEvery {
@@ -145,10 +154,26 @@
 		c.end(now)
 		return
 	}
-	c.share(l, offered)
+	c.average(l, now)
+	c.share(&c.seen, c.seen.All())
 	if math.Abs(c.Part-c.level) > moveStep {
 		c.level = c.Part
-		c.Moves++
+		c.move(now)
+	}
+}
+
+func (c *Cut) move(now int64) {
+	c.Moves++
+	c.moved.Add(now, lateMoves)
+}
+
+// average follows demand, at once where the cut has hardly moved of late.
+func (c *Cut) average(l *fold.Load, now int64) {
+	over := calmDown * math.Pow(c.moved.Now(now, lateMoves), 2) * float64(sec)
+	part := 1 - math.Exp(-float64(now-c.seenAt)/max(1, over))
+	c.seenAt = now
+	for i := range l.Offered {
+		c.seen.Offered[i] += part * (l.Offered[i] - c.seen.Offered[i])
 	}
 }
 
@@ -162,14 +187,15 @@
 	if l.Limits >= 1 { // others have one already
 		c.Limit = max(c.Limit, l.Limit/l.Limits)
 	}
-	c.Moves++
+	c.move(now)
+	c.seen = *l
 	c.share(l, l.All())
 	c.level = c.Part
 }
 
 func (c *Cut) end(now int64) {
 	c.On, c.offAt, c.Since = false, now, now
-	c.Moves++
+	c.move(now)
 	c.passAll()
 	c.level = 1
 }
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -63,7 +63,11 @@
 	if !o.c.Lets(class, p[1]-0.01) || o.c.Lets(class, p[1]+0.01) {
 		t.Error("the verdict does not go by luck")
 	}
-	for range 12 {
+	o.step(offer(o.c, 32, 24, 16, 8))
+	if !o.c.Lets(o.c.Class(0, 0), 0.999) {
+		t.Error("somebody is denied after the overload")
+	}
+	for range 48 {
 		o.step(offer(o.c, 32, 24, 16, 8))
 	}
 	if o.c.On {
@@ -96,7 +100,7 @@
 		mean += 0.22 * (want - mean) // as a rate over a second shows it
 		o.step(offer(o.c, 0.4*mean, 0.3*mean, 0.2*mean, 0.1*mean))
 	}
-	if o.c.Moves > 12 {
+	if o.c.Moves > 6 {
 		t.Errorf("%d moves", o.c.Moves)
 	}
 }
