Peers that cannot be heard yet do not stop a start; new terms of the fleet begin a new life; processor time kept

Read again: a second process of an upgrade could not bind the address of peers and would not have started; a reload wrote what the reader of datagrams reads. Peers are now closed and opened anew, and waited for where the address is taken. A test reloads the operator file four times.

--- a/cmd/ivybank/fleet_test.go
+++ b/cmd/ivybank/fleet_test.go
@@ -315,3 +315,38 @@
 	r.Strike(emu.Fault{Kind: "proxy_end", Proxies: []int{1}})
 	eventually(t, "it has left", func() bool { return sees(r, 0, 1, "left") && sees(r, 2, 1, "left") })
 }
+
+// A new operator file is taken by SIGHUP whole or not at all, and the door says what is in force.
+func TestFleetReload(t *testing.T) {
+	one, d := newHost(t, saying(text(200, "", "one"), true)), newRegistry(t)
+	p := prepare(t, d.addr, 1024, entry("s-1", one.Addr().String(), "ready"))
+	mine, other := freeAddr(t), freeAddr(t)
+	file := func(name, more string) string {
+		return fmt.Sprintf("format = \"ivybank/operator/1\"\n[fleet]\nname = %q\nlisten = %q\npeers = [%q, %q]\nme = 0\ndatagrams_per_second = 20.0\nack_wait = \"100ms\"\nquiet = \"1s\"\n%s",
+			name, mine, mine, other, more)
+	}
+	operator := write(t, t.TempDir(), "o.toml", "format = \"ivybank/operator/1\"\n")
+	p.args = []string{"serve", "--operator", operator}
+	p.start(t)
+	if got := p.operate(t, "GET", "/fleet"); got != 404 {
+		t.Errorf("got %d without a fleet", got)
+	}
+	put := func(text string) {
+		write(t, filepath.Dir(operator), "o.toml", text)
+		p.hup(t, p.text(t))
+	}
+	put(file("a", ""))
+	eventually(t, "peers are heard", func() bool { return p.operate(t, "GET", "/fleet") == 200 })
+	put(file("a", "[fleet.overload]\nfurther = 7.0\n"))
+	eventually(t, "the bad file is told of", func() bool { return p.out.count("new configuration ignored") == 1 })
+	if p.out.count("fleet.overload.further: expected a part from 0 to 1") != 1 || p.operate(t, "GET", "/fleet") != 200 {
+		t.Errorf("not told, or not as before: %s", p.out)
+	}
+	put("format = \"ivybank/operator/1\"\n")
+	eventually(t, "none are heard any more", func() bool { return p.operate(t, "GET", "/fleet") == 404 })
+	put(file("b", ""))
+	eventually(t, "they are heard again", func() bool { return p.operate(t, "GET", "/fleet") == 200 })
+	if a, _ := p.ask(t, call("POST", "r1", "once", "x")); a.StatusCode != 200 {
+		t.Errorf("got %d for a req", a.StatusCode)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -243,9 +243,9 @@
 	f.wary.probed(f.t.Me, server, well, now)
 }
 
-// Same says whether terms tell of the same rule sets and tenants, which a cut goes by.
-func (f *Fleet) Same(t Terms) bool {
-	return slices.Equal(f.t.RuleSets, t.RuleSets) && slices.Equal(f.t.Tenants, t.Tenants) && f.t.MaxAdvice == t.MaxAdvice
+// Same says whether a member goes by these rule sets and tenants, and this longest advice.
+func (f *Fleet) Same(sets []balance.RuleSet, tenants []balance.Tenant, advice int64) bool {
+	return slices.Equal(f.t.RuleSets, sets) && slices.Equal(f.t.Tenants, tenants) && f.t.MaxAdvice == advice
 }
 
 // Heard takes a datagram that came from the address of the member that it names.
--- a/lab/process.go
+++ b/lab/process.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -139,6 +141,24 @@
 	return fmt.Errorf("a proxy is not ready after %s: %s", readyWait, x.said())
 }
 
+// cpu is the processor time that it has used so far, in seconds; 0 where the kernel does not say.
+func (x *process) cpu() float64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", x.now.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	// The name may hold spaces; what comes after it does not. The 12th and 13th there are user and system time in hundredths.
+	rest := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(rest) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseFloat(rest[11], 64)
+	system, _ := strconv.ParseFloat(rest[12], 64)
+	return (user + system) / 100
+}
+
 var doorClient = http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // view is what a proxy tells of its fleet at its door.
--- a/lab/report.go
+++ b/lab/report.go
@@ -56,6 +56,7 @@
 	P50, P90, P99, Denied, Aborted    float64 // medians
 	Breaches                          [5]int
 	Best, Inverted, Recovered         float64 // medians
+	Micro                             float64 // microseconds of processor time for each try of a client
 	PerAsk, Further                   float64 // dispatches for each ask, and beyond the first of a try for each of these
 	Crashes                           int
 }
@@ -64,7 +65,7 @@
 func (r *Result) Summaries() (all []Summary) {
 	for _, v := range r.Variants {
 		s := Summary{Variant: v}
-		var service, p50, p90, p99, denied, aborted, best, inverted, recovered, perAsk, further []float64
+		var service, p50, p90, p99, denied, aborted, best, inverted, recovered, perAsk, further, micro []float64
 		for _, f := range r.Runs {
 			if f.Variant != v {
 				continue
@@ -81,6 +82,7 @@
 			service, p50, p90, p99 = append(service, f.Service), append(p50, f.P50), append(p90, f.P90), append(p99, f.P99)
 			asks := float64(max(1, f.Asks))
 			best, inverted, recovered = append(best, f.Best), append(inverted, f.Inverted), append(recovered, f.Recovered)
+			micro = append(micro, f.Processor*1e6/max(1, asks*f.Tries))
 			perAsk = append(perAsk, float64(f.Sends)/asks)
 			further = append(further, float64(f.Sends)/float64(max(1, f.Dispatched))-1)
 			denied, aborted = append(denied, float64(f.Denied)/asks), append(aborted, float64(f.Aborted)/asks)
@@ -90,6 +92,7 @@
 			s.Mean, s.From, s.To = interval(service)
 			s.P50, s.P90, s.P99, s.Denied, s.Aborted = median(p50), median(p90), median(p99), median(denied), median(aborted)
 			s.Best, s.Inverted, s.Recovered = median(best), median(inverted), median(recovered)
+			s.Micro = median(micro)
 			s.PerAsk, s.Further = median(perAsk), median(further)
 		}
 		all = append(all, s)
@@ -287,8 +290,8 @@
 	if r.Mode != "processes" {
 		return
 	}
-	fmt.Fprintf(w, "%-14s %7s %9s %12s %8s %8s %9s\n", "", "best", "inverted", "recovered s", "per ask", "further", "crashes")
+	fmt.Fprintf(w, "%-14s %7s %9s %12s %8s %8s %9s %9s\n", "", "best", "inverted", "recovered s", "per ask", "further", "crashes", "us a try")
 	for _, s := range r.Summaries() {
-		fmt.Fprintf(w, "%-14s %7.3f %8.1f%% %12.2f %8.3f %8.3f %9d\n", s.Variant, s.Best, 100*s.Inverted, s.Recovered, s.PerAsk, s.Further, s.Crashes)
+		fmt.Fprintf(w, "%-14s %7.3f %8.1f%% %12.2f %8.3f %8.3f %9d %9.0f\n", s.Variant, s.Best, 100*s.Inverted, s.Recovered, s.PerAsk, s.Further, s.Crashes, s.Micro)
 	}
 }
--- a/lab/run.go
+++ b/lab/run.go
@@ -49,6 +49,7 @@
 	Probes     map[string]int // by server
 	Peers      []PeerCount    // datagrams by proxy
 	Views      []View
+	Processor  float64            // seconds that all proxies used, where none was started again
 	Crashes    int                // proxies that have ended by themselves
 	Quarters   []float64          // service by quarters of a second
 	Classes    map[string]float64 // service by rule set
--- a/lab/sockets.go
+++ b/lab/sockets.go
@@ -110,11 +110,13 @@
 	if err != nil {
 		return nil, err
 	}
+	before := r.cpu()
 	views := r.watchViews()
 	if err := r.play(l, m, f); err != nil {
 		return nil, err
 	}
 	f.Views = views()
+	f.Processor = r.cpu() - before
 	r.clock.Do(func() {
 		r.fleet.Judge.Close()
 		m.close(r.fleet.Judge)
@@ -136,6 +138,14 @@
 	return f, nil
 }
 
+// cpu is the processor time of all proxies, in seconds.
+func (r *rig) cpu() (sum float64) {
+	for _, x := range r.procs {
+		sum += x.cpu()
+	}
+	return sum
+}
+
 // begin starts stand-ins and proxies, and waits until all are ready.
 func (r *rig) begin(v Variant, seed uint64) (err error) {
 	for i := range r.e.Fleet.Balancers {
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -73,6 +73,7 @@
 	drain     drain
 	keys      *keys           // nil: none
 	peers     *peers          // nil: none are heard
+	deaf      bool            // they are to be, but their address is taken
 	terms     *balance.Terms  // replaced whole, never changed
 	sockets   int             // descriptors that this process may hold now
 	held      holds.Table     // hosts out by hand
@@ -201,9 +202,7 @@
 	if p.start.Holds != nil {
 		go p.follow()
 	}
-	if err := p.openPeers(p.now()); err != nil {
-		return fmt.Errorf("peers: %w", err)
-	}
+	p.openPeers(0, p.now())
 	p.subscribe(p.now())
 	alarm := time.NewTimer(0)
 	for !p.done {
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -102,6 +102,7 @@
 	}
 	if len(changed) > 0 {
 		p.module.Listed(balance.Changes, changed, now)
+		p.listPeers(now)
 	}
 }
 
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -26,8 +26,10 @@
 	"ivybank/swim"
 )
 
-// mostHeard bounds the datagrams that wait for the owner; more are dropped.
-const mostHeard = 256
+const (
+	mostHeard  = 256 // datagrams that may wait for the owner; more are dropped
+	peersApart = 1e9 // between tries to hear peers where the address is taken
+)
 
 // Fleet is what operators set on peers, and where these are.
 type Fleet struct {
@@ -57,22 +59,26 @@
 	Address, Short, Garbled, Version, Fleet, Form, Crowded, Unsent atomic.Int64
 }
 
-// openPeers begins to hear peers.
-func (p *Proxy) openPeers(now int64) error {
+// openPeers begins to hear peers, with a life no lower than one that this process had before. An address that another process of an
+// upgrade still has is waited for: until then this one decides alone.
+func (p *Proxy) openPeers(least uint64, now int64) {
 	x := p.start.Fleet
-	if x == nil {
-		return nil
-	}
-	at, err := net.ResolveUDPAddr("udp4", x.Listen)
-	if err != nil {
-		return err
+	if x == nil || p.peers != nil || p.drain.begun {
+		return
 	}
-	conn, err := net.ListenUDP("udp4", at)
+	conn, err := listenPeers(x.Listen)
 	if err != nil {
-		return err
+		if !p.deaf {
+			logrus.Warnf("peers are not heard yet: %v", err)
+		}
+		p.deaf = true
+		p.after(now, peersApart, func(now int64) { p.openPeers(least, now) })
+		return
 	}
-	t := p.fleetTerms(x.Terms)
-	t.Life = swim.LifeOf(now) // by the clock of the day; should it have been set back, peers tell
+	p.deaf = false
+	t := x.Terms
+	t.RuleSets, t.Tenants, t.MaxAdvice, t.Seed = p.terms.RuleSets, p.terms.Tenants, p.terms.MaxAdvice, p.terms.Seed^uint64(t.Me)
+	t.Life = max(least, swim.LifeOf(now)) // by the clock of the day; should it have been set back, peers tell
 	q := &peers{Fleet: *x, conn: conn, name: peer.Fleet(x.Name), fleet: fleet.New(t, now), asking: map[string]bool{},
 		probes: &http.Client{Timeout: time.Duration(x.ProbeTimeout), Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Duration(p.start.ConnIdle / 2)}}}
 	p.peers = q
@@ -80,44 +86,34 @@
 	go p.hear(q)
 	p.tickPeers(now)
 	logrus.WithFields(logrus.Fields{"fleet": x.Name, "place": t.Me, "of": t.Of}).Infof("peers are heard on %s", x.Listen)
-	return nil
 }
 
-// fleetTerms adds what the proxy's own terms say.
-func (p *Proxy) fleetTerms(t fleet.Terms) fleet.Terms {
-	t.RuleSets, t.Tenants, t.MaxAdvice, t.Seed = p.terms.RuleSets, p.terms.Tenants, p.terms.MaxAdvice, p.terms.Seed^uint64(t.Me)
-	return t
+func listenPeers(addr string) (*net.UDPConn, error) {
+	at, err := net.ResolveUDPAddr("udp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenUDP("udp4", at)
 }
 
-// refleet takes new terms of the fleet's part; where the peers are other ones the socket stays and all else begins anew.
+// refleet takes new terms of the fleet's part. Where they differ, or what a cut goes by does, it begins anew.
 func (p *Proxy) refleet(x *Fleet, now int64) {
-	q := p.peers
-	switch {
-	case x == nil && q == nil:
-		return
-	case x != nil && q != nil && x.Listen == q.Listen:
-		old := q.Terms
-		q.Fleet, q.name = *x, peer.Fleet(x.Name)
-		if t := p.fleetTerms(x.Terms); !reflect.DeepEqual(old, x.Terms) || !q.fleet.Same(t) {
-			t.Life = max(swim.LifeOf(now), q.fleet.Members().Life()+1)
-			q.fleet = fleet.New(t, now)
-			p.module.Advised(balance.Advice{})
-			p.listPeers(now)
+	least := uint64(0)
+	if q := p.peers; q != nil {
+		if x != nil && reflect.DeepEqual(q.Fleet, *x) && q.fleet.Same(p.terms.RuleSets, p.terms.Tenants, p.terms.MaxAdvice) {
+			return
 		}
-		return
-	case q != nil:
-		q.fleet.Leave()
-		p.carryPeers(now)
+		if x == nil {
+			p.leavePeers(now)
+		}
+		least = q.fleet.Members().Life() + 1
 		p.stop(q.timer)
 		_ = q.conn.Close()
 		p.peers = nil
 		p.module.Advised(balance.Advice{})
 	}
-	if p.start.Fleet = x; x != nil {
-		if err := p.openPeers(now); err != nil {
-			logrus.Warnf("peers are not heard: %v", err)
-		}
-	}
+	p.start.Fleet = x
+	p.openPeers(least, now)
 }
 
 // hear reads datagrams until the socket is closed; what is nobody's or no datagram goes no further.
