Sums and answers have parts of the datagrams of their own; a process that ran again says so at once

At 300 members, a third cut off for 6 s, the picture of a member counted 5 to 199 of 300 and was 15 s old: reminders, questions for others and news had taken the room and the rate of the sums. A pause of 2 s had one taken for dead by 7 of 11 once: it says at once that it runs.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,6 +84,7 @@
 	Advice   balance.Advice
 	Text     string
 	Fields   map[string]any
+	due      bool // a sum at its time, which has a part of the datagrams for itself
 }
 
 // sent is one client's req that was sent away, by what stays the same over its retries.
@@ -285,7 +286,7 @@
 		f.stood(passed, now)
 	}
 	f.ticked = now
-	f.tokens = min(max(burst, f.t.Datagrams/4), f.tokens+f.t.Datagrams*float64(passed)/float64(sec))
+	f.tokens = min(max(burst, f.t.Datagrams/4), f.tokens+(1-pushPart)*f.t.Datagrams*float64(passed)/float64(sec))
 	next = f.swim.Tick(now)
 	if f.swim.Version() != f.version {
 		f.fold.Gone(f.swim.Alive, func(p int) uint64 { return f.swim.Member(p).Life })
@@ -392,7 +393,7 @@
 		if who := f.oneOf(from, to); who >= 0 {
 			d, room := f.swim.Datagram(peer.Push)
 			f.fill(&d, &room, f.level, now)
-			f.todo = append(f.todo, Action{Kind: Send, To: who, Datagram: d})
+			f.todo = append(f.todo, Action{Kind: Send, To: who, Datagram: d, due: true})
 			return
 		}
 	}
@@ -413,7 +414,9 @@
 
 // fill adds sums and hints where there is room.
 func (f *Fleet) fill(d *peer.Datagram, room *peer.Room, level int, now int64) {
+	f.swim.Tell(d, room, 1) // of many pieces of news most wait for pings and their answers, lest they crowd out the sums
 	d.Sums = append(d.Sums, f.fold.Tell(level, f.swim.Life(), room, now)...)
+	f.swim.Tell(d, room, 1)
 	d.Hints = append(d.Hints, f.wary.tell(f.t.Me, int(math.Ceil(3*math.Log2(float64(f.swim.Count())+1))), room, now)...)
 }
 
@@ -466,13 +469,15 @@
 		if a.Kind != Send {
 			return a, true
 		}
-		// Questions and answers may run into debt, which sums that can wait then pay: an answer that is kept back is a suspicion.
-		if a.Datagram.Kind == peer.Push && f.tokens < 1 || f.tokens < -debt*f.t.Datagrams {
+		// A question or an answer that is kept back is a suspicion, of another or of oneself: these may run into debt, which the rest pays.
+		must := a.Datagram.Kind != peer.Push
+		if !a.due && (f.tokens < -debt*f.t.Datagrams || !must && f.tokens < 1) {
 			f.Count.Held++
 			continue
 		}
-		f.tokens--
-		f.Count.Sent++
+		if f.Count.Sent++; !a.due {
+			f.tokens--
+		}
 		return a, true
 	}
 	return Action{}, false
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -206,8 +206,9 @@
 // Hint is the same for a hint.
 func (r *Room) Hint() bool { return r.Take(hintSize) }
 
-// Hundredths gives a time in ns as it stands on the wire, the longest where it is longer.
-func Hundredths(ns int64) uint16 { return uint16(min(max(0, ns/1e7), 1<<16-1)) }
+// Hundredths gives a time in ns as it stands on the wire, the longest where it is longer. It is rounded up: what is passed on from one to
+// another must not look fresher each time.
+func Hundredths(ns int64) uint16 { return uint16(min(max(0, (ns+1e7-1)/1e7), 1<<16-1)) }
 
 // Ns is the time that Hundredths stands for.
 func Ns(h uint16) int64 { return int64(h) * 1e7 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -112,3 +112,12 @@
 		}
 	})
 }
+
+// A time that is told and told again never gets shorter.
+func TestHundredths(t *testing.T) {
+	for _, ns := range []int64{-5, 0, 1, 1e7 - 1, 1e7, 1e7 + 1, 123456789, 1 << 62} {
+		if got := Ns(Hundredths(ns)); got < min(ns, Ns(math.MaxUint16)) || got > max(0, ns)+1e7 {
+			t.Errorf("%d ns came back as %d", ns, got)
+		}
+	}
+}
--- a/swim/swim.go
+++ b/swim/swim.go
@@ -14,22 +14,25 @@
 const (
 	ms, sec = int64(1e6), int64(1e9)
 
-	helpers    = 3                                       // members asked to ping on one's behalf
-	confirmers = 3                                       // further members whose suspicion brings the death forward to its least time
-	spread     = 3                                       // a piece of news goes out so many times the logarithm of the members
-	mostHealth = 6                                       // steps by which trouble of one's own lengthens one's waits
-	knock      = 4                                       // every so many periods one who is not a member is pinged
-	farewells  = 2                                       // times that each of a few is told of the end
-	verdict    = 3                                       // waits from a ping until the one is suspected
-	lateTick   = 30 * ms                                 // a tick later than this is time in which this process did not run
-	maxQuiet   = 600 * sec                               // silences longer than this are told as this
-	window     = 64                                      // datagrams of one life that may come out of order
-	tickEvery  = 50 * ms                                 // between looks at what is due
-	crowd      = 1.2                                     // logarithm, to 10, of the members from which patience grows
-	lostNews   = 8                                       // pieces of news that one member's word may add in one datagram
-	longAgo    = -1 << 62                                // before anything was heard
-	fewMembers = 16                                      // so few tell all others of their end
-	lifeSpan   = 1000 * 3600 * 24 * 365 * 10 << lifeBits // past this one's own start no life can be
+	helpers     = 3  // members asked to ping on one's behalf
+	confirmers  = 2  // further members whose suspicion brings the death forward to its least time
+	spread      = 3  // a piece of news goes out so many times the logarithm of the members
+	mostHealth  = 6  // steps by which trouble of one's own lengthens one's waits
+	knock       = 4  // every so many periods one who is not a member is pinged
+	manyAway    = 20 // where more than one in so many is away one of them is pinged each period: a partition may be over
+	newsEach    = 3  // pieces of news in an answer or a question
+	remindApart = 1 * sec
+	farewells   = 2                                       // times that each of a few is told of the end
+	verdict     = 3                                       // waits from a ping until the one is suspected
+	lateTick    = 30 * ms                                 // a tick later than this is time in which this process did not run
+	maxQuiet    = 600 * sec                               // silences longer than this are told as this
+	window      = 64                                      // datagrams of one life that may come out of order
+	tickEvery   = 50 * ms                                 // between looks at what is due
+	crowd       = 1.2                                     // logarithm, to 10, of the members from which patience grows
+	lostNews    = 8                                       // pieces of news that one member's word may add in one datagram
+	longAgo     = -1 << 62                                // before anything was heard
+	fewMembers  = 16                                      // so few tell all others of their end
+	lifeSpan    = 1000 * 3600 * 24 * 365 * 10 << lifeBits // past this one's own start no life can be
 )
 
 // Terms is what a member is told of the fleet. Times are nanoseconds.
@@ -67,12 +70,13 @@
 
 type member struct {
 	Member
-	doubts []int  // who suspects it; emptied with the suspicion
-	told   int    // times that its news went out
-	fresh  bool   // its news has not gone out often enough
-	start  uint64 // of the process whose datagrams are counted; its life may be known from others before it is heard
-	count  uint64 // newest datagram of that,
-	seen   uint64 // and which of those before it came, as bits
+	doubts   []int  // who suspects it; emptied with the suspicion
+	told     int    // times that its news went out
+	fresh    bool   // its news has not gone out often enough
+	start    uint64 // of the process whose datagrams are counted; its life may be known from others before it is heard
+	count    uint64 // newest datagram of that,
+	reminded int64  // when it was last told what is said of it
+	seen     uint64 // and which of those before it came, as bits
 }
 
 // ping is one that waits for its answer.
@@ -182,21 +186,18 @@
 	return c
 }
 
-// Datagram begins one of this life, with the news that most need telling.
+// Datagram begins one of this life, which carries nothing yet.
 func (s *Swim) Datagram(k peer.Kind) (peer.Datagram, peer.Room) {
 	s.count++
-	d := peer.Datagram{From: s.t.Me, Life: s.life, Count: s.count, Kind: k}
-	room := peer.Whole()
-	s.tell(&d, &room)
-	return d, room
+	return peer.Datagram{From: s.t.Me, Life: s.life, Count: s.count, Kind: k}, peer.Whole()
 }
 
-// tell adds the pieces of news that went out least often. The table of members is also that of news: each has one.
-func (s *Swim) tell(d *peer.Datagram, room *peer.Room) {
+// Tell adds so many pieces of news at the most, those that went out least often. The table of members is also that of news: each has one.
+func (s *Swim) Tell(d *peer.Datagram, room *peer.Room, n int) {
 	slices.SortStableFunc(s.fresh, func(x, y int) int { return s.members[x].told - s.members[y].told })
 	most := int(math.Ceil(spread * math.Log2(float64(s.alive)+1)))
 	for _, i := range s.fresh {
-		if len(d.News) >= newsEach || !room.News() {
+		if n--; n < 0 || !room.News() {
 			break
 		}
 		d.News = append(d.News, s.news(i))
@@ -209,9 +210,6 @@
 	})
 }
 
-// newsEach leaves room for what else a datagram carries.
-const newsEach = 3
-
 func (s *Swim) news(i int) peer.News {
 	m := &s.members[i]
 	n := peer.News{Who: i, State: m.State, Life: m.Life, By: m.By}
@@ -222,8 +220,9 @@
 }
 
 func (s *Swim) send(to int, k peer.Kind, seq uint32, about int) {
-	d, _ := s.Datagram(k)
+	d, room := s.Datagram(k)
 	d.Seq, d.About = seq, about
+	s.Tell(&d, &room, newsEach)
 	s.out = append(s.out, Send{to, d})
 }
 
@@ -312,8 +311,13 @@
 
 // remind tells a member what is said of it.
 func (s *Swim) remind(who int, n peer.News) {
+	m := &s.members[who]
+	if s.ticked-m.reminded < remindApart {
+		return
+	}
+	m.reminded = s.ticked
 	d, _ := s.Datagram(peer.Push)
-	d.News = append([]peer.News{n}, d.News[:min(len(d.News), newsEach-1)]...)
+	d.News = []peer.News{n}
 	s.out = append(s.out, Send{who, d})
 }
 
@@ -474,7 +478,13 @@
 	if away := now - s.ticked - tickEvery; away > lateTick {
 		s.stood(away, now)
 	}
+	away := now - s.ticked - tickEvery
 	s.ticked = now
+	if away > s.t.Quiet/3 { // some may doubt by now that this process lives: it shows at once that it does
+		for _, to := range s.some(fewMembers, -1) {
+			s.ping(to, -1, 0, now)
+		}
+	}
 	s.overdue(now)
 	s.bury(now)
 	if now >= s.pingAt && !s.left {
@@ -504,7 +514,7 @@
 // round pings the next in order.
 func (s *Swim) round(now int64) {
 	s.periods++
-	if s.periods%knock == 0 || s.alive == 1 {
+	if s.periods%knock == 0 || s.alive == 1 || s.t.Of-s.alive > s.t.Of/manyAway {
 		s.knockAtOne(now)
 	}
 	for range len(s.order) + 2 {
