Addresses of the rig are all held before the first is given up; the fleet's part wakes the proxy less

Two processes of a rig could be told one address. Sums and advice wait for the members' tick now, 20 a second.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -315,7 +315,7 @@
 	}
 	f.note()
 	f.send()
-	return min(next, f.pushAt, f.adviseAt)
+	return next // what else is due may wait for it: each waking costs the proxy more than the work done in it
 }
 
 // stood settles what this process holds against the present, having not run for a time.
--- a/lab/sockets.go
+++ b/lab/sockets.go
@@ -28,23 +28,24 @@
 
 // rig is one run on sockets.
 type rig struct {
-	e      *Experiment
-	terms  balance.Terms
-	clock  *emu.Wall
-	fleet  *emu.Fleet
-	ctx    context.Context
-	cancel context.CancelFunc
-	wait   sync.WaitGroup
-	addrs  [][]string // by proxy and server
-	mu     sync.Mutex
-	open   map[net.Conn]string // connections to stand-ins, with the server's id; emptied as they end
-	bad    atomic.Int64        // calls that no client made
-	procs  []*process
-	links  *links // nil: proxies do not hear one another
-	fails  fails
-	met    met
-	drops  []chan bool // by proxy: watches to end
-	dice   draw.Dice
+	e             *Experiment
+	terms         balance.Terms
+	clock         *emu.Wall
+	fleet         *emu.Fleet
+	ctx           context.Context
+	cancel        context.CancelFunc
+	wait          sync.WaitGroup
+	addrs         [][]string // by proxy and server
+	mu            sync.Mutex
+	open          map[net.Conn]string // connections to stand-ins, with the server's id; emptied as they end
+	bad           atomic.Int64        // calls that no client made
+	procs         []*process
+	fronts, doors []held // by proxy
+	links         *links // nil: proxies do not hear one another
+	fails         fails
+	met           met
+	drops         []chan bool // by proxy: watches to end
+	dice          draw.Dice
 }
 
 // fails is which links of a proxy are cut, by how many faults; within the clock's lock.
@@ -164,6 +165,12 @@
 			return err
 		}
 	}
+	if r.fronts, err = hold(r.e.Fleet.Balancers); err != nil {
+		return err
+	}
+	if r.doors, err = hold(r.e.Fleet.Balancers); err != nil {
+		return err
+	}
 	for i := range r.e.Fleet.Balancers {
 		discovery, err := r.discovery(i)
 		if err != nil {
@@ -216,33 +223,34 @@
 	return json.Marshal(told)
 }
 
-// free is an address at which nobody listens, held until it is given up right before its process starts. It is this rig's own: no
+// held is an address at which nobody listens, kept so until it is given up right before its process starts. It is this rig's own: no
 // connection goes out from it, and a rig beside this one has another.
-func free() (addr string, give func(), err error) {
+type held struct {
+	addr string
+	give func()
+}
+
+// hold takes so many. All are taken before the first is given up, which else could be taken again.
+func hold(n int) (all []held, err error) {
 	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.3:0", 16+pid%200, pid/200%250))
-	if err != nil {
-		return "", nil, err
+	for range n {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.3:0", 16+pid%200, pid/200%250))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, held{l.Addr().String(), func() { _ = l.Close() }})
 	}
-	return l.Addr().String(), func() { _ = l.Close() }, nil
+	return all, nil
 }
 
 // proxy starts one client proxy.
 func (r *rig) proxy(v Variant, seed uint64, i int, discovery string) error {
-	listen, give, err := free()
-	if err != nil {
-		return err
-	}
-	door, giveDoor, err := free()
-	if err != nil {
-		give()
-		return err
-	}
+	listen, door := r.fronts[i], r.doors[i]
 	folder, err := os.MkdirTemp("", "ivybank-lab")
 	if err != nil {
 		return err
 	}
-	text, err := r.configuration(listen, discovery, seed, i)
+	text, err := r.configuration(listen.addr, discovery, seed, i)
 	if err != nil {
 		return err
 	}
@@ -263,10 +271,10 @@
 	if v.Operator != "" {
 		args = append(args, "--operator", r.e.beside(v.Operator))
 	}
-	x := &process{cmd: append([]string{build}, args...), folder: folder, listen: listen, door: door,
-		env: append(os.Environ(), "GW_CONFIG="+config, "TMPDIR="+folder, "GW_ADMIN_ADDR="+door, "GW_SOCKET_FD=")}
-	give()
-	giveDoor()
+	x := &process{cmd: append([]string{build}, args...), folder: folder, listen: listen.addr, door: door.addr,
+		env: append(os.Environ(), "GW_CONFIG="+config, "TMPDIR="+folder, "GW_ADMIN_ADDR="+door.addr, "GW_SOCKET_FD=")}
+	listen.give()
+	door.give()
 	if err := x.start(); err != nil {
 		return err
 	}
