--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -106,9 +106,10 @@
 		if x == nil {
 			p.leavePeers(now)
 		}
-		least = q.fleet.Members().Life() + 1
+		least = swim.After(q.fleet.Members().Life()) // datagrams are counted anew
 		p.stop(q.timer)
 		_ = q.conn.Close()
+		q.probes.CloseIdleConnections()
 		p.peers = nil
 		p.module.Advised(balance.Advice{})
 	}
--- a/swim/swim.go
+++ b/swim/swim.go
@@ -273,6 +273,9 @@
 // LifeOf is the life of a process that starts at a clock time.
 func LifeOf(unixNs int64) uint64 { return uint64(max(1, unixNs/ms)) << lifeBits }
 
+// After is the least life of a process that begins after one of a life.
+func After(life uint64) uint64 { return (life>>lifeBits + 1) << lifeBits }
+
 // Heard takes a fresh datagram.
 func (s *Swim) Heard(d *peer.Datagram, now int64) {
 	m := &s.members[d.From]
