--- a/emu/peers_test.go
+++ b/emu/peers_test.go
@@ -202,7 +202,7 @@
 	}
 	for _, n := range sizes {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			c := newCrowd(n, 9.5, 9)
+			c := newCrowd(n, 9, 9)
 			c.run(20 * second)
 			before := make([]int, n)
 			for i := range n {
