--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,7 +38,6 @@
 	retryFor    = 20 * sec // a client that was sent away is known to come again for so long
 	debt        = 1.0      // seconds of its datagrams that questions and answers may go ahead of the rate
 	burst       = 4.0      // datagrams beyond the rate at once
-	patience    = 10 * sec // between two lines of the log on the same thing
 	waitLeast   = 0.35     // of the longest wait that a client honours: those sent away come back spread from here to it
 )
 
@@ -571,9 +570,6 @@
 	return s
 }
 
-// Cut is the cut in force, for those who rehearse.
-func (f *Fleet) Cut() *shed.Cut { return f.cut }
-
 // Members is the view of who takes part, for those who rehearse.
 func (f *Fleet) Members() *swim.Swim { return f.swim }
 
--- a/fold/fold.go
+++ b/fold/fold.go
@@ -154,9 +154,6 @@
 	return b << level, min(f.t.Of, (b+1)<<level)
 }
 
-// Shared is the lowest level at which one's own block and that of another place lie beside each other.
-func (f *Fold) Shared(place int) int { return bits.Len(uint(f.t.Me^place)) - 1 }
-
 // weight is what a sum still counts for.
 func (f *Fold) weight(s *sum, now int64) float64 {
 	left := float64(s.at+f.t.Horizon-now) / float64(f.t.Horizon)
--- a/lab/links.go
+++ b/lab/links.go
@@ -32,7 +32,6 @@
 	cut    [][]int // by faults, from i to j
 	rough  []Rough // all in force add up
 	sent   []PeerCount
-	most   int
 }
 
 // PeerCount is what one proxy has sent to others.
@@ -122,7 +121,6 @@
 	s := &l.sent[i]
 	s.Datagrams++
 	s.Bytes += len(b)
-	l.most = max(l.most, len(b))
 	var all Rough
 	for _, r := range l.rough {
 		all.Loss, all.Double, all.Garble = all.Loss+r.Loss, all.Double+r.Double, all.Garble+r.Garble
--- a/lab/rehearsal.go
+++ b/lab/rehearsal.go
@@ -35,15 +35,6 @@
 // View is what a proxy tells of its fleet at its door; false where it says nothing.
 func (x *Rehearsal) View(proxy int) (fleet.Status, bool) { return x.r.procs[proxy].view() }
 
-// Said is the end of what a proxy has logged.
-func (x *Rehearsal) Said(proxy int) string { return x.r.procs[proxy].said() }
-
-// Door is where a proxy's operators call.
-func (x *Rehearsal) Door(proxy int) string { return x.r.procs[proxy].door }
-
-// Front is where a proxy's clients call.
-func (x *Rehearsal) Front(proxy int) string { return x.r.procs[proxy].listen }
-
 // Probes is how many probes have come to each server, by its id.
 func (x *Rehearsal) Probes() map[string]int {
 	all := map[string]int{}
--- a/shed/cut.go
+++ b/shed/cut.go
@@ -60,7 +60,6 @@
 	Part   float64               // of what is offered that is let in
 	Pass   [fold.Classes]float64 // the same by class
 	Moves  int                   // times that it came, went or moved by a step
-	Since  int64                 // when it came or went
 	level  float64               // Part at the latest move
 	stepAt int64
 	seen   fold.Load // demand as it is averaged
@@ -183,7 +182,7 @@
 	} else {
 		c.hold = holdFirst
 	}
-	c.On, c.Limit, c.of, c.stepAt, c.under, c.short, c.Since, c.rise = true, l.Served, float64(of), now, 0, 0, now, rise
+	c.On, c.Limit, c.of, c.stepAt, c.under, c.short, c.rise = true, l.Served, float64(of), now, 0, 0, rise
 	if l.Limits >= 1 { // others have one already
 		c.Limit = max(c.Limit, l.Limit/l.Limits)
 	}
@@ -194,7 +193,7 @@
 }
 
 func (c *Cut) end(now int64) {
-	c.On, c.offAt, c.Since = false, now, now
+	c.On, c.offAt = false, now
 	c.move(now)
 	c.passAll()
 	c.level = 1
--- a/swim/swim.go
+++ b/swim/swim.go
@@ -44,17 +44,6 @@
 	Seed    uint64
 }
 
-// Check says what is wrong with them, empty where nothing is.
-func (t Terms) Check() string {
-	switch {
-	case t.Of <= 0 || t.Me < 0 || t.Me >= t.Of:
-		return "the own place is not among the places"
-	case t.Period <= 0 || t.AckWait <= 0 || t.Quiet <= 0:
-		return "times have to be above 0"
-	}
-	return ""
-}
-
 // Member is what is known of one.
 type Member struct {
 	Known bool // was heard of since this process's start; else it is presumed to be there, as it is configured
