Lives, blocks and what befalls datagrams are each worked out in one place

Read again: the emulator made lives of its own beside swim.LifeOf, both networks added up the same faults of datagrams, and a fleet's part made its picture twice to learn how many blocks it has.

--- a/emu/peers.go
+++ b/emu/peers.go
@@ -9,6 +9,7 @@
 	"ivybank/draw"
 	"ivybank/fleet"
 	"ivybank/peer"
+	"ivybank/swim"
 )
 
 // Rough is what befalls datagrams; parts of them. All wait so long, and by chance up to Spread more.
@@ -17,6 +18,12 @@
 	Delay, Spread        int64
 }
 
+// Add has what befalls datagrams in one way befall them in another as well.
+func (r *Rough) Add(x Rough) {
+	r.Loss, r.Double, r.Garble = r.Loss+x.Loss, r.Double+x.Double, r.Garble+x.Garble
+	r.Delay, r.Spread = r.Delay+x.Delay, r.Spread+x.Spread
+}
+
 // split is a partition in force: who is on one side, and which way nothing passes.
 type split struct {
 	in  map[int]bool
@@ -74,7 +81,7 @@
 	t := m.terms
 	t.Seed = SeedOf(t.Seed+m.life<<32, i)
 	if t.Life == 0 {
-		t.Life = uint64(max(1, p.clock.Now()/1e6)) << 8
+		t.Life = swim.LifeOf(p.clock.Now())
 	}
 	m.Fleet = fleet.New(t, p.clock.Now())
 	p.tick(i, m.life)
@@ -155,8 +162,7 @@
 	}
 	var all Rough
 	for _, r := range p.rough {
-		all.Loss, all.Double, all.Garble = all.Loss+r.Loss, all.Double+r.Double, all.Garble+r.Garble
-		all.Delay, all.Spread = all.Delay+r.Delay, all.Spread+r.Spread
+		all.Add(*r)
 	}
 	if !p.passes(i, j) || p.dice.Next() < all.Loss+all.Garble { // a garbled one is dropped whole
 		return
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -137,8 +137,7 @@
 	if t.Overload != nil {
 		most, part = t.Overload.Most, t.Overload.Further
 	}
-	f.fold = fold.New(fold.Terms{Me: t.Me, Of: t.Of, Most: most, Horizon: 1})
-	hold := max(leastHold, pushFor*f.pushEvery()*int64(max(1, f.fold.Levels())))
+	hold := max(leastHold, pushFor*f.pushEvery()*int64(fold.Levels(t.Of)))
 	f.fold = fold.New(fold.Terms{Me: t.Me, Of: t.Of, Most: most, Horizon: hold})
 	f.cut = shed.New(t.shed())
 	f.spare = shed.NewSpare(part, now)
--- a/fold/fold.go
+++ b/fold/fold.go
@@ -137,10 +137,12 @@
 	Impossible int // sums not believed
 }
 
+// Levels is how many blocks there are beside the own one among so many places.
+func Levels(of int) int { return bits.Len(uint(of - 1)) }
+
 // New begins without a picture.
 func New(t Terms) *Fold {
-	levels := bits.Len(uint(t.Of - 1))
-	f := &Fold{t: t, beside: make([]sum, levels)}
+	f := &Fold{t: t, beside: make([]sum, Levels(t.Of))}
 	f.Forget()
 	return f
 }
--- a/lab/links.go
+++ b/lab/links.go
@@ -12,16 +12,11 @@
 	"time"
 
 	"ivybank/draw"
+	"ivybank/emu"
 )
 
 const peerNet = "127.0.0.4:0"
 
-// Rough is what a link does to datagrams; parts of them.
-type Rough struct {
-	Loss, Double, Garble float64
-	Delay, Spread        int64 // all wait so long, and by chance up to Spread more, so that one may overtake another
-}
-
 // links are those of all pairs.
 type links struct {
 	n      int
@@ -29,8 +24,8 @@
 	conns  [][]*net.UDPConn // [i][j]: what i knows j by
 	mu     sync.Mutex
 	dice   draw.Dice
-	cut    [][]int // by faults, from i to j
-	rough  []Rough // all in force add up
+	cut    [][]int     // by faults, from i to j
+	rough  []emu.Rough // all in force add up
 	sent   []PeerCount
 }
 
@@ -121,10 +116,9 @@
 	s := &l.sent[i]
 	s.Datagrams++
 	s.Bytes += len(b)
-	var all Rough
+	var all emu.Rough
 	for _, r := range l.rough {
-		all.Loss, all.Double, all.Garble = all.Loss+r.Loss, all.Double+r.Double, all.Garble+r.Garble
-		all.Delay, all.Spread = all.Delay+r.Delay, all.Spread+r.Spread
+		all.Add(r)
 	}
 	if l.cut[i][j] > 0 || l.dice.Next() < all.Loss {
 		s.Lost++
@@ -165,7 +159,7 @@
 }
 
 // roughen has all links treat datagrams so until undone.
-func (l *links) roughen(r Rough) (undo func()) {
+func (l *links) roughen(r emu.Rough) (undo func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rough = append(l.rough, r)
--- a/lab/timetable.go
+++ b/lab/timetable.go
@@ -54,7 +54,7 @@
 		}
 	case "datagrams":
 		if r.links != nil {
-			return r.links.roughen(Rough{Loss: x.Loss, Double: x.Double, Garble: x.Garble, Delay: x.Delay, Spread: x.Spread})
+			return r.links.roughen(emu.Rough{Loss: x.Loss, Double: x.Double, Garble: x.Garble, Delay: x.Delay, Spread: x.Spread})
 		}
 	case "unlink":
 		r.unlink(hit, x.Servers, 1)
