--- a/cmd/ivybank/fleet_test.go
+++ b/cmd/ivybank/fleet_test.go
@@ -17,6 +17,16 @@
 
 // rehearse starts so many processes of the program that hear one another through the rig, with a little load to be played.
 func rehearse(t *testing.T, proxies int, length, more string) *lab.Rehearsal {
+	t.Helper()
+	operator, err := filepath.Abs("../../lab/experiments/operator/fleet.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rehearseWith(t, proxies, length, operator, 90, more)
+}
+
+// rehearseWith is the same with another operator file, and so many reqs a second.
+func rehearseWith(t *testing.T, proxies int, length, operator string, rate float64, more string) *lab.Rehearsal {
 	t.Helper()
 	e, err := lab.Read(filepath.Join(t.TempDir(), "e.toml"), fmt.Appendf(nil, `format = "ivybank/experiment/1"
 name = "test"
@@ -42,7 +52,7 @@
 speed = 1.0
 share = 1.0
 [load]
-rate = 90.0 # of 120 that the servers can do
+rate = %.1f # of 120 that the servers can do
 work = "50ms"
 timeout = "3s"
 retries = 3
@@ -62,11 +72,7 @@
 share = 0.5
 [[variant]]
 name = "on"
-%s`, length, proxies, more))
-	if err != nil {
-		t.Fatal(err)
-	}
-	operator, err := filepath.Abs("../../lab/experiments/operator/fleet.toml")
+%s`, length, proxies, rate, more))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -93,7 +93,7 @@
 		return o, s, fmt.Errorf("%s: %w", path, err)
 	}
 	if o.operator = op; op != nil {
-		s.Keys = keysOf(op)
+		s.Keys, s.Return = keysOf(op), returnOf(op)
 	}
 	return o, s, nil
 }
@@ -198,6 +198,14 @@
 	return x
 }
 
+// returnOf is what an operator file sets on coming back.
+func returnOf(o *conf.Operator) *proxy.Return {
+	if x := o.Return; x != nil {
+		return &proxy.Return{Folder: x.Folder, Every: int64(x.Every), Trust: int64(x.Trust)}
+	}
+	return nil
+}
+
 // fleetOf is what an operator file sets on peers, at the addresses that it or the platform's configuration names; nil where neither
 // does, or the settings let proxies not tell one another anything.
 func fleetOf(op *conf.Operator, o orders) (*proxy.Fleet, error) {
@@ -228,6 +236,7 @@
 		return nil, fmt.Errorf("settings: Me=%d: expected a place among the %d peers", me, len(addrs))
 	}
 	f.Terms = x.Terms(me, len(addrs), v.At["Ceilings.Probes"] == "" || v.Bool("Ceilings.Probes"))
+	f.Terms.Learn = op.Learning()
 	if s := x.Probes; s != nil {
 		f.ProbePath, f.ProbeTimeout = s.Path, int64(s.Timeout)
 	}
--- a/conf/fleet_test.go
+++ b/conf/fleet_test.go
@@ -41,3 +41,32 @@
 		}
 	}
 }
+
+func TestReturnOfOperator(t *testing.T) {
+	whole := "format = \"ivybank/operator/1\"\n[fleet]\nname = \"a\"\n[return]\nfolder = \"state\"\nevery = \"1s\"\ntrust = \"30s\"\n[return.learn]\nothers = 3\nfor = \"3s\"\n"
+	check := func(text string) error {
+		o := &Operator{}
+		f, err := Read("o.toml", []byte(text), o)
+		if err != nil {
+			return err
+		}
+		return o.checkReturn(f)
+	}
+	if err := check(whole); err != nil {
+		t.Fatal(err)
+	}
+	for change, want := range map[string]string{
+		"every = \"1s\" -> every = \"1ms\"":   "o.toml:6: return.every: expected 100ms",
+		"trust = \"30s\" -> trust = \"10ms\"": "o.toml:7: return.trust: expected every at the least",
+		"others = 3 -> others = 0":            "o.toml:9: return.learn.others: expected 1 to 16",
+		"for = \"3s\" -> for = \"3h\"":        "o.toml:10: return.learn.for",
+		"[fleet]\nname = \"a\"\n -> ":         "return.learn: expected with a part [fleet]",
+	} {
+		t.Run(change, func(t *testing.T) {
+			from, to, _ := strings.Cut(change, " -> ")
+			if err := check(strings.Replace(whole, from, to, 1)); err == nil || !strings.HasPrefix(err.Error(), want) && !strings.Contains(err.Error(), want) {
+				t.Errorf("got %v, want %s", err, want)
+			}
+		})
+	}
+}
--- a/conf/operator.go
+++ b/conf/operator.go
@@ -35,7 +35,8 @@
 			Retain Duration `toml:"retain"`
 		} `toml:"ruleset"`
 	} `toml:"idempotency"`
-	Fleet *Fleet `toml:"fleet"`
+	Fleet  *Fleet  `toml:"fleet"`
+	Return *Return `toml:"return"`
 }
 
 // LoadOperator reads and checks one.
@@ -57,6 +58,9 @@
 	if err := o.checkKeys(f); err != nil {
 		return nil, err
 	}
+	if err := o.checkReturn(f); err != nil {
+		return nil, err
+	}
 	return o, o.checkFleet(f)
 }
 
--- a/door/door.go
+++ b/door/door.go
@@ -32,6 +32,7 @@
 	Empty              // send the clients away
 	Refill             // take clients again
 	Fleet              // what this process makes of its peers, as JSON
+	Return             // what it came back with, and whether its service is full, as JSON
 )
 
 // Call is one call of an operator.
@@ -59,6 +60,8 @@
 	switch {
 	case path == "/fleet":
 		kinds[http.MethodGet] = Call{Kind: Fleet}
+	case path == "/return":
+		kinds[http.MethodGet] = Call{Kind: Return}
 	case path == "/healthcheck":
 		kinds[http.MethodGet] = Call{Kind: Health}
 	case path == "/healthcheck/fail":
--- a/emu/fleet.go
+++ b/emu/fleet.go
@@ -51,6 +51,12 @@
 	"datagrams":      "datagrams between proxies get lost, late, doubled, overtaken, garbled",
 	"unlink":         "the proxies and the servers do not reach each other",
 	"undiscovered":   "the proxies do not reach discovery",
+	"state_lost":     "what the proxies keep in their state folders is gone",
+	"state_save":     "a copy of the proxies' state folders is put aside",
+	"state_old":      "the proxies' state folders are put back from the copy",
+	"state_cut":      "a file of the proxies' state is cut to a part Size",
+	"state_flip":     "a bit of a file of the proxies' state is turned, by chance",
+	"state_full":     "nothing can be written to the proxies' state folders",
 	"surge":          "Size times as many reqs come",
 	"pour":           "all reqs come to the proxies, the others get none",
 }
--- a/emu/seat.go
+++ b/emu/seat.go
@@ -13,6 +13,7 @@
 	"ivybank/balance"
 	"ivybank/draw"
 	"ivybank/fleet"
+	"ivybank/recall"
 )
 
 // Policy is what decides: the module, or what it is compared with.
@@ -58,6 +59,7 @@
 	Kind  Kind
 	Took  int64
 	Tries int
+	Seat  int // the balancer that was asked
 }
 
 // Seats are the balancers of one run in virtual time.
@@ -77,6 +79,9 @@
 	peers      *Peers         // nil: balancers do not hear one another
 	sets       map[string]int // places of rule sets and tenants
 	tenants    map[string]int
+	make       func(t balance.Terms, now int64) Policy
+	start      []balance.Server // the list that every process is handed at its start
+	keeps      Keeps
 }
 
 type seat struct {
@@ -87,6 +92,13 @@
 	reqs   map[uint64]*asked // emptied when a req has ended and nothing of it is out
 	wake   uint64            // the wake that counts
 	listed bool              // a watch is up
+	life   int               // counts starts: what was due for an earlier process is not done
+	gone   bool
+	terms  balance.Terms
+	list   []balance.Server // as it was last told whole; for what is kept
+	kept   *recall.Memory   // nil: nothing was written down
+	own    []balance.Learnt // what was believed of that at the latest start,
+	begun  int64            // and when that was
 }
 
 // asked is one try of a client at a balancer.
@@ -117,18 +129,15 @@
 // NewSeats puts a policy in each balancer's place; terms are those of the deployment.
 func NewSeats(f *Fleet, c *Virtual, zones []string, t balance.Terms, cl Clients, seed uint64,
 	policy func(t balance.Terms, now int64) Policy, result func(Result)) *Seats {
-	s := &Seats{fleet: f, clock: c, terms: t, clients: cl, result: result, log: sha256.New()}
+	s := &Seats{fleet: f, clock: c, terms: t, clients: cl, result: result, log: sha256.New(), make: policy}
 	s.dice.Seed = seed
+	s.start, _ = f.List()
+	f.Others = s.strike
 	for i, zone := range zones {
 		t.Seed, t.Zone, t.Copies = SeedOf(seed, i), zone, len(zones)
-		st := &seat{Seats: s, id: i, zone: zone, policy: policy(t, c.Now()), reqs: map[uint64]*asked{}}
-		entries, _ := f.List()
-		for _, e := range entries {
-			f.Judge.Told(i, e.ID, e.State)
-		}
-		st.policy.Listed(balance.Restored, entries, c.Now())
+		st := &seat{Seats: s, id: i, zone: zone, terms: t}
 		s.seats = append(s.seats, st)
-		c.At(c.Now(), st.decide)
+		st.begin()
 	}
 	return s
 }
@@ -149,14 +158,9 @@
 		s.tenants[x.Name] = i
 	}
 	s.peers = NewPeers(s.clock, all, seed, false, s.act)
-	var ids []string
-	for _, x := range s.fleet.Servers {
-		ids = append(ids, x.ID)
-	}
 	for i := range s.seats {
-		s.peers.Fleet(i).Servers(ids, s.clock.Now())
+		s.peers.Fleet(i).Servers(s.ids(), s.clock.Now())
 	}
-	s.fleet.Others = s.peers.Strike
 	return s.peers
 }
 
@@ -168,6 +172,12 @@
 		if p, ok := st.policy.(interface{ Advised(balance.Advice) }); ok {
 			p.Advised(a.Advice)
 		}
+	case fleet.Teach:
+		if p, ok := st.policy.(remembers); ok {
+			s.peers.Fleet(i).Answer(a.To, p.Memory(s.clock.Now()).Servers, s.clock.Now())
+		}
+	case fleet.Recall:
+		st.learn(a.Told)
 	case fleet.Probe:
 		srv := s.fleet.Server(a.Server)
 		wait, arrives := s.fleet.Way(st.zone, srv)
@@ -182,8 +192,14 @@
 func (s *Seats) Arrive(at int, a Ask) { s.seats[at%len(s.seats)].try(a, s.clock.Now(), 0) }
 
 func (st *seat) try(a Ask, first int64, tries int) {
-	st.Seats.reqs++
 	now := st.clock.Now()
+	if st.gone { // nobody listens: who has asked before waits in vain, all others have gone with the process beside them
+		if tries > 0 {
+			st.result(Result{a, Unanswered, now - first, tries, st.id})
+		}
+		return
+	}
+	st.Seats.reqs++
 	r := &asked{Ask: a, id: st.Seats.reqs, name: fmt.Sprint(st.Seats.reqs), first: first, taken: now, tries: tries + 1}
 	st.reqs[r.id] = r
 	st.fleet.Judge.Taken(r.name, now+st.clients.Timeout)
@@ -198,7 +214,7 @@
 		if !r.ended { // the judge has it open still: a lost req
 			r.ended = true
 			st.policy.Withdrawn(r.id)
-			st.result(Result{r.Ask, Unanswered, st.clock.Now() - r.first, r.tries})
+			st.result(Result{r.Ask, Unanswered, st.clock.Now() - r.first, r.tries, st.id})
 			st.tidy(r)
 			st.decide()
 		}
@@ -236,7 +252,7 @@
 		}
 		st.clock.At(now+max(1, wait), func() { st.try(r.Ask, r.first, r.tries) })
 	} else {
-		st.result(Result{r.Ask, kind, now - r.first, r.tries})
+		st.result(Result{r.Ask, kind, now - r.first, r.tries, st.id})
 	}
 	st.tidy(r)
 }
@@ -267,7 +283,7 @@
 			st.wake++
 			mine := st.wake
 			st.clock.At(now+d.Time, func() {
-				if st.wake == mine {
+				if st.wake == mine && !st.gone {
 					st.decide()
 				}
 			})
@@ -277,7 +293,11 @@
 
 // watch asks discovery for the list and what changes from then on.
 func (st *seat) watch() {
+	life := st.life
 	st.clock.At(st.clock.Now()+2*st.fleet.Wire.OneWay, func() {
+		if st.life != life || st.gone {
+			return
+		}
 		if st.fleet.Down() {
 			st.policy.Listed(balance.Unavailable, nil, st.clock.Now())
 			st.decide()
@@ -287,7 +307,14 @@
 		st.told(balance.Whole, entries)
 		if !st.listed {
 			st.listed = true
-			st.fleet.Watch(func(e Entry) { st.told(balance.Changes, []balance.Server{e.Server}) }, func() {
+			st.fleet.Watch(func(e Entry) {
+				if st.life == life && !st.gone {
+					st.told(balance.Changes, []balance.Server{e.Server})
+				}
+			}, func() {
+				if st.life != life || st.gone {
+					return
+				}
 				st.listed = false
 				st.policy.Listed(balance.Unavailable, nil, st.clock.Now())
 				st.decide()
@@ -300,6 +327,7 @@
 	for _, e := range entries {
 		st.fleet.Judge.Told(st.id, e.ID, e.State)
 	}
+	st.note(form, entries)
 	st.policy.Listed(form, entries, st.clock.Now())
 	st.decide()
 }
--- a/fade/fade.go
+++ b/fade/fade.go
@@ -17,4 +17,7 @@
 }
 
 // Add counts one more.
-func (c *Count) Add(now, span int64) { c.N = c.Now(now, span) + 1 }
+func (c *Count) Add(now, span int64) { c.Put(1, now, span) }
+
+// Put counts an amount more, or less where it is below 0.
+func (c *Count) Put(x float64, now, span int64) { c.N = c.Now(now, span) + x }
--- a/fade/keys.go
+++ b/fade/keys.go
@@ -20,6 +20,33 @@
 	return max(0, c.N-2*math.Sqrt(c.N)) / k.all.N
 }
 
+// Part is one place of a table of keys, as it is handed on.
+type Part struct {
+	_     struct{} `cbor:",toarray"`
+	Place int
+	N     float64
+}
+
+// Parts gives the places that count.
+func (k *Keys) Parts(now, span int64) (all []Part) {
+	for i := range k.at {
+		if n := k.at[i].Now(now, span); n >= 1 {
+			all = append(all, Part{Place: i, N: n})
+		}
+	}
+	return all
+}
+
+// Recall counts parts that were handed on, on top of what is there. Those of another form are left out.
+func (k *Keys) Recall(parts []Part, now int64) {
+	for _, p := range parts {
+		if p.Place >= 0 && p.Place < len(k.at) && p.N > 0 && p.N < 1e9 {
+			k.at[p.Place] = Count{N: k.at[p.Place].N + p.N, At: max(now, k.at[p.Place].At)}
+			k.all = Count{N: k.all.N + p.N, At: max(now, k.all.At)}
+		}
+	}
+}
+
 // Mean is the mean of the latest values.
 type Mean struct{ V, n float64 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"ivybank/fade"
 	"ivybank/fold"
 	"ivybank/peer"
+	"ivybank/recall"
 	"ivybank/shed"
 	"ivybank/swim"
 )
@@ -55,6 +56,7 @@
 	MaxAdvice int64   // the longest wait that a client honours, 0 where none is advised
 	Overload  *Overload
 	Probes    *duty.Terms
+	Learn     *Learn // nil: a returner asks nobody, and nobody is taught
 }
 
 // Overload is what operators set on shedding as one.
@@ -72,6 +74,8 @@
 	Probe              // ask a server whether it is well, and tell Probed
 	Advise             // the module's advice has changed
 	Tell               // a line for the log
+	Recall             // Told is what was learnt of others so far
+	Teach              // one that comes back asks: Answer it with what the module holds
 )
 
 // Action is one thing for the host to do. Only the fields of its kind are set.
@@ -83,6 +87,7 @@
 	Advice   balance.Advice
 	Text     string
 	Fields   map[string]any
+	Told     []recall.Told
 	due      bool // a sum at its time, which has a part of the datagrams for itself
 }
 
@@ -102,6 +107,7 @@
 	spare *shed.Spare
 	round *duty.Roster // nil: no probes
 	wary  wary
+	learn learn
 	todo  []Action // emptied by Next
 	dice  draw.Dice
 
@@ -141,6 +147,7 @@
 	f.fold = fold.New(fold.Terms{Me: t.Me, Of: t.Of, Most: most, Horizon: hold})
 	f.cut = shed.New(t.shed())
 	f.spare = shed.NewSpare(part, now)
+	f.learn = begin(t, now)
 	if t.Probes != nil {
 		f.round = duty.New(*t.Probes, t.Me, t.Seed^2)
 	}
@@ -183,7 +190,7 @@
 		f.offered[class].Add(now, rateSpan)
 	}
 	if known && past.lacked {
-		f.lacked.N = f.lacked.Now(now, rateSpan) - math.Exp(-float64(now-past.at)/float64(rateSpan)) // not lost yet
+		f.lacked.Put(-math.Exp(-float64(now-past.at)/float64(rateSpan)), now, rateSpan) // not lost yet
 		past.lacked = false
 	}
 	if f.cut.Lets(class, luck) {
@@ -220,7 +227,7 @@
 		return
 	case balance.Served:
 		f.wary.served(server, now)
-		f.took.N = f.took.Now(now, rateSpan) + float64(took)/float64(sec) // without what the req waited here: servers alone say what they bear
+		f.took.Put(float64(took)/float64(sec), now, rateSpan) // without what the req waited here: servers alone say what they bear
 		return
 	case balance.Refused:
 		f.refused.Add(now, rateSpan)
@@ -261,6 +268,7 @@
 	f.Count.Heard++
 	f.swim.Heard(d, now)
 	f.fold.Heard(d.Sums, now)
+	f.lesson(d, now)
 	for _, h := range d.Hints {
 		if h.By < f.t.Of && h.By != f.t.Me && f.swim.Alive(h.By) {
 			if id, at, probe := f.wary.heard(h, now); probe && f.round != nil {
@@ -307,6 +315,7 @@
 			f.todo = append(f.todo, Action{Kind: Probe, Server: id})
 		}
 	}
+	f.ask(now)
 	if now >= f.adviseAt {
 		f.adviseAt = now + adviseEvery
 		f.advise(now)
@@ -390,6 +399,7 @@
 		from, to := f.fold.Beside(f.level)
 		if who := f.oneOf(from, to); who >= 0 {
 			d, room := f.swim.Datagram(peer.Push)
+			f.mark(&d, &room)
 			f.fill(&d, &room, f.level, now)
 			f.todo = append(f.todo, Action{Kind: Send, To: who, Datagram: d, due: true})
 			return
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -248,6 +248,7 @@
 // A process that did not run for seconds takes nothing that waited for it, and holds neither the cut nor the picture from before.
 func TestStoodStill(t *testing.T) {
 	m := newMesh(3)
+	m.run(2*sec, m.load(1, 1, 1000))
 	m.run(3*sec, m.load(4, 1, 20))
 	f := m.members[1]
 	if !f.cut.On {
--- a/fleet/wary.go
+++ b/fleet/wary.go
@@ -67,6 +67,14 @@
 	w.servers = next
 }
 
+// id is the server that a hash stands for; "" where none does, or more than one.
+func (w *wary) id(hash uint32) string {
+	if i, ok := w.hashes[hash]; ok && i >= 0 {
+		return w.servers[i].id
+	}
+	return ""
+}
+
 func (w *wary) find(id string) *met {
 	i, had := slices.BinarySearchFunc(w.servers, id, func(m met, id string) int { return cmp.Compare(m.id, id) })
 	if !had {
--- a/holds/holds.go
+++ b/holds/holds.go
@@ -117,6 +117,23 @@
 	return t.copy(), err
 }
 
+// Restore takes a newer table that was kept elsewhere, as when the file was lost; false where this one is no older.
+func (s *Store) Restore(t Table) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.Version <= s.table.Version {
+		return false
+	}
+	if s.table = t.copy(); s.table.Hosts == nil {
+		s.table.Hosts = map[string]Hold{}
+	}
+	if unlock, err := s.lock(); err == nil {
+		_ = s.write(s.table)
+		unlock()
+	}
+	return true
+}
+
 // lock keeps the other process from changing the file between our reading and writing it.
 func (s *Store) lock() (unlock func(), err error) {
 	f, err := os.OpenFile(s.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
--- a/lab/clients.go
+++ b/lab/clients.go
@@ -50,6 +50,7 @@
 		number := n
 		asks.Go(func() {
 			if x, asked := r.ask(client, r.procs[at%len(r.procs)], number, a, due); asked {
+				x.Seat = at
 				results <- x
 			}
 		})
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -211,10 +211,11 @@
 		sized := slices.Contains([]string{"slow", "errors", "reset", "lossy", "late", "surge", "proxy_starve"}, x.Kind)
 		rules = append(rules, conf.Rule{!known, p + "kind", "no such kind of fault"}, conf.Rule{sized && x.Size <= 0, p + "size", "expected a number above 0"},
 			conf.Rule{x.Kind == "cut" && x.Zone == "", p + "zone", "expected the zone that is cut off"},
-			conf.Rule{e.Mode == "virtual" && (strings.HasPrefix(x.Kind, "proxy_") || strings.HasPrefix(x.Kind, "un")), p + "kind", "only on sockets is there a proxy to kill or cut off"},
+			conf.Rule{e.Mode == "virtual" && (strings.HasPrefix(x.Kind, "proxy_") && x.Kind != "proxy_kill" || strings.HasPrefix(x.Kind, "un") || strings.HasPrefix(x.Kind, "state_")), p + "kind", "only on sockets is there a proxy to kill or cut off"},
 			conf.Rule{slices.ContainsFunc(x.Proxies, func(i int) bool { return i < 0 || i >= e.Fleet.Balancers }), p + "proxies", "expected places below balancers"},
 			conf.Rule{!slices.Contains([]string{"", "out", "in"}, x.Way), p + "way", "expected out or in"},
 			conf.Rule{x.Kind == "pour" && len(x.Proxies) == 0, p + "proxies", "expected one at least"},
+			conf.Rule{x.Kind == "state_cut" && (x.Size < 0 || x.Size >= 1), p + "size", "expected a part from 0 to below 1"},
 			conf.Rule{x.Kind == "proxy_starve" && x.Size >= 1, p + "size", "expected a part below 1"})
 	}
 	variants := map[string]bool{}
--- a/lab/process.go
+++ b/lab/process.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"ivybank/fleet"
+	"ivybank/recall"
 )
 
 // process is a client proxy that can be killed, started again and stopped for a while.
@@ -163,11 +164,23 @@
 
 // view is what a proxy tells of its fleet at its door.
 func (x *process) view() (v fleet.Status, ok bool) {
-	a, err := doorClient.Get("http://" + x.door + "/fleet")
+	ok = x.tells("/fleet", &v)
+	return v, ok
+}
+
+// returned is what it tells there of its coming back.
+func (x *process) returned() (v recall.Status, ok bool) {
+	ok = x.tells("/return", &v)
+	return v, ok
+}
+
+// tells asks a proxy at its door; false where it says nothing.
+func (x *process) tells(path string, v any) bool {
+	a, err := doorClient.Get("http://" + x.door + path)
 	if err != nil {
-		return v, false
+		return false
 	}
 	defer a.Body.Close()
 	text, err := io.ReadAll(a.Body)
-	return v, err == nil && a.StatusCode == http.StatusOK && json.Unmarshal(text, &v) == nil
+	return err == nil && a.StatusCode == http.StatusOK && json.Unmarshal(text, v) == nil
 }
--- a/lab/rehearsal.go
+++ b/lab/rehearsal.go
@@ -3,14 +3,21 @@
 // This file owns runs whose faults are chosen as they go: what a test starts, strikes and asks. It must never judge.
 
 import (
+	"fmt"
 	"net"
+	"net/http"
+	"time"
 
 	"ivybank/emu"
 	"ivybank/fleet"
+	"ivybank/recall"
 )
 
 // Rehearsal is proxies as processes between stand-ins, with every link between two of them through the rig.
-type Rehearsal struct{ r *rig }
+type Rehearsal struct {
+	r    *rig
+	asks int
+}
 
 // Begin starts the proxies of one variant and waits until all are ready. End ends them.
 func Begin(e *Experiment, v Variant, seed uint64) (*Rehearsal, error) {
@@ -19,7 +26,7 @@
 		r.end()
 		return nil, err
 	}
-	return &Rehearsal{r}, nil
+	return &Rehearsal{r: r}, nil
 }
 
 // End ends all processes and stand-ins.
@@ -35,6 +42,48 @@
 // View is what a proxy tells of its fleet at its door; false where it says nothing.
 func (x *Rehearsal) View(proxy int) (fleet.Status, bool) { return x.r.procs[proxy].view() }
 
+// Returned is what a proxy tells of its coming back; false where it says nothing.
+func (x *Rehearsal) Returned(proxy int) (recall.Status, bool) { return x.r.procs[proxy].returned() }
+
+// Folder is that in which a proxy runs, with its state folder.
+func (x *Rehearsal) Folder(proxy int) string { return x.r.procs[proxy].folder }
+
+// ProxySentSince is how many dispatches of a proxy have come to a server from a time of the play on.
+func (x *Rehearsal) ProxySentSince(proxy int, from time.Duration, server string) (n int) {
+	x.r.clock.Do(func() {
+		for _, at := range x.r.met.to[proxy][server] {
+			if at >= x.r.played+int64(from) {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// SentSince is the same of all proxies.
+func (x *Rehearsal) SentSince(from time.Duration, server string) (n int) {
+	for i := range x.r.procs {
+		n += x.ProxySentSince(i, from, server)
+	}
+	return n
+}
+
+// Ask has a client ask a proxy once, with an idempotency key; it gives the answer's status and what it says of the key.
+func (x *Rehearsal) Ask(proxy int, ruleSet, header, key string) (status int, outcome string) {
+	x.asks++
+	q, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/api?key=%s", x.r.procs[proxy].listen, key), nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	q.Header = http.Header{"Request-Id": {fmt.Sprint("ask-", x.asks)}, "Request-Class": {ruleSet}, "Request-Timeout": {"2.000"}, "Request-Info": {"CostGuessNs=1000000"}, header: {key}}
+	a, err := doorClient.Do(q)
+	if err != nil {
+		return 0, err.Error()
+	}
+	_ = a.Body.Close()
+	return a.StatusCode, a.Header.Get("Idempotency-Outcome")
+}
+
 // Probes is how many probes have come to each server, by its id.
 func (x *Rehearsal) Probes() map[string]int {
 	all := map[string]int{}
--- a/lab/report.go
+++ b/lab/report.go
@@ -59,6 +59,46 @@
 	Micro                             float64 // microseconds of processor time for each try of a client
 	PerAsk, Further                   float64 // dispatches for each ask, and beyond the first of a try for each of these
 	Crashes                           int
+	Return                            *ReturnSummary // nil: nobody was killed
+}
+
+// ReturnSummary is what became of mass restarts over all seeds. Full is in seconds from the kill.
+type ReturnSummary struct {
+	Before, After                            float64 // medians
+	Full, FullWorst                          float64 // of the fleet
+	EachMedian, EachWorst                    float64 // of single proxies
+	Never                                    int     // proxies, over all runs, whose service was not full again
+	Discovery, DiscoveryCalm, Conns, ConCalm float64 // the most in any run
+}
+
+// returns sums up those of several runs.
+func returns(runs []*Return) *ReturnSummary {
+	if len(runs) == 0 {
+		return nil
+	}
+	s := &ReturnSummary{}
+	var before, after, full, each []float64
+	never := func(x float64) float64 {
+		if x < 0 {
+			return math.Inf(1)
+		}
+		return x
+	}
+	for _, r := range runs {
+		before, after, full = append(before, r.Before), append(after, r.After), append(full, never(r.Full))
+		for _, x := range r.Each {
+			if each = append(each, never(x)); x < 0 {
+				s.Never++
+			}
+		}
+		s.Discovery, s.DiscoveryCalm = max(s.Discovery, r.Discovery), max(s.DiscoveryCalm, r.DiscoveryCalm)
+		s.Conns, s.ConCalm = max(s.Conns, r.Conns), max(s.ConCalm, r.ConnsCalm)
+	}
+	s.Before, s.After, s.Full, s.FullWorst = median(before), median(after), median(full), slices.Max(full)
+	if len(each) > 0 {
+		s.EachMedian, s.EachWorst = median(each), slices.Max(each)
+	}
+	return s
 }
 
 // Summaries works out each variant's.
@@ -66,6 +106,7 @@
 	for _, v := range r.Variants {
 		s := Summary{Variant: v}
 		var service, p50, p90, p99, denied, aborted, best, inverted, recovered, perAsk, further, micro []float64
+		var back []*Return
 		for _, f := range r.Runs {
 			if f.Variant != v {
 				continue
@@ -82,6 +123,9 @@
 			service, p50, p90, p99 = append(service, f.Service), append(p50, f.P50), append(p90, f.P90), append(p99, f.P99)
 			asks := float64(max(1, f.Asks))
 			best, inverted, recovered = append(best, f.Best), append(inverted, f.Inverted), append(recovered, f.Recovered)
+			if f.Return != nil {
+				back = append(back, f.Return)
+			}
 			micro = append(micro, f.Processor*1e6/max(1, asks*f.Tries))
 			perAsk = append(perAsk, float64(f.Sends)/asks)
 			further = append(further, float64(f.Sends)/float64(max(1, f.Dispatched))-1)
@@ -95,6 +139,7 @@
 			s.Micro = median(micro)
 			s.PerAsk, s.Further = median(perAsk), median(further)
 		}
+		s.Return = returns(back)
 		all = append(all, s)
 	}
 	return all
@@ -175,7 +220,8 @@
 func (r *Result) runs(w io.Writer) error {
 	rows := [][]string{{"experiment", "mode", "commit", "seed", "variant", "asks", "done", "denied", "aborted", "unanswered", "service",
 		"p50_ms", "p90_ms", "p99_ms", "tries", "executions", "breaches_1", "breaches_2", "breaches_3", "breaches_4", "cold_strain",
-		"decisions", "late_ms", "bad_rows", "best", "inverted", "recovered_s", "sends", "dispatched", "probes_most", "datagrams_most", "bytes_most", "crashes", "unusable"}}
+		"decisions", "late_ms", "bad_rows", "best", "inverted", "recovered_s", "sends", "dispatched", "probes_most", "datagrams_most", "bytes_most", "crashes", "unusable",
+		"before_kill", "after_kill", "full_s", "full_each_s", "full_each_worst_s", "discovery_calls_most", "conns_most", "conns_calm"}}
 	for _, f := range r.Runs {
 		rows = append(rows, []string{r.Experiment, r.Mode, r.Commit, strconv.FormatUint(f.Seed, 10), f.Variant, strconv.Itoa(f.Asks),
 			strconv.Itoa(f.Done), strconv.Itoa(f.Denied), strconv.Itoa(f.Aborted), strconv.Itoa(f.Unanswered), num(f.Service), num(f.P50),
@@ -184,6 +230,14 @@
 			num(f.Best), num(f.Inverted), num(f.Recovered), strconv.Itoa(f.Sends), strconv.Itoa(f.Dispatched), strconv.Itoa(f.probesMost()),
 			strconv.Itoa(f.peersMost(func(c PeerCount) int { return c.Datagrams })), strconv.Itoa(f.peersMost(func(c PeerCount) int { return c.Bytes })),
 			strconv.Itoa(f.Crashes), f.Unusable})
+		if x := f.Return; x != nil {
+			one := returns([]*Return{x})
+			for _, y := range []float64{x.Before, x.After, x.Full, one.EachMedian, one.EachWorst, x.Discovery, x.Conns, x.ConnsCalm} {
+				rows[len(rows)-1] = append(rows[len(rows)-1], num(y))
+			}
+		} else {
+			rows[len(rows)-1] = append(rows[len(rows)-1], make([]string, 8)...)
+		}
 	}
 	return table(w, rows)
 }
@@ -287,6 +341,7 @@
 		}
 		fmt.Fprintln(w)
 	}
+	r.returnTable(w)
 	if r.Mode != "processes" {
 		return
 	}
@@ -295,3 +350,18 @@
 		fmt.Fprintf(w, "%-14s %7.3f %8.1f%% %12.2f %8.3f %8.3f %9d %9.0f\n", s.Variant, s.Best, 100*s.Inverted, s.Recovered, s.PerAsk, s.Further, s.Crashes, s.Micro)
 	}
 }
+
+// returnTable prints what became of mass restarts, where there were any.
+func (r *Result) returnTable(w io.Writer) {
+	for i, s := range r.Summaries() {
+		x := s.Return
+		if x == nil {
+			return
+		}
+		if i == 0 {
+			fmt.Fprintf(w, "%-14s %7s %7s %7s %7s %9s %9s %6s %16s %16s\n", "", "before", "10 s", "full s", "worst", "each med", "worst", "never", "lists a s (calm)", "conns a s (calm)")
+		}
+		fmt.Fprintf(w, "%-14s %7.3f %7.3f %7.2f %7.2f %9.2f %9.2f %6d %9.0f (%4.0f) %9.0f (%4.0f)\n", s.Variant, x.Before, x.After, x.Full, x.FullWorst, x.EachMedian, x.EachWorst,
+			x.Never, x.Discovery, x.DiscoveryCalm, x.Conns, x.ConCalm)
+	}
+}
--- a/lab/run.go
+++ b/lab/run.go
@@ -52,6 +52,7 @@
 	Processor  float64            // seconds that all proxies used, where none was started again
 	Crashes    int                // proxies that have ended by themselves
 	Quarters   []float64          // service by quarters of a second
+	Return     *Return            // nil: nobody was killed
 	Classes    map[string]float64 // service by rule set
 }
 
@@ -63,7 +64,8 @@
 	good, asked float64
 	tries       int
 	line        [][2]float64 // value answered in time and asked for, by second
-	quarters    [][2]float64 // the same by quarters of a second
+	quarters    worth        // the same by quarters of a second,
+	seats       []worth      // and by proxy
 	windows     []window     // by 100 ms
 	classes     map[string][2]float64
 }
@@ -77,7 +79,7 @@
 }
 
 func newMeasure(e *Experiment, f *Figures) *measure {
-	return &measure{e: e, figures: f, took: hdrhistogram.New(1, 600e6, 3), classes: map[string][2]float64{}}
+	return &measure{e: e, figures: f, took: hdrhistogram.New(1, 600e6, 3), classes: map[string][2]float64{}, seats: make([]worth, max(1, e.Fleet.Balancers))}
 }
 
 // add takes what became of one ask.
@@ -96,14 +98,12 @@
 	for len(m.line) <= second {
 		m.line = append(m.line, [2]float64{})
 	}
-	quarter, tenth := int(r.At/250e6), int(r.At/100e6)
-	for len(m.quarters) <= quarter {
-		m.quarters = append(m.quarters, [2]float64{})
-	}
+	tenth := int(r.At / 100e6)
 	for len(m.windows) <= tenth {
 		m.windows = append(m.windows, window{})
 	}
-	m.quarters[quarter][0], m.quarters[quarter][1] = m.quarters[quarter][0]+intime, m.quarters[quarter][1]+value
+	m.quarters.add(r.At, intime, value)
+	m.seats[r.Seat%len(m.seats)].add(r.At, intime, value)
 	w := &m.windows[tenth]
 	w.asked = append(w.asked, value)
 	switch {
@@ -168,6 +168,7 @@
 		f.Classes[name] = x[0] / max(1e-9, x[1])
 	}
 	f.Recovered = m.recovered()
+	f.Return = m.returned()
 	f.Breaches, f.Strain, f.Notes, f.Begun = j.Breaches, j.Strain, j.Notes, j.Begun
 }
 
@@ -222,13 +223,7 @@
 	if last == 0 {
 		return 0
 	}
-	mean := func(from, to int) float64 {
-		good, all := 0.0, 0.0
-		for _, x := range m.quarters[min(from, len(m.quarters)):min(to, len(m.quarters))] {
-			good, all = good+x[0], all+x[1]
-		}
-		return good / max(1e-9, all)
-	}
+	mean := m.quarters.mean
 	calm := mean(int(int64(m.e.Warm)/250e6), int(first/250e6))
 	for q := int(last / 250e6); q < len(m.quarters); q++ {
 		if mean(q, q+4) >= 0.95*calm {
@@ -290,16 +285,26 @@
 	return f, nil
 }
 
-// meet has the balancers of a variant hear one another, where it names an operator file with a fleet.
+// meet has the balancers of a variant hear one another and keep what they learn, as its operator file says.
 func (e *Experiment) meet(v Variant, s *emu.Seats, seed uint64) (*emu.Peers, error) {
 	if v.Operator == "" {
 		return nil, nil
 	}
 	o, err := conf.LoadOperator(e.beside(v.Operator))
-	if err != nil || o.Fleet == nil {
+	if err != nil {
 		return nil, err
 	}
-	return s.Meet(seed, func(me, of int) fleet.Terms { return o.Fleet.Terms(me, of, true) }), nil
+	if r := o.Return; r != nil && r.Folder != "" {
+		s.Keep(emu.Keeps{Every: int64(r.Every), Trust: int64(r.Trust)})
+	}
+	if o.Fleet == nil {
+		return nil, nil
+	}
+	return s.Meet(seed, func(me, of int) fleet.Terms {
+		t := o.Fleet.Terms(me, of, true)
+		t.Learn = o.Learning()
+		return t
+	}), nil
 }
 
 // tell gives what members have sent and what they see at the end.
--- a/lab/sockets.go
+++ b/lab/sockets.go
@@ -34,6 +34,7 @@
 	fleet         *emu.Fleet
 	ctx           context.Context
 	cancel        context.CancelFunc
+	played        int64 // when the load began; within the clock's lock
 	wait          sync.WaitGroup
 	addrs         [][]string // by proxy and server
 	mu            sync.Mutex
@@ -59,12 +60,23 @@
 	sends  int             // dispatches
 	reqs   map[string]bool // ids that came; emptied with the run
 	probes map[string]int  // by server
+	to     []arrivals      // dispatches by proxy, and server
+	calls  arrivals        // at discovery, all in one
+	conns  arrivals        // new connections, by server
+}
+
+func newMet(proxies int) met {
+	m := met{reqs: map[string]bool{}, probes: map[string]int{}, calls: arrivals{}, conns: arrivals{}}
+	for range proxies {
+		m.to = append(m.to, arrivals{})
+	}
+	return m
 }
 
 func newRig(e *Experiment, seed uint64) *rig {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &rig{e: e, terms: e.terms(), clock: emu.NewWall(), ctx: ctx, cancel: cancel, open: map[net.Conn]string{},
-		met: met{reqs: map[string]bool{}, probes: map[string]int{}}}
+		met: newMet(e.Fleet.Balancers)}
 	r.fails.discovery, r.fails.servers = make([]int, e.Fleet.Balancers), make([]map[string]int, e.Fleet.Balancers)
 	r.dice.Seed = seed ^ 0xfa17
 	for i := range r.fails.servers {
@@ -105,7 +117,8 @@
 	}
 	defer l.close()
 	r.clock.Do(func() {
-		r.met = met{reqs: map[string]bool{}, probes: map[string]int{}}
+		r.met = newMet(r.e.Fleet.Balancers)
+		r.played = r.clock.Now()
 		err = r.fleet.Schedule(r.e.faults())
 	})
 	if err != nil {
@@ -122,6 +135,7 @@
 		r.fleet.Judge.Close()
 		m.close(r.fleet.Judge)
 		f.Sends, f.Dispatched, f.Probes = r.met.sends, len(r.met.reqs), r.met.probes
+		f.Return.peaks(r.e, r.met, r.played)
 	})
 	if r.links != nil {
 		f.Peers = r.links.counts()
--- a/lab/standins.go
+++ b/lab/standins.go
@@ -73,6 +73,7 @@
 		r.mu.Lock()
 		r.open[c] = fmt.Sprint(s.ID, " ", proxy)
 		r.mu.Unlock()
+		r.clock.Do(func() { r.met.conns[s.ID] = append(r.met.conns[s.ID], r.clock.Now()) })
 		r.wait.Go(func() {
 			r.serve(proxy, s, c)
 			r.mu.Lock()
@@ -136,6 +137,7 @@
 			}
 			r.fleet.Judge.Sent(proxy, s.ID, id)
 			r.met.sends++
+			r.met.to[proxy][s.ID] = append(r.met.to[proxy][s.ID], sent)
 			r.met.reqs[id] = true
 			if _, arrives := r.fleet.Way(r.e.zone(proxy), s); arrives {
 				s.Offer(job)
@@ -250,8 +252,9 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		lines := make(chan []byte, 1024)
 		ended := make(chan bool)
-		down := false
+		down, gone := false, false
 		r.clock.Do(func() {
+			r.met.calls[""] = append(r.met.calls[""], r.clock.Now())
 			if down = r.fleet.Down() || r.fails.discovery[proxy] > 0; down {
 				return
 			}
@@ -261,6 +264,9 @@
 				r.fleet.Judge.Told(proxy, s.ID, s.State)
 			}
 			r.fleet.Watch(func(e emu.Entry) {
+				if gone { // its connection has ended: it is told nothing
+					return
+				}
 				select {
 				case lines <- r.line(proxy, false, e.Version, []balance.Server{e.Server}):
 					r.fleet.Judge.Told(proxy, e.Server.ID, e.Server.State)
@@ -272,6 +278,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		defer r.clock.Do(func() { gone = true })
 		for {
 			var line []byte
 			select {
--- /dev/null
+++ b/lab/state.go
@@ -0,0 +1,82 @@
+package lab
+
+// This file owns what befalls the state folders of proxies: emptied, cut short, a bit turned, full, put back from an older copy. It must
+// never touch a folder that a rig has not made.
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"ivybank/emu"
+)
+
+const (
+	stateFolder = "state"               // that an experiment's operator files name: in the folder that a proxy runs in
+	savedFolder = "state.saved"         // the copy
+	blockName   = "memory.snap.new"     // where a snapshot is written; a folder in its place stops that
+	endWait     = 50 * time.Millisecond // so long a process that was just killed may take to end
+)
+
+func (x *process) state() string { return filepath.Join(x.folder, stateFolder) }
+
+// harm does what befalls a proxy's state. One that was killed in the same instant has ended before.
+func (r *rig) harm(p *process, x emu.Fault) {
+	luck := r.dice.Next()
+	r.wait.Go(func() {
+		select {
+		case <-p.ended:
+		case <-time.After(endWait):
+		}
+		state, saved := p.state(), filepath.Join(p.folder, savedFolder)
+		switch x.Kind {
+		case "state_lost":
+			_ = os.RemoveAll(state)
+		case "state_save":
+			_ = os.RemoveAll(saved)
+			copyFolder(state, saved)
+		case "state_old":
+			_ = os.RemoveAll(state)
+			copyFolder(saved, state)
+		case "state_full":
+			_ = os.RemoveAll(filepath.Join(state, blockName))
+			_ = os.MkdirAll(filepath.Join(state, blockName, "full"), 0o700)
+		case "state_cut", "state_flip":
+			for _, f := range files(state) {
+				b, err := os.ReadFile(f)
+				if err != nil || len(b) == 0 {
+					continue
+				}
+				if x.Kind == "state_cut" {
+					b = b[:int(x.Size*float64(len(b)))]
+				} else {
+					at := int(luck * float64(8*len(b)))
+					b[at/8] ^= 1 << (at % 8)
+				}
+				_ = os.WriteFile(f, b, 0o600)
+			}
+		}
+	})
+}
+
+// files are those of a folder, in order.
+func files(folder string) (all []string) {
+	entries, _ := os.ReadDir(folder)
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			all = append(all, filepath.Join(folder, e.Name()))
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+func copyFolder(from, to string) {
+	_ = os.MkdirAll(to, 0o700)
+	for _, f := range files(from) {
+		if b, err := os.ReadFile(f); err == nil {
+			_ = os.WriteFile(filepath.Join(to, filepath.Base(f)), b, 0o600)
+		}
+	}
+}
--- a/lab/timetable.go
+++ b/lab/timetable.go
@@ -4,6 +4,8 @@
 // ends undoes what it did alone. Called within the clock's lock, it must never wait.
 
 import (
+	"os"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -56,6 +58,17 @@
 		if r.links != nil {
 			return r.links.roughen(emu.Rough{Loss: x.Loss, Double: x.Double, Garble: x.Garble, Delay: x.Delay, Spread: x.Spread})
 		}
+	case "state_lost", "state_save", "state_old", "state_cut", "state_flip", "state_full":
+		for _, i := range hit {
+			r.harm(r.procs[i], x)
+		}
+		if x.Kind == "state_full" {
+			return func() {
+				for _, i := range hit {
+					_ = os.RemoveAll(filepath.Join(r.procs[i].state(), blockName))
+				}
+			}
+		}
 	case "unlink":
 		r.unlink(hit, x.Servers, 1)
 		return func() { r.unlink(hit, x.Servers, -1) }
--- a/once/once.go
+++ b/once/once.go
@@ -80,6 +80,7 @@
 	Conflict             // the key stands for something else
 	Full                 // there is no room: try again later
 	TooLong              // the key's name is
+	Lost                 // keys of before were lost, and it may be one of them
 )
 
 // Verdict is what a req is to do.
@@ -95,6 +96,7 @@
 	due     dues           // those that have ended, the first to be forgotten first
 	answers int64          // bytes of kept answers
 	sealed  bool           // a key that is not known may have run all the same
+	lost    int64          // since when that holds for as long as keys are kept; 0: it does not
 }
 
 // New makes a book without keys.
@@ -109,6 +111,9 @@
 // Seal refuses all keys that are not known: one of them may be among what was lost.
 func (b *Book) Seal() { b.sealed = true }
 
+// Lose refuses keys that are not known for as long as one that has just begun is kept: newer ones than all that are known have been lost.
+func (b *Book) Lose(now int64) { b.lost = max(1, now) }
+
 // Len is how many keys are held.
 func (b *Book) Len() int { return len(b.entries) }
 
@@ -128,6 +133,8 @@
 	case e != nil:
 		e.wait = append(e.wait, waiter)
 		return Verdict{Join, e}
+	case b.lost > 0 && now < b.lost+b.t.Retain[k.RuleSet]:
+		return Verdict{Kind: Lost}
 	case b.sealed || len(b.entries) >= b.t.Most:
 		return Verdict{Kind: Full}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -21,7 +21,7 @@
 	head = 5 // version and the fleet's name as a number
 	tail = 4 // checksum
 	// What the parts of a datagram take at the most, in bytes; Pack goes by them.
-	baseSize, newsSize, sumSize, hintSize = 44, 28, 16, 20
+	baseSize, newsSize, sumSize, hintSize, beliefSize, markSize = 44, 28, 16, 20, 22, 10
 )
 
 // Kind is what a datagram asks or answers.
@@ -35,6 +35,8 @@
 	Ask               // asks to ping About on the sender's behalf
 	Nack              // About has not answered the one that was asked
 	Leave             // the sender ends
+	Want              // the sender has just begun, and asks what servers are worth
+	Teach             // answers a Want with what the sender has met itself
 	kinds
 )
 
@@ -91,6 +93,20 @@
 	seens
 )
 
+// Belief is what one member holds of a server's process, by what it has met there itself.
+type Belief struct {
+	_      struct{} `cbor:",toarray"`
+	Server uint32   // hash of its id
+	Since  uint32   // the low bits of its start in milliseconds, see Start
+	Health uint8    // in hundredths
+	Left   uint16   // hundredths of a second of its ejection; 0: it is in use
+	Drains bool     // as the list told it
+	Age    uint16   // hundredths of a second since it was last met
+}
+
+// Start is a server's start as it stands on the wire.
+func Start(since int64) uint32 { return uint32(since / 1e6) }
+
 // Datagram is one message.
 type Datagram struct {
 	From  int    `cbor:"1,keyasint"`
@@ -102,6 +118,9 @@
 	News  []News `cbor:"7,keyasint,omitempty"`
 	Sums  []Sum  `cbor:"8,keyasint,omitempty"`
 	Hints []Hint `cbor:"9,keyasint,omitempty"`
+
+	Beliefs []Belief `cbor:"10,keyasint,omitempty"` // Teach
+	Mark    uint64   `cbor:"11,keyasint,omitempty"` // Unix ms of the newest idempotency key; Teach: as the one that asks had told it
 }
 
 // The reasons for which a datagram is dropped.
@@ -176,6 +195,9 @@
 	for _, s := range d.Sums {
 		ok = ok && s.Block >= 0 && s.Of > 0 && s.Level < 32
 	}
+	for _, b := range d.Beliefs {
+		ok = ok && b.Health <= 100
+	}
 	for _, h := range d.Hints {
 		ok = ok && h.By >= 0 && h.What < seens
 	}
@@ -206,6 +228,12 @@
 // Hint is the same for a hint.
 func (r *Room) Hint() bool { return r.Take(hintSize) }
 
+// Belief is the same for a belief.
+func (r *Room) Belief() bool { return r.Take(beliefSize) }
+
+// Mark is the same for a mark.
+func (r *Room) Mark() bool { return r.Take(markSize) }
+
 // Hundredths gives a time in ns as it stands on the wire, the longest where it is longer. It is rounded up: what is passed on from one to
 // another must not look fresher each time.
 func Hundredths(ns int64) uint16 { return uint16(min(max(0, (ns+1e7-1)/1e7), 1<<16-1)) }
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -47,6 +47,7 @@
 	Keys              *Keys      // nil: no idempotency keys
 	Seat              *twin.Seat // nil where there is no folder to meet in
 	Fleet             *Fleet     // nil: no peers are heard
+	Return            *Return    // nil: nothing is written down, nor asked of others
 }
 
 // Proxy is one running client proxy. Everything but the event queue belongs to the owner loop.
@@ -73,6 +74,7 @@
 	drain     drain
 	keys      *keys           // nil: none
 	peers     *peers          // nil: none are heard
+	comeback  *comeback       // nil: it is not set
 	deaf      bool            // they are to be, but their address is taken
 	terms     *balance.Terms  // replaced whole, never changed
 	sockets   int             // descriptors that this process may hold now
@@ -84,6 +86,7 @@
 	other     atomic.Bool  // another process lives beside this one
 	transit   atomic.Int64 // bytes of each body that may be on the way through
 	portioned int64        // when that was worked out
+	rounded   int64        // when the latest round ended
 	count     Counters
 	done      bool
 }
@@ -163,6 +166,8 @@
 	p.portion(p.now())
 	p.module = balance.New(s.Terms, p.now())
 	p.known(s.Known, p.now())
+	p.remembered(p.now())
+	p.rounded = p.now()
 	return p
 }
 
@@ -202,8 +207,12 @@
 	if p.start.Holds != nil {
 		go p.follow()
 	}
-	p.openPeers(0, p.now())
+	p.openPeers(p.lifeBefore(), p.now())
 	p.subscribe(p.now())
+	if p.comeback != nil {
+		p.keep(p.now())
+		p.lookFull(p.now())
+	}
 	alarm := time.NewTimer(0)
 	for !p.done {
 		select {
@@ -233,6 +242,11 @@
 // round handles what has come and what is due, and then carries out what the module decides. Events come
 // before timers: an answer that was read before its dispatch timed out counts.
 func (p *Proxy) round() {
+	due := p.now() // when this round was to be at the latest
+	if len(p.timers) > 0 {
+		due = min(due, max(p.rounded, p.timers[0].at))
+	}
+	due = p.ran(due)
 	p.mu.Lock()
 	events := p.events
 	p.events = nil
@@ -252,7 +266,9 @@
 	if now-p.portioned > portionApart {
 		p.portion(now)
 	}
+	p.ran(due) // it may have been stopped on the way here
 	p.guard(nil, func() { p.route(p.now()) })
+	p.rounded = p.now()
 }
 
 // guard keeps a panic to the event that met it, and to its connection.
--- a/proxy/once.go
+++ b/proxy/once.go
@@ -8,6 +8,8 @@
 	"crypto/sha256"
 	"errors"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -22,6 +24,8 @@
 
 const (
 	lockApart    = 100 * time.Millisecond // between tries to take a ledger that another process has
+	witnessWait  = 15e8                   // so long after a start others may say how new the newest key was; meanwhile keys are refused
+	witnessApart = 5e7                    // between looks whether they have
 	lockRetry    = 2e8                    // advised meanwhile
 	tidyApart    = 5e9                    // between looks whether the ledger is mostly of the past
 	leastLedger  = 1 << 20                // bytes below which it is left as it is
@@ -44,6 +48,8 @@
 	ready   bool               // the ledger is taken, or none is needed
 	waiters map[uint64]*waiter // emptied as they are told or leave
 	last    uint64
+	newest  int64 // beginning of the newest key, by its record; 0: none
+	lost    bool  // newer ones than the ledger holds
 }
 
 // waiter is a client's req that goes by a key.
@@ -92,8 +98,14 @@
 // takeLedger opens it and takes what it holds.
 func (p *Proxy) takeLedger() error {
 	k, now := p.keys, p.now()
+	if p.comeback != nil { // a folder that was lost is made anew: what is missing of its keys others tell
+		if err := os.MkdirAll(filepath.Dir(k.File), 0o700); err != nil {
+			return err
+		}
+	}
 	book := once.New(k.Terms)
 	l, rep, err := ledger.Open(k.File, func(r ledger.Record) {
+		k.newest = max(k.newest, r.Entry.At)
 		if r.Kind == ledger.Free {
 			book.Free(r.Entry.Key)
 			return
@@ -110,9 +122,54 @@
 	k.book, k.ledger, k.ready = book, l, true
 	logrus.Infof("idempotency keys: %d of %d records known, %d bytes cut off the end", book.Len(), rep.Records, rep.Torn)
 	p.after(now, tidyApart, p.tidyLedger)
+	p.lostKeys(now)
+	if f := p.start.Fleet; f != nil && f.Terms.Learn != nil {
+		k.ready = false // others may have heard of newer keys than the ledger holds
+		p.witness(now, now+witnessWait)
+	}
 	return nil
 }
 
+// lostKeys refuses keys that are not known where the snapshot or others have heard of newer ones than the ledger holds: it was lost, or
+// put back from an older copy.
+func (p *Proxy) lostKeys(now int64) {
+	k, newest := p.keys, int64(0)
+	if p.comeback != nil {
+		newest = p.comeback.newest
+	}
+	if p.peers != nil {
+		heard, _ := p.peers.fleet.Witnessed()
+		newest = max(newest, heard)
+	}
+	if newest/1e6 > k.newest/1e6 && !k.lost { // in milliseconds, as others tell it
+		k.lost = true
+		k.book.Lose(now)
+		logrus.Errorf("%s: a key began %d ms after the newest that it holds: keys that are not known are refused for as long as keys are kept", k.File, (newest-k.newest)/1e6)
+	}
+}
+
+// witness waits until another has said how new the newest key was, or for a time: with no witness the ledger counts as whole.
+func (p *Proxy) witness(now, until int64) {
+	heard := false
+	if p.peers != nil {
+		_, heard = p.peers.fleet.Witnessed()
+	}
+	if p.lostKeys(now); heard || now >= until {
+		p.keys.ready = true
+		p.newestKey(p.keys.newest)
+		return
+	}
+	p.after(now, witnessApart, func(now int64) { p.witness(now, until) })
+}
+
+// newestKey notes a key's recorded beginning, and has others know.
+func (p *Proxy) newestKey(at int64) {
+	p.keys.newest = max(p.keys.newest, at)
+	if p.peers != nil {
+		p.peers.fleet.Keyed(at)
+	}
+}
+
 // tidyLedger has the ledger written anew once most of it is of the past.
 func (p *Proxy) tidyLedger(now int64) {
 	k := p.keys
@@ -186,6 +243,7 @@
 					p.settle(key, once.Denied, http1.Answer{Status: http.StatusServiceUnavailable, RetryAfter: k.Terms.RetryIn})
 					return
 				}
+				p.newestKey(now)
 				p.attempt(key, call, p.now())
 			})
 		})
@@ -201,6 +259,9 @@
 	case once.Full:
 		p.count.KeysRefused++
 		refuse(http.StatusServiceUnavailable, "not taken; no room for a further key", k.Terms.RetryIn)
+	case once.Lost:
+		p.count.KeysRefused++
+		refuse(http.StatusServiceUnavailable, "not taken; keys of before were lost, and this may be one of them", k.Terms.RetryIn)
 	case once.TooLong:
 		p.count.KeyConflicts++
 		refuse(http.StatusBadRequest, "not taken; the key is too long", 0)
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -29,6 +29,8 @@
 		return p.hold(c)
 	case door.Fleet:
 		return p.ask(p.fleetReply)
+	case door.Return:
+		return p.ask(p.returnReply)
 	}
 	return p.ask(func(now int64) door.Reply { return p.operate(c, now) })
 }
@@ -111,7 +113,7 @@
 func (p *Proxy) shown(s balance.Server) balance.Server {
 	h, held := p.held.Hosts[s.ID]
 	switch {
-	case held && h.Out && s.State == balance.Running:
+	case (held && h.Out || p.comeback != nil && p.comeback.drained[s.ID]) && s.State == balance.Running:
 		s.State = balance.Draining
 	case held && !h.Out && s.Since < h.From:
 		s.Since = h.Back
@@ -164,6 +166,7 @@
 		p.shares()
 		p.count.Reloads++
 		p.refleet(s.Fleet, now)
+		p.rekeep(s.Return, now)
 		logrus.Infof("new configuration: %d rule sets, %d dispatches at most", len(s.Terms.RuleSets), s.Terms.MaxDispatches)
 		p.rediscover(s.Discovery, now)
 		p.subscribe(now)
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -12,7 +12,7 @@
 	"reflect"
 	"slices"
 	"strings"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,7 +27,7 @@
 )
 
 const (
-	mostHeard  = 256 // datagrams that may wait for the owner; more are dropped
+	mostHeard  = 256 // datagrams that are read at once; more wait for the next look
 	peersApart = 1e9 // between tries to hear peers where the address is taken
 )
 
@@ -44,19 +44,19 @@
 // peers is the owner's side of them.
 type peers struct {
 	Fleet
-	fleet   *fleet.Fleet
-	conn    *net.UDPConn
-	timer   *timer
-	name    uint32
-	waiting atomic.Int32 // datagrams that the owner has not come to
-	asking  map[string]bool
-	probes  *http.Client
-	drops   dropped
+	fleet  *fleet.Fleet
+	conn   *net.UDPConn
+	raw    syscall.RawConn // the same
+	timer  *timer
+	name   uint32
+	asking map[string]bool // servers that are being probed; emptied by their answers
+	probes *http.Client
+	drops  dropped
 }
 
 // dropped counts datagrams by why they were.
 type dropped struct {
-	Address, Short, Garbled, Version, Fleet, Form, Crowded, Unsent atomic.Int64
+	Address, Short, Garbled, Version, Fleet, Form, Unsent int64
 }
 
 // openPeers begins to hear peers, with a life no lower than one that this process had before. An address that another process of an
@@ -66,7 +66,7 @@
 	if x == nil || p.peers != nil || p.drain.begun {
 		return
 	}
-	conn, err := listenPeers(x.Listen)
+	conn, raw, err := listenPeers(x.Listen)
 	if err != nil {
 		if !p.deaf {
 			logrus.Warnf("peers are not heard yet: %v", err)
@@ -79,21 +79,25 @@
 	t := x.Terms
 	t.RuleSets, t.Tenants, t.MaxAdvice, t.Seed = p.terms.RuleSets, p.terms.Tenants, p.terms.MaxAdvice, p.terms.Seed^uint64(t.Me)
 	t.Life = max(least, swim.LifeOf(now)) // by the clock of the day; should it have been set back, peers tell
-	q := &peers{Fleet: *x, conn: conn, name: peer.Fleet(x.Name), fleet: fleet.New(t, now), asking: map[string]bool{},
+	q := &peers{Fleet: *x, conn: conn, raw: raw, name: peer.Fleet(x.Name), fleet: fleet.New(t, now), asking: map[string]bool{},
 		probes: &http.Client{Timeout: time.Duration(x.ProbeTimeout), Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Duration(p.start.ConnIdle / 2)}}}
 	p.peers = q
 	p.listPeers(now)
-	go p.hear(q)
 	p.tickPeers(now)
 	logrus.WithFields(logrus.Fields{"fleet": x.Name, "place": t.Me, "of": t.Of}).Infof("peers are heard on %s", x.Listen)
 }
 
-func listenPeers(addr string) (*net.UDPConn, error) {
+func listenPeers(addr string) (*net.UDPConn, syscall.RawConn, error) {
 	at, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return net.ListenUDP("udp4", at)
+	conn, err := net.ListenUDP("udp4", at)
+	if err != nil {
+		return nil, nil, err
+	}
+	raw, err := conn.SyscallConn()
+	return conn, raw, err
 }
 
 // refleet takes new terms of the fleet's part. Where they differ, or what a cut goes by does, it begins anew.
@@ -117,55 +121,46 @@
 	p.openPeers(least, now)
 }
 
-// hear reads datagrams until the socket is closed; what is nobody's or no datagram goes no further.
-func (p *Proxy) hear(q *peers) {
-	b := make([]byte, peer.Most+1)
-	for {
-		n, from, err := q.conn.ReadFromUDPAddrPort(b)
-		if err != nil {
-			return
-		}
-		place := slices.Index(q.Peers, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
-		if place < 0 {
-			q.drops.Address.Add(1)
-			continue
-		}
-		d, err := peer.Decode(q.name, b[:n])
-		if err != nil {
-			q.drops.count(err)
-			continue
-		}
-		if d.From != place {
-			q.drops.Address.Add(1)
-			continue
-		}
-		if q.waiting.Load() >= mostHeard {
-			q.drops.Crowded.Add(1)
-			continue
-		}
-		q.waiting.Add(1)
-		p.post(p.now(), nil, func(at int64) {
-			q.waiting.Add(-1)
-			if p.peers == q {
-				q.fleet.Heard(&d, at)
-				p.carryPeers(at)
+// hear takes the datagrams that have come since the last look; what is nobody's or no datagram goes no further. They are read with the
+// tick, not as they come: each waking costs more than all the work done in it.
+func (p *Proxy) hear(q *peers, now int64) {
+	_ = q.raw.Read(func(fd uintptr) bool {
+		var b [peer.Most + 1]byte
+		for range mostHeard {
+			n, from, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_DONTWAIT)
+			if err == syscall.EINTR {
+				continue
 			}
-		})
-	}
+			at, ok := from.(*syscall.SockaddrInet4)
+			if err != nil || !ok {
+				break
+			}
+			d, err := peer.Decode(q.name, b[:n])
+			switch place := slices.Index(q.Peers, netip.AddrPortFrom(netip.AddrFrom4(at.Addr), uint16(at.Port))); {
+			case place < 0, err == nil && d.From != place:
+				q.drops.Address++
+			case err != nil:
+				q.drops.count(err)
+			default:
+				q.fleet.Heard(&d, now)
+			}
+		}
+		return true // never wait here for more
+	})
 }
 
 func (x *dropped) count(err error) {
 	switch err {
 	case peer.ErrShort:
-		x.Short.Add(1)
+		x.Short++
 	case peer.ErrGarbled:
-		x.Garbled.Add(1)
+		x.Garbled++
 	case peer.ErrVersion:
-		x.Version.Add(1)
+		x.Version++
 	case peer.ErrFleet:
-		x.Fleet.Add(1)
+		x.Fleet++
 	default:
-		x.Form.Add(1)
+		x.Form++
 	}
 }
 
@@ -176,6 +171,7 @@
 		return
 	}
 	next := q.fleet.Tick(now)
+	p.hear(q, now)
 	p.carryPeers(now)
 	q.timer = p.after(now, max(1e6, next-now), p.tickPeers)
 }
@@ -191,12 +187,16 @@
 				_, err = q.conn.WriteToUDPAddrPort(b, q.Peers[a.To])
 			}
 			if err != nil {
-				q.drops.Unsent.Add(1)
+				q.drops.Unsent++
 			}
 		case fleet.Probe:
 			p.probe(q, a.Server)
 		case fleet.Advise:
 			p.module.Advised(a.Advice)
+		case fleet.Teach:
+			q.fleet.Answer(a.To, p.module.Memory(now).Servers, now)
+		case fleet.Recall:
+			p.learnt(a.Told, now)
 		case fleet.Tell:
 			logrus.WithFields(a.Fields).Info("fleet: " + a.Text)
 		}
@@ -278,6 +278,7 @@
 
 // told tells of a final answer.
 func (p *Proxy) told(r *req, done bool, now int64) {
+	p.measured(r, done, now)
 	if p.peers == nil || r.shed {
 		return
 	}
@@ -299,8 +300,8 @@
 	text, err := json.MarshalIndent(struct {
 		fleet.Status
 		Dropped map[string]int64 `json:"dropped"`
-	}{q.fleet.Status(now), map[string]int64{"address": d.Address.Load(), "short": d.Short.Load(), "garbled": d.Garbled.Load(), "version": d.Version.Load(),
-		"fleet": d.Fleet.Load(), "form": d.Form.Load(), "crowded": d.Crowded.Load(), "unsent": d.Unsent.Load()}}, "", " ")
+	}{q.fleet.Status(now), map[string]int64{"address": d.Address, "short": d.Short, "garbled": d.Garbled, "version": d.Version,
+		"fleet": d.Fleet, "form": d.Form, "unsent": d.Unsent}}, "", " ")
 	if err != nil {
 		return door.No(http.StatusInternalServerError, err.Error())
 	}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -151,6 +151,9 @@
 	case !c.host.ready: // told meanwhile that it drains: nothing new begins there
 		p.broke(d, &broken{unsent, errDrained}, now)
 		c.shut()
+	case p.unsure():
+		p.broke(d, &broken{unsent, errDrained}, now)
+		p.park(c, now)
 	default:
 		p.write(d, c)
 	}
--- a/shed/cut.go
+++ b/shed/cut.go
@@ -17,7 +17,8 @@
 
 	stepEvery = 500 * ms  // between corrections of the limit
 	onset     = 0.10      // part of what was let in and not served from which there is a cut,
-	lasting   = 500 * ms  // once for so long
+	lasting   = 500 * ms  // once for so long,
+	settling  = 5 * sec   // or so long where neither calm was ever seen nor anybody has a cut: processes that begin turn reqs away while they learn
 	bearable  = 0.05      // part that a cut in force aims at: alone each denies a little more than it had to
 	least     = 2.0       // cost a second below which nothing is an overload
 	fall      = 0.05      // most that a step takes off the limit
@@ -129,7 +130,7 @@
 			c.short = 0
 		} else if c.short == 0 {
 			c.short = now
-		} else if now-c.short >= lasting {
+		} else if now-c.short >= settling || now-c.short >= lasting && (c.Calm > 0 || l.Limits >= 1) {
 			c.begin(l, of, now)
 		}
 		return
--- a/shed/shed_test.go
+++ b/shed/shed_test.go
@@ -75,6 +75,36 @@
 	}
 }
 
+// Processes that begin deny a part while they learn what servers bear. A cut of those seconds would go by what little they served,
+// without knowing how fast answers are in calm, and take ten seconds to open.
+func TestBeginsNot(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		of    float64 // that have a cut already
+		calm  float64
+		after int64
+		on    bool
+	}{
+		{"while all are new", 0, 0, 3 * sec, false},
+		{"though calm was never seen", 0, 0, 6 * sec, true},
+		{"with others that have one", 4, 0, sec, true},
+		{"with calm known", 0, 0.1, sec, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := New(four())
+			c.Calm = x.calm
+			l := offer(c, 40, 30, 20, 10)
+			l.Served, l.Lacked, l.Limits, l.Limit = 70, 30, x.of, 100*x.of
+			for now := sec; now <= sec+x.after; now += 250 * ms {
+				c.Step(&l, 12, now)
+			}
+			if c.On != x.on {
+				t.Errorf("a cut is in force: %v, want %v", c.On, x.on)
+			}
+		})
+	}
+}
+
 // Within its share a tenant's reqs go before those that another asks past its own, of whatever value within the same worth.
 func TestShares(t *testing.T) {
 	o := &overload{c: New(Terms{Values: []float64{1}, Shares: []float64{0.7, 0.3}, Over: 0.2}), bears: 100, now: sec}
@@ -108,6 +138,7 @@
 // When half of the members are no longer counted the limit goes with them, and comes back with them.
 func TestHalves(t *testing.T) {
 	c := New(four())
+	c.Calm = 0.1
 	l := offer(c, 72, 54, 36, 18)
 	l.Served, l.Lacked = 100, 80
 	c.Step(&l, 12, 1)
--- /dev/null
+++ b/snap/snap.go
@@ -0,0 +1,136 @@
+// Package snap keeps one memory of a proxy in a folder: versioned, with a checksum, written whole beside the old one and renamed. It
+// owns those files and their form. It must never leave a half-written one in the old one's place, nor give one that is not whole.
+package snap
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"ivybank/recall"
+)
+
+const (
+	name    = "memory.snap"
+	magic   = "IVYSNAP"
+	version = 1 // of the form; a field more does not change it
+	head    = len(magic) + 1 + 8
+	tail    = 8
+	// Most bytes of a file: about 10,000 servers.
+	Most = 4 << 20
+)
+
+// What can be wrong with a file. All of them mean: start without it.
+var (
+	ErrOther   = errors.New("not a snapshot")
+	ErrVersion = errors.New("of another version")
+	ErrCut     = errors.New("cut short or too long")
+	ErrDamaged = errors.New("its checksum does not hold")
+	ErrForm    = errors.New("its content is not of the form")
+)
+
+var encoder, decoder = modes()
+
+func modes() (cbor.EncMode, cbor.DecMode) {
+	e, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	d, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return e, d
+}
+
+// Path is the file in a folder.
+func Path(folder string) string { return filepath.Join(folder, name) }
+
+// Encode gives the bytes of a file.
+func Encode(m *recall.Memory) ([]byte, error) {
+	body, err := encoder.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	b := append([]byte(magic), version)
+	b = binary.BigEndian.AppendUint64(b, uint64(len(body)))
+	b = append(b, body...)
+	if len(b)+tail > Most {
+		return nil, ErrCut
+	}
+	return binary.BigEndian.AppendUint64(b, xxhash.Sum64(b)), nil
+}
+
+// Decode reads a file's bytes, or says what is wrong with them.
+func Decode(b []byte) (m recall.Memory, err error) {
+	switch {
+	case len(b) < len(magic) || string(b[:len(magic)]) != magic:
+		return m, ErrOther
+	case len(b) > len(magic) && b[len(magic)] != version:
+		return m, ErrVersion
+	case len(b) < head+tail || len(b) > Most || binary.BigEndian.Uint64(b[len(magic)+1:]) != uint64(len(b)-head-tail):
+		return m, ErrCut
+	case binary.BigEndian.Uint64(b[len(b)-tail:]) != xxhash.Sum64(b[:len(b)-tail]):
+		return m, ErrDamaged
+	}
+	if decoder.Unmarshal(b[head:len(b)-tail], &m) != nil || !m.Sound() {
+		return recall.Memory{}, ErrForm
+	}
+	return m, nil
+}
+
+// Read reads the file of a folder; fs.ErrNotExist where there is none.
+func Read(folder string) (recall.Memory, error) {
+	info, err := os.Stat(Path(folder))
+	if err != nil {
+		return recall.Memory{}, err
+	}
+	if !info.Mode().IsRegular() || info.Size() > Most {
+		return recall.Memory{}, fmt.Errorf("%s: %w", Path(folder), ErrCut)
+	}
+	b, err := os.ReadFile(Path(folder))
+	if err != nil {
+		return recall.Memory{}, err
+	}
+	m, err := Decode(b)
+	if err != nil {
+		err = fmt.Errorf("%s: %w", Path(folder), err)
+	}
+	return m, err
+}
+
+// Write puts a memory in the place of the one before, which stays where that fails.
+func Write(folder string, m *recall.Memory) error {
+	b, err := Encode(m)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil && !errors.Is(err, fs.ErrExist) {
+		return err
+	}
+	fresh := Path(folder) + ".new"
+	f, err := os.OpenFile(fresh, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closed := f.Close(); err == nil {
+		err = closed
+	}
+	if err == nil {
+		err = os.Rename(fresh, Path(folder))
+	}
+	if err != nil {
+		_ = os.Remove(fresh)
+	}
+	return err
+}
--- /dev/null
+++ b/snap/snap_test.go
@@ -0,0 +1,149 @@
+package snap
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"reflect"
+	"testing"
+
+	"ivybank/balance"
+	"ivybank/fade"
+	"ivybank/holds"
+	"ivybank/recall"
+)
+
+func memory(n uint64) *recall.Memory {
+	m := &recall.Memory{Whose: "127.0.0.1:80", Life: 7, Number: n, Wall: 1e18, Boot: "b", Up: 5e9, Shape: 3, Service: 0.9, Newest: 12,
+		List:  recall.List{Generation: 4, Age: 1e9, Hosts: []recall.Host{{ID: "s-1", Addr: "127.0.0.1:81", Zone: "a", Cell: 2, State: balance.Draining, Share: 1, Since: 9}}},
+		Holds: holds.Table{Version: 2, Hosts: map[string]holds.Hold{"s-9": {Out: true, From: 3}}}}
+	m.Module = balance.Memory{Rate: 12, Tenants: []balance.Load{{Name: "t", Rate: 3}}, Jam: 0.1, Target: 8e8, Worth: 4, Keys: []fade.Part{{Place: 3, N: 9}},
+		Servers: []balance.Learnt{{ID: "s-1", Since: 9, Health: 0.5, Streak: 1, Left: 2e9, Ejections: 1, Unit: 1e6, Lat: 2e6, Grow: 4, Met: 5e8}}}
+	return m
+}
+
+func TestThereAndBack(t *testing.T) {
+	folder := t.TempDir() + "/state"
+	if _, err := Read(folder); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("got %v of an empty folder", err)
+	}
+	for n := range uint64(3) {
+		if err := Write(folder, memory(n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := Read(folder)
+	if err != nil || !reflect.DeepEqual(&got, memory(2)) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	if all, _ := os.ReadDir(folder); len(all) != 1 {
+		t.Errorf("%d files in the folder, want the one", len(all))
+	}
+}
+
+// A file that was being written when the process was killed ends anywhere: no part of one is taken for a whole.
+func TestCutAnywhere(t *testing.T) {
+	b, err := Encode(memory(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range b {
+		if _, err := Decode(b[:n]); err == nil {
+			t.Fatalf("the first %d of %d bytes were taken", n, len(b))
+		}
+	}
+	if _, err := Decode(append(b, 0)); !errors.Is(err, ErrCut) {
+		t.Errorf("got %v of one with more behind it", err)
+	}
+}
+
+func TestAnyBitTurned(t *testing.T) {
+	b, err := Encode(memory(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 8 * len(b) {
+		b[i/8] ^= 1 << (i % 8)
+		if _, err := Decode(b); err == nil {
+			t.Fatalf("taken with bit %d turned", i)
+		}
+		b[i/8] ^= 1 << (i % 8)
+	}
+}
+
+func TestWhatIsWrong(t *testing.T) {
+	good, err := Encode(memory(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := append([]byte{}, good...)
+	next[len(magic)]++
+	bad := memory(1)
+	bad.Module.Servers[0].Health = -1
+	odd, err := Encode(bad)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		b    []byte
+		want error
+	}{"empty": {nil, ErrOther}, "another file": {[]byte("[log]\nlevel = 1"), ErrOther}, "a later form": {next, ErrVersion}, "figures that cannot be": {odd, ErrForm}} {
+		t.Run(name, func(t *testing.T) {
+			if _, err := Decode(c.b); !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// Where nothing can be written the old one stays.
+func TestFull(t *testing.T) {
+	folder := t.TempDir()
+	if err := Write(folder, memory(1)); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.MkdirAll(Path(folder)+".new/full", 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if Write(folder, memory(2)) == nil {
+		t.Error("written where nothing can be")
+	}
+	if m, err := Read(folder); err != nil || m.Number != 1 {
+		t.Errorf("got %d, %v, want the old one", m.Number, err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	b, err := Encode(memory(1))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if m, err := Decode(b); err == nil && !m.Sound() {
+			t.Error("taken, and not sound")
+		}
+	})
+}
+
+func BenchmarkRead(b *testing.B) {
+	m := memory(1)
+	for i := range 200 {
+		l := m.Module.Servers[0]
+		l.ID = string(rune('a' + i))
+		m.Module.Servers = append(m.Module.Servers, l)
+		m.List.Hosts = append(m.List.Hosts, m.List.Hosts[0])
+	}
+	for i := range 2000 {
+		m.Module.Keys = append(m.Module.Keys, fade.Part{Place: i, N: 2})
+	}
+	folder := b.TempDir()
+	if err := Write(folder, m); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := Read(folder); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
