Servers go out for work by plans: doors, letters, held hosts; four processes show it

Need: taking a fleet's servers out one after another was a person's script. A plan handed in at any door is agreed on by Raft among the first places, carried through by whoever leads, and survives kills, stops, a one-way cut, the end of all at once and a lost folder (cmd/ivybank/plan_test.go).

Cause of the one failure met: a host that was held (by a plan, by hand, by another's word) just after a start was told to the module as a change of the list, which then never asked discovery for it. Ruled out: the rig's watch, the agreed state, the server's start on the list. Now all hosts are shown anew as a kept list is; a test guards it.

--- a/cmd/ivybank/fleet_test.go
+++ b/cmd/ivybank/fleet_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,13 +24,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return rehearseWith(t, proxies, length, operator, 90, more)
+	return rehearseWith(t, proxies, length, operator, 90, "", more)
 }
 
 // rehearseWith is the same with another operator file, and so many reqs a second.
-func rehearseWith(t *testing.T, proxies int, length, operator string, rate float64, more string) *lab.Rehearsal {
+func rehearseWith(t *testing.T, proxies int, length, operator string, rate float64, ramp, more string) *lab.Rehearsal {
 	t.Helper()
-	e, err := lab.Read(filepath.Join(t.TempDir(), "e.toml"), fmt.Appendf(nil, `format = "ivybank/experiment/1"
+	e, err := lab.Read(filepath.Join(t.TempDir(), "e.toml"), fmt.Appendf(nil, strings.Replace(`format = "ivybank/experiment/1"
 name = "test"
 mode = "processes"
 seeds = [1]
@@ -72,7 +74,7 @@
 share = 0.5
 [[variant]]
 name = "on"
-%s`, length, proxies, rate, more))
+%s`, `ramp = "15s"`, cmp.Or(ramp, `ramp = "15s"`), 1), length, proxies, rate, more))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/ivybank/lab.go
+++ b/cmd/ivybank/lab.go
@@ -42,7 +42,7 @@
 			}
 			return err
 		}}
-	root.AddCommand(one, check, labCommands(), ledgerCommand(), stateCommands())
+	root.AddCommand(one, check, labCommands(), ledgerCommand(), stateCommands(), planCommands())
 	return root
 }
 
--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -93,7 +93,7 @@
 		return o, s, fmt.Errorf("%s: %w", path, err)
 	}
 	if o.operator = op; op != nil {
-		s.Keys, s.Return = keysOf(op), returnOf(op)
+		s.Keys, s.Return, s.Maintenance = keysOf(op), returnOf(op), maintenanceOf(op)
 	}
 	return o, s, nil
 }
@@ -206,6 +206,14 @@
 	return nil
 }
 
+// maintenanceOf is what an operator file sets on plans.
+func maintenanceOf(o *conf.Operator) *proxy.Maintenance {
+	if x := o.Maintenance; x != nil {
+		return &proxy.Maintenance{Folder: x.Folder, Voters: x.Voters, Service: x.Service, Settle: int64(x.Settle), Grace: int64(x.Grace)}
+	}
+	return nil
+}
+
 // fleetOf is what an operator file sets on peers, at the addresses that it or the platform's configuration names; nil where neither
 // does, or the settings let proxies not tell one another anything.
 func fleetOf(op *conf.Operator, o orders) (*proxy.Fleet, error) {
--- /dev/null
+++ b/cmd/ivybank/plan_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"ivybank/crew"
+	"ivybank/emu"
+	"ivybank/lab"
+)
+
+// planning is what proxies that carry plans through are set to do.
+const planning = `format = "ivybank/operator/1"
+[fleet]
+name = "rehearsal"
+datagrams_per_second = 24.0
+ack_wait = "300ms"
+quiet = "2300ms"
+[maintenance]
+folder = "state"
+voters = 3
+service = 0.8
+settle = "300ms"
+grace = "200ms"
+`
+
+const work = "format = \"ivybank/plan/1\"\nid = \"kernel\"\nall = true\nmost_out = 1\nleast_capacity = 0.5\norder = \"zone\"\ndone_by = \"start\"\n"
+
+// mechanics restart each server that any proxy says is out, once, and note what was out at once. They are the operators, not the proxies.
+type mechanics struct {
+	mu      sync.Mutex
+	worked  map[string]int
+	down    int
+	most    int
+	touched []string // servers to which a dispatch came while they were worked on
+}
+
+// plans is what a proxy tells of a plan at its door.
+func plans(r *lab.Rehearsal, proxy int) (x crew.Status, ok bool) {
+	text, err := knockAt(http.MethodGet, r.Door(proxy), "/plans/kernel", nil)
+	var all []crew.Status
+	if err != nil || json.Unmarshal(text, &all) != nil || len(all) != 1 {
+		return x, false
+	}
+	return all[0], true
+}
+
+// mend looks at the proxies' doors until the plan has ended by the word of one.
+func (m *mechanics) mend(t *testing.T, r *lab.Rehearsal, proxies int) {
+	t.Helper()
+	for end := time.Now().Add(3 * patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for i := range proxies {
+			x, ok := plans(r, i)
+			if ok && x.Standing == "ended" {
+				return
+			}
+			for _, s := range x.Steps {
+				m.mu.Lock()
+				if s.Phase == "out" && m.worked[s.Server] == 0 {
+					m.worked[s.Server]++
+					m.down++
+					m.most = max(m.most, m.down)
+					go func() {
+						undo := r.Strike(emu.Fault{Kind: "crash", Servers: []string{s.Server}})
+						time.Sleep(200 * time.Millisecond)
+						undo()
+						m.mu.Lock()
+						m.down--
+						m.mu.Unlock()
+					}()
+				}
+				m.mu.Unlock()
+			}
+		}
+	}
+	for i := range proxies {
+		x, ok := plans(r, i)
+		t.Logf("proxy %d: %v %+v", i, ok, x)
+	}
+	t.Fatalf("the plan has not ended, worked on %v", m.worked)
+}
+
+// A plan handed in at one door takes every server out once and one at a time, whatever becomes of a proxy meanwhile; no rule is broken.
+func TestPlan(t *testing.T) {
+	for _, c := range []struct {
+		name, fault string
+		strike      func(r *lab.Rehearsal, leader int)
+	}{
+		{"undisturbed", "", nil},
+		{"the leader killed", "", func(r *lab.Rehearsal, leader int) {
+			r.Strike(emu.Fault{Kind: "proxy_kill", Proxies: []int{leader}, For: 1e9})
+		}},
+		{"the leader stopped, and woken", "", func(r *lab.Rehearsal, leader int) {
+			undo := r.Strike(emu.Fault{Kind: "proxy_pause", Proxies: []int{leader}})
+			time.AfterFunc(5*time.Second, undo)
+		}},
+		{"the leader cut off, one way", "", func(r *lab.Rehearsal, leader int) {
+			undo := r.Strike(emu.Fault{Kind: "split", Proxies: []int{leader}, Way: "out"})
+			time.AfterFunc(5*time.Second, undo)
+		}},
+		{"all killed", "", func(r *lab.Rehearsal, _ int) {
+			r.Strike(emu.Fault{Kind: "proxy_kill", Proxies: []int{0, 1, 2, 3}, For: 3e8})
+		}},
+		{"a voter's folder lost", "", func(r *lab.Rehearsal, leader int) {
+			who := (leader + 1) % 3
+			r.Strike(emu.Fault{Kind: "proxy_kill", Proxies: []int{who}, For: 5e8})
+			r.Strike(emu.Fault{Kind: "state_lost", Proxies: []int{who}})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := rehearseWith(t, 4, "24s", write(t, t.TempDir(), "o.toml", planning), 40, `ramp = "300ms"`, c.fault)
+			together(t, r, 4, 0, 1, 2, 3)
+			m := &mechanics{worked: map[string]int{}}
+			var f *lab.Figures
+			var played sync.WaitGroup
+			played.Go(func() {
+				var err error
+				if f, err = r.Play(); err != nil {
+					t.Error(err)
+				}
+			})
+			time.Sleep(time.Second) // of load
+			eventually(t, "the plan is taken", func() bool {
+				_, err := knockAt(http.MethodPut, r.Door(3), "/plans/kernel", []byte(work))
+				return err == nil
+			})
+			if c.strike != nil {
+				struck := false
+				go func() {
+					for end := time.Now().Add(patience); !struck && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+						for i := range 3 {
+							x, ok := plans(r, i)
+							for _, s := range x.Steps {
+								if ok && !struck && x.Leader >= 0 && s.Phase == "drains" {
+									struck = true
+									c.strike(r, x.Leader)
+								}
+							}
+						}
+					}
+				}()
+			}
+			m.mend(t, r, 4)
+			if len(m.worked) != 6 || m.most != 1 {
+				t.Errorf("%v were worked on, %d at once", m.worked, m.most)
+			}
+			for i := range 4 {
+				eventually(t, fmt.Sprintf("proxy %d knows that it has ended", i), func() bool { x, ok := plans(r, i); return ok && x.Standing == "ended" })
+			}
+			played.Wait()
+			if f != nil && (f.Breaches != [5]int{} || f.Crashes > 0) {
+				t.Errorf("breaches %v, %d crashes: %v", f.Breaches, f.Crashes, f.Notes)
+			}
+		})
+	}
+}
--- a/cmd/ivybank/return_test.go
+++ b/cmd/ivybank/return_test.go
@@ -34,7 +34,7 @@
 
 func rehearseReturn(t *testing.T, proxies int, length, operator, more string) *lab.Rehearsal {
 	t.Helper()
-	return rehearseWith(t, proxies, length, write(t, t.TempDir(), "o.toml", operator), 60, more)
+	return rehearseWith(t, proxies, length, write(t, t.TempDir(), "o.toml", operator), 60, "", more)
 }
 
 // whole fails where a rule was broken, a process has ended by itself, or service did not come back.
--- a/conf/operator.go
+++ b/conf/operator.go
@@ -37,6 +37,8 @@
 	} `toml:"idempotency"`
 	Fleet  *Fleet  `toml:"fleet"`
 	Return *Return `toml:"return"`
+
+	Maintenance *Maintenance `toml:"maintenance"`
 }
 
 // LoadOperator reads and checks one.
@@ -61,6 +63,9 @@
 	if err := o.checkReturn(f); err != nil {
 		return nil, err
 	}
+	if err := o.checkMaintenance(f); err != nil {
+		return nil, err
+	}
 	return o, o.checkFleet(f)
 }
 
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -225,6 +225,9 @@
 	}
 }
 
+// Holds says whether what an operator asked for is agreed on.
+func (c *Crew) Holds(x *order.Command) bool { return c.settled(&asked{c: *x}) }
+
 // settled says whether what an operator asked for holds.
 func (c *Crew) settled(a *asked) bool {
 	w := c.state.Find(a.c.Plan)
--- a/door/door.go
+++ b/door/door.go
@@ -19,6 +19,7 @@
 	readWait = 2 * time.Second // a whole call has to come within it
 	mostOpen = 16              // past so many connections the one that has stalled longest goes
 	mostHead = 8 << 10
+	mostBody = 64 << 10
 )
 
 // Kind is what a call asks.
@@ -32,13 +33,18 @@
 	Empty              // send the clients away
 	Refill             // take clients again
 	Fleet              // what this process makes of its peers, as JSON
+	Plans              // what plans there are, or one of them, as JSON
+	Plan               // a plan is handed in, or something is to become of one
 	Return             // what it came back with, and whether its service is full, as JSON
 )
 
 // Call is one call of an operator.
 type Call struct {
 	Kind Kind
-	Host string // Out and Back
+	Host string // Out and Back; of a plan the server whose work is done
+	Plan string // its id; empty: all
+	Verb string // of a plan: submit, pause, resume, abandon or done
+	Body []byte // submit
 }
 
 // Reply is what the caller is told: 2xx is yes, all else no.
@@ -62,6 +68,15 @@
 		kinds[http.MethodGet] = Call{Kind: Fleet}
 	case path == "/return":
 		kinds[http.MethodGet] = Call{Kind: Return}
+	case path == "/plans" || len(part) == 2 && part[0] == "plans" && part[1] != "":
+		id := strings.Join(part[1:], "")
+		if kinds[http.MethodGet] = (Call{Kind: Plans, Plan: id}); id != "" {
+			kinds[http.MethodPut] = Call{Kind: Plan, Plan: id, Verb: "submit"}
+		}
+	case len(part) == 3 && part[0] == "plans" && slices.Contains([]string{"pause", "resume", "abandon"}, part[2]):
+		kinds[http.MethodPut] = Call{Kind: Plan, Plan: part[1], Verb: part[2]}
+	case len(part) == 4 && part[0] == "plans" && part[2] == "done":
+		kinds[http.MethodPut] = Call{Kind: Plan, Plan: part[1], Verb: part[2], Host: part[3]}
 	case path == "/healthcheck":
 		kinds[http.MethodGet] = Call{Kind: Health}
 	case path == "/healthcheck/fail":
@@ -135,6 +150,12 @@
 
 func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	call, reply := Read(r.Method, r.URL.EscapedPath())
+	if call.Verb == "submit" {
+		var err error
+		if call.Body, err = io.ReadAll(io.LimitReader(r.Body, mostBody+1)); err != nil || len(call.Body) > mostBody {
+			reply = No(http.StatusRequestEntityTooLarge, "a plan is no longer than 64 KiB")
+		}
+	}
 	if reply.Status == 0 {
 		reply = d.ask(call)
 	}
--- a/door/door_test.go
+++ b/door/door_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -20,9 +21,16 @@
 		{"GET", "/healthcheck", Call{Kind: Health}, 0},
 		{"PUT", "/healthcheck/fail", Call{Kind: Empty}, 0},
 		{"PUT", "/healthcheck/ok", Call{Kind: Refill}, 0},
-		{"PUT", "/hosts/s-1/maint", Call{Out, "s-1"}, 0},
-		{"PUT", "/hosts/s-1/ready", Call{Back, "s-1"}, 0},
-		{"PUT", "/hosts/a%2Fb/ready", Call{Back, "a/b"}, 0},
+		{"PUT", "/hosts/s-1/maint", Call{Kind: Out, Host: "s-1"}, 0},
+		{"PUT", "/hosts/s-1/ready", Call{Kind: Back, Host: "s-1"}, 0},
+		{"PUT", "/hosts/a%2Fb/ready", Call{Kind: Back, Host: "a/b"}, 0},
+		{"GET", "/plans", Call{Kind: Plans}, 0},
+		{"GET", "/plans/p", Call{Kind: Plans, Plan: "p"}, 0},
+		{"PUT", "/plans/p", Call{Kind: Plan, Plan: "p", Verb: "submit"}, 0},
+		{"PUT", "/plans/p/pause", Call{Kind: Plan, Plan: "p", Verb: "pause"}, 0},
+		{"PUT", "/plans/p/done/s-1", Call{Kind: Plan, Plan: "p", Verb: "done", Host: "s-1"}, 0},
+		{"PUT", "/plans", Call{}, 405},
+		{"PUT", "/plans/p/burn", Call{}, 404},
 		{"PUT", "/hosts/%zz/ready", Call{}, 400},
 		{"PUT", "/hosts//ready", Call{}, 404},
 		{"PUT", "/hosts/s-1", Call{}, 404},
@@ -36,7 +44,7 @@
 	} {
 		t.Run(c.method+" "+c.path, func(t *testing.T) {
 			call, reply := Read(c.method, c.path)
-			if reply.Status != c.status || reply.Status == 0 && call != c.call {
+			if reply.Status != c.status || reply.Status == 0 && !reflect.DeepEqual(call, c.call) {
 				t.Errorf("got %+v, %+v, want %+v, %d", call, reply, c.call, c.status)
 			}
 		})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,12 +70,13 @@
 
 // The kinds.
 const (
-	Send   Kind = iota // a datagram to a member
-	Probe              // ask a server whether it is well, and tell Probed
-	Advise             // the module's advice has changed
-	Tell               // a line for the log
-	Recall             // Told is what was learnt of others so far
-	Teach              // one that comes back asks: Answer it with what the module holds
+	Send    Kind = iota // a datagram to a member
+	Probe               // ask a server whether it is well, and tell Probed
+	Advise              // the module's advice has changed
+	Tell                // a line for the log
+	Recall              // Told is what was learnt of others so far
+	Teach               // one that comes back asks: Answer it with what the module holds
+	Deliver             // a letter came of member To
 )
 
 // Action is one thing for the host to do. Only the fields of its kind are set.
@@ -88,6 +89,7 @@
 	Text     string
 	Fields   map[string]any
 	Told     []recall.Told
+	Letter   []byte
 	due      bool // a sum at its time, which has a part of the datagrams for itself
 }
 
@@ -108,6 +110,7 @@
 	round *duty.Roster // nil: no probes
 	wary  wary
 	learn learn
+	post  post
 	todo  []Action // emptied by Next
 	dice  draw.Dice
 
@@ -269,6 +272,7 @@
 	f.swim.Heard(d, now)
 	f.fold.Heard(d.Sums, now)
 	f.lesson(d, now)
+	f.piece(d)
 	for _, h := range d.Hints {
 		if h.By < f.t.Of && h.By != f.t.Me && f.swim.Alive(h.By) {
 			if id, at, probe := f.wary.heard(h, now); probe && f.round != nil {
@@ -584,3 +588,6 @@
 
 // Picture is what is counted, for those who rehearse.
 func (f *Fleet) Picture(now int64) (fold.Load, int) { return f.fold.Picture(now) }
+
+// Sheds says whether a cut is in force that denies anything.
+func (f *Fleet) Sheds() bool { return f.cut.On && f.cut.Part < 1 }
--- /dev/null
+++ b/fleet/letters.go
@@ -0,0 +1,91 @@
+package fleet
+
+// This file owns letters: what is longer than a datagram goes out in pieces and is put together again. A letter of which a piece is lost is
+// lost; who needs it sends it again. It must never keep more than a few unfinished letters of a member.
+
+import (
+	"slices"
+
+	"ivybank/peer"
+)
+
+const (
+	letterTimes = 8.0 // pieces a second, as a multiple of the datagrams that a member sends without letters
+	unfinished  = 4   // letters of one member that are waited for
+)
+
+// post is the letters of one member.
+type post struct {
+	seq    uint32
+	tokens float64
+	at     int64
+	halves []half // emptied as they are whole, or by newer ones
+	Lost   int    // letters not sent as there were too many
+}
+
+// half is a letter that is not whole yet.
+type half struct {
+	from   int
+	life   uint64
+	seq    uint32
+	pieces [][]byte
+	left   int
+}
+
+// Post sends a letter; one past what letters may take is dropped whole.
+func (f *Fleet) Post(to int, body []byte, now int64) {
+	x := &f.post
+	rate := letterTimes * f.t.Datagrams
+	x.tokens = min(rate, x.tokens+rate*float64(now-x.at)/float64(sec))
+	x.at = now
+	n := max(1, (len(body)+peer.PieceMost-1)/peer.PieceMost)
+	if to < 0 || to >= f.t.Of || to == f.t.Me || n > peer.MostPieces || x.tokens < float64(n) {
+		x.Lost++
+		return
+	}
+	x.tokens -= float64(n)
+	x.seq++
+	for i := range n {
+		d, _ := f.swim.Datagram(peer.Letter)
+		d.Seq, d.About, d.Piece = x.seq, i<<8|n, body[i*peer.PieceMost:min(len(body), (i+1)*peer.PieceMost)]
+		f.todo = append(f.todo, Action{Kind: Send, To: to, Datagram: d, due: true})
+	}
+}
+
+// piece takes a piece of a letter.
+func (f *Fleet) piece(d *peer.Datagram) {
+	if d.Kind != peer.Letter {
+		return
+	}
+	at, of := d.About>>8, d.About&255
+	if of == 0 || at >= of || len(d.Piece) > peer.PieceMost || at < of-1 && len(d.Piece) != peer.PieceMost {
+		return
+	}
+	x := &f.post
+	i := slices.IndexFunc(x.halves, func(h half) bool {
+		return h.from == d.From && h.life == d.Life && h.seq == d.Seq && len(h.pieces) == of
+	})
+	if i < 0 {
+		mine := 0
+		for j := len(x.halves) - 1; j >= 0; j-- { // the oldest of this member's go
+			if x.halves[j].from == d.From {
+				if mine++; mine >= unfinished {
+					x.halves = slices.Delete(x.halves, j, j+1)
+				}
+			}
+		}
+		x.halves = append(x.halves, half{d.From, d.Life, d.Seq, make([][]byte, of), of})
+		i = len(x.halves) - 1
+	}
+	h := &x.halves[i]
+	if h.pieces[at] != nil {
+		return
+	}
+	h.pieces[at] = append([]byte{}, d.Piece...)
+	if h.left--; h.left > 0 {
+		return
+	}
+	body := slices.Concat(h.pieces...)
+	x.halves = slices.Delete(x.halves, i, i+1)
+	f.todo = append(f.todo, Action{Kind: Deliver, To: d.From, Letter: body})
+}
--- a/lab/rehearsal.go
+++ b/lab/rehearsal.go
@@ -45,6 +45,9 @@
 // Returned is what a proxy tells of its coming back; false where it says nothing.
 func (x *Rehearsal) Returned(proxy int) (recall.Status, bool) { return x.r.procs[proxy].returned() }
 
+// Door is the address of a proxy's door.
+func (x *Rehearsal) Door(proxy int) string { return x.r.procs[proxy].door }
+
 // Folder is that in which a proxy runs, with its state folder.
 func (x *Rehearsal) Folder(proxy int) string { return x.r.procs[proxy].folder }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -29,14 +29,15 @@
 
 // The kinds. All of them may carry news, sums and hints.
 const (
-	Push  Kind = iota // wants no answer
-	Ping              // wants an Ack with its number
-	Ack               // answers a Ping; with About the one that was pinged on behalf of another
-	Ask               // asks to ping About on the sender's behalf
-	Nack              // About has not answered the one that was asked
-	Leave             // the sender ends
-	Want              // the sender has just begun, and asks what servers are worth
-	Teach             // answers a Want with what the sender has met itself
+	Push   Kind = iota // wants no answer
+	Ping               // wants an Ack with its number
+	Ack                // answers a Ping; with About the one that was pinged on behalf of another
+	Ask                // asks to ping About on the sender's behalf
+	Nack               // About has not answered the one that was asked
+	Leave              // the sender ends
+	Want               // the sender has just begun, and asks what servers are worth
+	Teach              // answers a Want with what the sender has met itself
+	Letter             // a piece of something longer than a datagram; Seq numbers the letter, About is the piece's place and how many there are
 	kinds
 )
 
@@ -120,6 +121,7 @@
 	Hints []Hint `cbor:"9,keyasint,omitempty"`
 
 	Beliefs []Belief `cbor:"10,keyasint,omitempty"` // Teach
+	Piece   []byte   `cbor:"12,keyasint,omitempty"` // Letter
 	Mark    uint64   `cbor:"11,keyasint,omitempty"` // Unix ms of the newest idempotency key; Teach: as the one that asks had told it
 }
 
@@ -234,6 +236,12 @@
 // Mark is the same for a mark.
 func (r *Room) Mark() bool { return r.Take(markSize) }
 
+// PieceMost is the longest piece of a letter, in bytes, and MostPieces how many a letter may have.
+const (
+	PieceMost  = Most - head - tail - baseSize - 4
+	MostPieces = 255
+)
+
 // Hundredths gives a time in ns as it stands on the wire, the longest where it is longer. It is rounded up: what is passed on from one to
 // another must not look fresher each time.
 func Hundredths(ns int64) uint16 { return uint16(min(max(0, (ns+1e7-1)/1e7), 1<<16-1)) }
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -44,10 +44,11 @@
 	Inherited         net.Listener // shared with other processes; nil where the address is bound here
 	Memory            int64        // bytes for Go's heap, 0 where none are told
 	Holds             *holds.Store
-	Keys              *Keys      // nil: no idempotency keys
-	Seat              *twin.Seat // nil where there is no folder to meet in
-	Fleet             *Fleet     // nil: no peers are heard
-	Return            *Return    // nil: nothing is written down, nor asked of others
+	Keys              *Keys        // nil: no idempotency keys
+	Seat              *twin.Seat   // nil where there is no folder to meet in
+	Fleet             *Fleet       // nil: no peers are heard
+	Return            *Return      // nil: nothing is written down, nor asked of others
+	Maintenance       *Maintenance // nil: no plans are taken part in
 }
 
 // Proxy is one running client proxy. Everything but the event queue belongs to the owner loop.
@@ -75,6 +76,7 @@
 	keys      *keys           // nil: none
 	peers     *peers          // nil: none are heard
 	comeback  *comeback       // nil: it is not set
+	works     *works          // nil: no plans are taken part in
 	deaf      bool            // they are to be, but their address is taken
 	terms     *balance.Terms  // replaced whole, never changed
 	sockets   int             // descriptors that this process may hold now
--- /dev/null
+++ b/proxy/maintain.go
@@ -0,0 +1,275 @@
+package proxy
+
+// This file owns plans by which servers go out for work on the proxy's side: what the crew sees of it, its letters, what it writes down, and
+// which hosts are held. It must never decide what a step may do (package order), nor dispatch by what others say.
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ivybank/balance"
+	"ivybank/crew"
+	"ivybank/door"
+	"ivybank/order"
+	"ivybank/plan"
+	"ivybank/quorum"
+)
+
+const (
+	crewEvery = 1e8 // between looks at what is due
+	replyLook = 50 * time.Millisecond
+	replyMost = 700 * time.Millisecond // so long a caller waits for what it asked to be agreed on
+)
+
+// Maintenance is what operators set on plans.
+type Maintenance struct {
+	Folder  string
+	Voters  int
+	Service float64
+	Settle  int64
+	Grace   int64
+}
+
+// works is the owner's side of plans; nil where there are none.
+type works struct {
+	Maintenance
+	crew *crew.Crew
+	file *quorum.File
+	next *timer
+}
+
+// openWorks begins to take part in plans, with the members of the fleet.
+func (p *Proxy) openWorks(now int64) {
+	x, q := p.start.Maintenance, p.peers
+	if x == nil || q == nil {
+		return
+	}
+	file, kept, err := quorum.OpenFile(filepath.Join(x.Folder, "plans.log"))
+	if err != nil {
+		logrus.Errorf("plans are not taken part in: %v", err)
+		return
+	}
+	w := &works{Maintenance: *x, file: file}
+	w.crew, err = crew.New(crew.Terms{Me: q.Terms.Me, Of: q.Terms.Of, Voters: min(x.Voters, q.Terms.Of), Life: q.fleet.Members().Life(), Seed: p.terms.Seed ^ 3,
+		Lead: order.Terms{Grace: x.Grace, Longest: p.start.LongestTimeout, Service: x.Service, Settle: x.Settle}}, kept, now)
+	if err != nil {
+		logrus.Errorf("plans are not taken part in: %v", err)
+		file.Close()
+		return
+	}
+	p.works = w
+	p.tickWorks(now)
+}
+
+// remaintain takes what operators have set anew; it comes into force with the members.
+func (p *Proxy) remaintain(x *Maintenance) {
+	old := p.start.Maintenance
+	p.start.Maintenance = x
+	if (x == nil) != (old == nil) || x != nil && *x != *old {
+		p.closeWorks()
+		p.openWorks(p.now())
+	}
+}
+
+// closeWorks ends that.
+func (p *Proxy) closeWorks() {
+	if w := p.works; w != nil {
+		p.stop(w.next)
+		w.file.Close()
+		p.works = nil
+	}
+}
+
+func (p *Proxy) tickWorks(now int64) {
+	w := p.works
+	w.crew.Tick(p.sight(now))
+	p.carryWorks(now)
+	w.next = p.after(now, crewEvery, p.tickWorks)
+}
+
+// sight is what the crew sees of this proxy now.
+func (p *Proxy) sight(now int64) crew.Sight {
+	w := p.works
+	s := crew.Sight{Now: now, Wall: time.Now().UnixNano(), Open: map[string]int{}, Service: 1,
+		Alive: func(i int) bool { return p.peers != nil && p.peers.fleet.Members().Alive(i) }}
+	if !w.crew.State().Busy() {
+		return s
+	}
+	known := map[string]balance.Learnt{}
+	for _, l := range p.module.Memory(now).Servers {
+		known[l.ID] = l
+	}
+	for _, h := range p.hosts {
+		if !h.listed {
+			continue
+		}
+		t := h.told
+		s.Servers = append(s.Servers, order.Server{Target: plan.Target{ID: h.id, Zone: t.Zone, Cell: t.Cell, Share: t.Share, Since: t.Since},
+			Listed: t.State == balance.Running, Well: known[h.id].Left == 0, Warm: p.terms.RampTime <= 0 || now-h.since >= p.terms.RampTime, Hand: p.held.Hosts[h.id].Out})
+	}
+	for _, t := range w.crew.State().Away() {
+		for _, r := range p.reqs {
+			for _, d := range r.dispatches {
+				if d.out && d.host != nil && d.host.id == t.ID {
+					s.Open[t.ID]++
+				}
+			}
+		}
+	}
+	if q := p.peers; q != nil {
+		load, _ := q.fleet.Picture(now)
+		if all := load.Served + load.Lacked; all > 1 {
+			s.Service = load.Served / all
+		}
+		s.Cut = q.fleet.Sheds()
+	}
+	return s
+}
+
+// carryWorks carries out what the crew wants. What is to be written down is written beside the owner, one batch at a time.
+func (p *Proxy) carryWorks(now int64) {
+	w := p.works
+	for a, ok := w.crew.Next(); ok; a, ok = w.crew.Next() {
+		switch a.Kind {
+		case crew.Send:
+			if p.peers != nil {
+				p.peers.fleet.Post(a.To, a.Body, now)
+				p.carryPeers(now)
+			}
+		case crew.Write:
+			go func() {
+				err := w.file.Write(&a.Batch)
+				p.post(p.now(), nil, func(int64) { p.written(w, &a.Batch, err, p.now()) })
+			}()
+		case crew.Hold:
+			p.holdWorks(now)
+		case crew.Tell:
+			logrus.WithFields(a.Fields).Info(a.Text)
+		}
+	}
+}
+
+func (p *Proxy) written(w *works, b *quorum.Batch, err error, now int64) {
+	if p.works != w {
+		return
+	}
+	if err != nil { // it promises nothing any more
+		logrus.Errorf("plans are no longer taken part in, what was agreed on cannot be written down: %v", err)
+		p.stop(w.next)
+		return
+	}
+	w.crew.Written(b, now)
+	p.carryWorks(now)
+}
+
+// holdWorks shows the module what plans have out now.
+func (p *Proxy) holdWorks(now int64) {
+	changed := false
+	for _, h := range p.hosts {
+		if h.listed && p.shown(h.told) != h.shown {
+			p.show(h)
+			changed = true
+		}
+	}
+	if changed {
+		p.relist(now)
+	}
+}
+
+// planned is a host as plans have it: out for work it gets nothing new, and back it counts as started then, unless the list tells of a start
+// since.
+func (p *Proxy) planned(s balance.Server) balance.Server {
+	if p.works == nil {
+		return s
+	}
+	phase, x := p.works.crew.State().Phase(s.ID)
+	switch {
+	case (phase == order.Drains || phase == order.Out) && s.State == balance.Running:
+		s.State = balance.Draining
+	case phase == order.Back && s.Since <= x.Since:
+		s.Since = x.At
+	}
+	return s
+}
+
+// plansReply is what an operator is told of plans.
+func (p *Proxy) plansReply(id string, now int64) door.Reply {
+	if p.works == nil {
+		return door.No(http.StatusNotFound, "no plans are taken part in: the operator file has no [maintenance], or no peers are heard")
+	}
+	all := p.works.crew.Status(id, p.sight(now))
+	if id != "" && len(all) == 0 {
+		return door.No(http.StatusNotFound, crew.ErrUnknown.Error())
+	}
+	text, err := json.MarshalIndent(all, "", " ")
+	if err != nil {
+		return door.No(http.StatusInternalServerError, err.Error())
+	}
+	return door.Yes(string(text))
+}
+
+// plan takes an operator's call on a plan and waits a moment until it is agreed on.
+func (p *Proxy) plan(c door.Call) door.Reply {
+	x := order.Command{Plan: c.Plan, Server: c.Host, At: time.Now().UnixNano(), Why: "by hand",
+		Kind: map[string]order.Kind{"submit": order.Submit, "pause": order.Pause, "resume": order.Resume, "abandon": order.Abandon, "done": order.Finish}[c.Verb]}
+	var body *plan.Plan
+	if x.Kind == order.Submit {
+		var err error
+		if body, err = plan.Read("the plan", c.Body); err != nil {
+			return door.No(http.StatusBadRequest, err.Error())
+		}
+		if body.ID != c.Plan {
+			return door.No(http.StatusBadRequest, fmt.Sprintf("the plan: id: %q is not the %q of the call", body.ID, c.Plan))
+		}
+	}
+	if r := p.ask(func(now int64) door.Reply {
+		if p.works == nil {
+			return p.plansReply("", now)
+		}
+		had := p.works.crew.State().Find(c.Plan)
+		switch {
+		case body == nil && had == nil:
+			return door.No(http.StatusNotFound, crew.ErrUnknown.Error())
+		case body != nil && had == nil:
+			var listed []balance.Server
+			for _, h := range p.hosts {
+				if h.listed {
+					listed = append(listed, h.told)
+				}
+			}
+			var err error
+			if x, err = crew.Command(body, plan.Listed(listed), x.At); err != nil {
+				return door.No(http.StatusConflict, err.Error())
+			}
+		case body != nil && !sameplan(&had.Plan, body):
+			return door.No(http.StatusConflict, "another plan has this id")
+		}
+		p.works.crew.Ask(x, now)
+		return door.Yes("")
+	}); r.Status != http.StatusOK {
+		return r
+	}
+	for end := time.Now().Add(replyMost); time.Now().Before(end); time.Sleep(replyLook) {
+		if r := p.ask(func(int64) door.Reply {
+			if p.works != nil && p.works.crew.Holds(&x) {
+				return door.Yes("agreed on")
+			}
+			return door.No(http.StatusAccepted, "")
+		}); r.Status == http.StatusOK {
+			return r
+		}
+	}
+	return door.Reply{Status: http.StatusAccepted, Text: "handed on, not agreed on yet: ask again"}
+}
+
+// sameplan says whether two plans are the same as they were written.
+func sameplan(x, y *plan.Plan) bool {
+	one, err := json.Marshal(x)
+	other, bad := json.Marshal(y)
+	return err == nil && bad == nil && string(one) == string(other)
+}
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -29,6 +29,10 @@
 		return p.hold(c)
 	case door.Fleet:
 		return p.ask(p.fleetReply)
+	case door.Plans:
+		return p.ask(func(now int64) door.Reply { return p.plansReply(c.Plan, now) })
+	case door.Plan:
+		return p.plan(c)
 	case door.Return:
 		return p.ask(p.returnReply)
 	}
@@ -94,23 +98,41 @@
 		return
 	}
 	p.held = t
-	var changed []balance.Server
+	changed := false
 	for _, h := range p.hosts {
 		if !h.listed || p.shown(h.told) == h.shown {
 			continue
 		}
-		changed = append(changed, p.show(h))
+		p.show(h)
+		changed = true
 		logrus.Infof("host %s by hand: out %v", h.id, t.Hosts[h.id].Out)
 	}
-	if len(changed) > 0 {
-		p.module.Listed(balance.Changes, changed, now)
-		p.listPeers(now)
+	if changed {
+		p.relist(now)
 	}
 }
 
+// relist hands the module all hosts as they are shown now. It is not discovery's word: should the module be about to ask for that, it still
+// does.
+func (p *Proxy) relist(now int64) {
+	p.module.Listed(balance.Restored, p.listing(func(h *host) balance.Server { return h.shown }), now)
+	p.listPeers(now)
+}
+
+// listing gives all hosts that are listed in a form.
+func (p *Proxy) listing(as func(h *host) balance.Server) (all []balance.Server) {
+	for _, h := range p.hosts {
+		if h.listed {
+			all = append(all, as(h))
+		}
+	}
+	return all
+}
+
 // shown is a host as the module is told of it. What was put back has most likely been restarted, which the list is
 // late to tell: unless it tells of a start since, the host counts as started when it was put back.
 func (p *Proxy) shown(s balance.Server) balance.Server {
+	s = p.planned(s)
 	h, held := p.held.Hosts[s.ID]
 	switch {
 	case (held && h.Out || p.comeback != nil && p.comeback.drained[s.ID]) && s.State == balance.Running:
@@ -165,6 +187,7 @@
 		p.start.LongestTimeout = max(p.start.LongestTimeout, s.LongestTimeout)
 		p.shares()
 		p.count.Reloads++
+		p.remaintain(s.Maintenance)
 		p.refleet(s.Fleet, now)
 		p.rekeep(s.Return, now)
 		logrus.Infof("new configuration: %d rule sets, %d dispatches at most", len(s.Terms.RuleSets), s.Terms.MaxDispatches)
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -84,6 +84,7 @@
 	p.peers = q
 	p.listPeers(now)
 	p.tickPeers(now)
+	p.openWorks(now)
 	logrus.WithFields(logrus.Fields{"fleet": x.Name, "place": t.Me, "of": t.Of}).Infof("peers are heard on %s", x.Listen)
 }
 
@@ -115,6 +116,7 @@
 		_ = q.conn.Close()
 		q.probes.CloseIdleConnections()
 		p.peers = nil
+		p.closeWorks()
 		p.module.Advised(balance.Advice{})
 	}
 	p.start.Fleet = x
@@ -195,6 +197,11 @@
 			p.module.Advised(a.Advice)
 		case fleet.Teach:
 			q.fleet.Answer(a.To, p.module.Memory(now).Servers, now)
+		case fleet.Deliver:
+			if p.works != nil {
+				p.works.crew.Heard(a.To, a.Letter, now)
+				p.carryWorks(now)
+			}
 		case fleet.Recall:
 			p.learnt(a.Told, now)
 		case fleet.Tell:
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -10,6 +10,7 @@
 	"github.com/lesismal/nbio"
 
 	"ivybank/balance"
+	"ivybank/holds"
 	"ivybank/http1"
 )
 
@@ -388,3 +389,23 @@
 		t.Fatalf("out %v, closed %v, %v, want it given up as never sent", d.out, c.closed, p.count.Outcomes)
 	}
 }
+
+// A host taken out by hand, by a plan or by another's word just after the start is not discovery's word: the list is still asked for.
+func TestAsksAllTheSame(t *testing.T) {
+	p := New(Start{Sockets: 100, Terms: balance.Terms{Copies: 1, MustAsk: true, AskWithin: 2e9, Tick: 5e6, RuleSets: []balance.RuleSet{{Name: "a", ResponseTarget: 1e9}}},
+		Known: []byte(`{"generation":7,"reset":true,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:1","lifecycle":"ready"}]}`)})
+	now := p.now()
+	p.holding(holds.Table{Version: 1, Hosts: map[string]holds.Hold{"s": {Out: true, From: now}}}, now)
+	if p.host("s").ready {
+		t.Fatal("the host is in use")
+	}
+	asked := false
+	for at := now; at < now+3e9; at += 5e7 {
+		for d, ok := p.module.Next(at); ok; d, ok = p.module.Next(at) {
+			asked = asked || d.Kind == balance.Watch
+		}
+	}
+	if !asked {
+		t.Error("the list is not asked for any more")
+	}
+}
--- a/proxy/return.go
+++ b/proxy/return.go
@@ -205,17 +205,17 @@
 	})
 	c.count.Learnt++
 	all := recall.Learn(recall.Later(c.own, now-c.meter.Begun, c.Trust), told, now)
-	var drains []balance.Server
+	drains := false
 	for _, l := range all {
 		if h := p.host(l.ID); l.Draining && h != nil && h.ready && !c.drained[l.ID] {
 			c.drained[l.ID] = true
 			c.count.Drained++
-			drains = append(drains, p.show(h))
+			p.show(h)
+			drains = true
 		}
 	}
-	if len(drains) > 0 {
-		p.module.Listed(balance.Changes, drains, now)
-		p.listPeers(now)
+	if drains {
+		p.relist(now)
 	}
 	p.module.Recall(balance.Memory{Servers: all}, now)
 }
@@ -253,7 +253,7 @@
 	p.watch(now)
 	if !c.unsure {
 		c.unsure = true
-		p.module.Listed(balance.Changes, p.listing(func(h *host) balance.Server {
+		p.module.Listed(balance.Restored, p.listing(func(h *host) balance.Server {
 			s := h.shown
 			s.State = max(s.State, balance.Draining)
 			return s
@@ -272,20 +272,10 @@
 	if c := p.comeback; c != nil && c.unsure {
 		c.unsure = false
 		p.stop(c.sureAt)
-		p.module.Listed(balance.Changes, p.listing(func(h *host) balance.Server { return h.shown }), now)
+		p.relist(now)
 	}
 }
 
-// listing gives all hosts that are listed in a form.
-func (p *Proxy) listing(as func(h *host) balance.Server) (all []balance.Server) {
-	for _, h := range p.hosts {
-		if h.listed {
-			all = append(all, as(h))
-		}
-	}
-	return all
-}
-
 // measured takes a final answer for the time to full service.
 func (p *Proxy) measured(r *req, done bool, now int64) {
 	if c := p.comeback; c != nil {
--- /dev/null
+++ b/quorum/file_test.go
@@ -0,0 +1,68 @@
+package quorum
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+func batches() (all []Batch) {
+	return []Batch{{ID: 7}, {Hard: raftpb.HardState{Term: 2, Vote: 7, Commit: 1}, Entries: []raftpb.Entry{{Index: 2, Term: 2, Data: []byte("a")}, {Index: 3, Term: 2}}},
+		{Hard: raftpb.HardState{Term: 3, Vote: 7, Commit: 2}, Entries: []raftpb.Entry{{Index: 3, Term: 3, Data: []byte("b")}}}}
+}
+
+// However a write was cut short, what was written before is whole; a file damaged further up counts as lost.
+func TestFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "plans", "log")
+	var want []Kept
+	var ends []int
+	f, k, err := OpenFile(path)
+	if err != nil || k.ID != 0 {
+		t.Fatal(k, err)
+	}
+	for _, b := range batches() {
+		if err := f.Write(&b); err != nil {
+			t.Fatal(err)
+		}
+		k.Keep(&b)
+		want = append(want, Kept{k.ID, k.Hard, append([]raftpb.Entry{}, k.Entries...)})
+		info, _ := os.Stat(path)
+		ends = append(ends, int(info.Size()))
+	}
+	f.Close()
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range len(whole) + 1 {
+		var at Kept
+		for i, end := range ends {
+			if n >= end {
+				at = want[i]
+			}
+		}
+		if err := os.WriteFile(path, whole[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, got, err := OpenFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Close()
+		if got.ID != at.ID || !reflect.DeepEqual(got.Hard, at.Hard) || len(got.Entries) != len(at.Entries) {
+			t.Fatalf("of %d bytes: got %+v, want %+v", n, got, at)
+		}
+	}
+	whole[ends[0]+20] ^= 1
+	if err := os.WriteFile(path, whole, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if f, got, err := OpenFile(path); err != nil || got.ID != 0 {
+		t.Errorf("got %+v, %v of a damaged one, want nothing", got, err)
+	} else {
+		f.Close()
+	}
+}
