--- a/holds/holds_test.go
+++ b/holds/holds_test.go
@@ -95,3 +95,19 @@
 		t.Errorf("got %+v, %v, want it set, with an error", got, err)
 	}
 }
+
+// A table that was kept elsewhere is taken where it is newer, as when the file was lost, and written down.
+func TestRestore(t *testing.T) {
+	path := t.TempDir() + "/holds"
+	s, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !s.Restore(Table{Version: 3, Hosts: map[string]Hold{"a": {Out: true}}}) || s.Restore(Table{Version: 2}) {
+		t.Error("the older was taken, or the newer not")
+	}
+	again, err := Open(path)
+	if err != nil || !again.Table().Hosts["a"].Out {
+		t.Errorf("got %+v, %v", again.Table(), err)
+	}
+}
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -47,6 +47,7 @@
 			b.Left(k, 1)
 		}, k, Print{1}, 1, Join, Open},
 		"too long":       {func(*Book) {}, Key{"t", "a", strings.Repeat("k", 11)}, Print{1}, 0, TooLong, Open},
+		"lost":           {func(b *Book) { b.Lose(5) }, k, Print{1}, 0, Lost, Open},
 		"sealed":         {func(b *Book) { b.Seal() }, k, Print{1}, 0, Full, Open},
 		"sealed, known":  {func(b *Book) { b.Restore(Entry{Key: k, Print: Print{1}}, 0); b.Seal() }, k, Print{1}, 0, Told, Unsure},
 		"from after now": {func(b *Book) { b.Restore(Entry{Key: k, Print: Print{1}, State: Done, At: 500 * sec}, 0) }, k, Print{1}, 9 * sec, Told, Done},
--- a/order/explore_test.go
+++ b/order/explore_test.go
@@ -176,7 +176,7 @@
 		}
 		if !m.reached {
 			add(func(x *world) { x.who[i].reached, x.who[i].behind = true, len(w.log)/4 }) // it hears what was agreed on before it goes on
-			continue // the list has told it of the drain, which binds it
+			continue                                                                       // the list has told it of the drain, which binds it
 		}
 		if 4*m.applied < len(w.log) {
 			add(func(x *world) { x.who[i].applied++ })
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -445,5 +445,21 @@
 // Waits says whether this member is not in yet: it waits for others, at rest too.
 func (n *Node) Waits() bool { return n.raw == nil || !n.in() }
 
-// Idle says whether a message wants nothing done by one that is at rest.
-func Idle(b []byte) bool { return len(b) > 0 && b[0] == byHello }
+// Idle says whether a message keeps nobody awake: greetings, and what a leader and its followers tell each other while nothing is to be
+// agreed on.
+func Idle(b []byte) bool {
+	if len(b) == 0 || b[0] == byHello {
+		return true
+	}
+	var m raftpb.Message
+	if b[0] != byRaft || m.Unmarshal(b[1:]) != nil {
+		return false
+	}
+	switch m.Type {
+	case raftpb.MsgHeartbeat, raftpb.MsgHeartbeatResp, raftpb.MsgAppResp:
+		return true
+	case raftpb.MsgApp:
+		return len(m.Entries) == 0
+	}
+	return false
+}
