Each rig has addresses of its own; experiments with plans, by the proxies, by timer, at once

Cause: what a crashed server or a killed proxy gave up in one rig was taken by another rig's part, while the first one's proxies went on dialling it: a run of fleet-return seemed to break rule 2 with reqs that had run before they were asked for. Ruled out: the proxy (the two runs are 7 s apart, the client's timeout 3 s; the other rig's clock fits). Rigs have nets of their own now, also several in one process.

--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -106,6 +106,8 @@
 		Spread  conf.Duration `toml:"spread"`
 	} `toml:"fault"`
 
+	Maintenance *maintenance `toml:"maintenance"` // nil: nothing is done to servers
+
 	Variants []Variant `toml:"variant"`
 
 	path string
@@ -118,6 +120,8 @@
 	Operator string `toml:"operator"` // an operator file, beside the experiment's; virtual: its [fleet]
 	Build    string `toml:"build"`    // sockets: the program; empty: this one
 
+	Maintenance string `toml:"maintenance"` // processes: plan, timer or at once; empty: none
+
 	Others      []string `toml:"others"`       // processes: build and operator file of the last few proxies, which differ
 	OthersCount int      `toml:"others_count"` // how many
 }
@@ -223,10 +227,15 @@
 		p := fmt.Sprintf("variant.%d.", i)
 		rules = append(rules, conf.Rule{v.Name == "" || variants[v.Name], p + "name", "expected a name of its own"},
 			conf.Rule{len(v.Others) > 2 || (len(v.Others) > 0) != (v.OthersCount > 0), p + "others", "expected a build and an operator file, with others_count"},
+			conf.Rule{!slices.Contains(maintenances, v.Maintenance) || v.Maintenance != "" && (e.Maintenance == nil || e.Mode != "processes"), p + "maintenance", "expected plan, timer or at once, in processes and with a part [maintenance]"},
 			conf.Rule{e.Mode == "virtual" && !slices.Contains(Policies, v.Policy), p + "policy", fmt.Sprintf("expected one of %v", Policies)},
 			conf.Rule{e.Mode != "virtual" && v.Policy != "", p + "policy", "on sockets the program decides"})
 		variants[v.Name] = true
 	}
+	if x := e.Maintenance; x != nil {
+		rules = append(rules, conf.Rule{x.Work <= 0, "maintenance.work", "expected a time above 0"}, conf.Rule{x.AtOnce < 1, "maintenance.at_once", "expected one at least"},
+			conf.Rule{x.Each <= 0, "maintenance.each", "expected a time above 0"})
+	}
 	if t := e.Trace; t != nil {
 		_, known := trace.Layouts[t.Layout]
 		rules = append(rules, conf.Rule{!known, "trace.layout", "no such layout"}, conf.Rule{t.File == "", "trace.file", "expected a file"},
--- a/lab/links.go
+++ b/lab/links.go
@@ -15,8 +15,6 @@
 	"ivybank/emu"
 )
 
-const peerNet = "127.0.0.4:0"
-
 // links are those of all pairs.
 type links struct {
 	n      int
@@ -32,22 +30,21 @@
 // PeerCount is what one proxy has sent to others.
 type PeerCount struct{ Datagrams, Bytes, Lost, Arrived int }
 
-func newLinks(ctx context.Context, wait *sync.WaitGroup, n int, seed uint64) (*links, error) {
+func newLinks(ctx context.Context, wait *sync.WaitGroup, at string, n int, seed uint64) (*links, error) {
 	l := &links{n: n, dice: draw.Dice{Seed: seed ^ 0x5eed}, sent: make([]PeerCount, n)}
 	for i := range n {
-		c, err := net.ListenPacket("udp4", peerNet)
+		c, err := net.ListenPacket("udp4", at)
 		if err != nil {
 			return nil, err
 		}
-		at := c.LocalAddr().(*net.UDPAddr)
 		defer c.Close() // held until all have theirs
-		l.listen, l.cut = append(l.listen, at), append(l.cut, make([]int, n))
+		l.listen, l.cut = append(l.listen, c.LocalAddr().(*net.UDPAddr)), append(l.cut, make([]int, n))
 		row := make([]*net.UDPConn, n)
 		for j := range n {
 			if i == j {
 				continue
 			}
-			c, err := net.ListenPacket("udp4", peerNet)
+			c, err := net.ListenPacket("udp4", at)
 			if err != nil {
 				return nil, err
 			}
--- a/lab/report.go
+++ b/lab/report.go
@@ -221,7 +221,8 @@
 	rows := [][]string{{"experiment", "mode", "commit", "seed", "variant", "asks", "done", "denied", "aborted", "unanswered", "service",
 		"p50_ms", "p90_ms", "p99_ms", "tries", "executions", "breaches_1", "breaches_2", "breaches_3", "breaches_4", "cold_strain",
 		"decisions", "late_ms", "bad_rows", "best", "inverted", "recovered_s", "sends", "dispatched", "probes_most", "datagrams_most", "bytes_most", "crashes", "unusable",
-		"before_kill", "after_kill", "full_s", "full_each_s", "full_each_worst_s", "discovery_calls_most", "conns_most", "conns_calm"}}
+		"before_kill", "after_kill", "full_s", "full_each_s", "full_each_worst_s", "discovery_calls_most", "conns_most", "conns_calm",
+		"worked_on", "worked_twice", "out_most", "plan_s", "worst_5_s"}}
 	for _, f := range r.Runs {
 		rows = append(rows, []string{r.Experiment, r.Mode, r.Commit, strconv.FormatUint(f.Seed, 10), f.Variant, strconv.Itoa(f.Asks),
 			strconv.Itoa(f.Done), strconv.Itoa(f.Denied), strconv.Itoa(f.Aborted), strconv.Itoa(f.Unanswered), num(f.Service), num(f.P50),
@@ -238,6 +239,11 @@
 		} else {
 			rows[len(rows)-1] = append(rows[len(rows)-1], make([]string, 8)...)
 		}
+		if x := f.Plan; x != nil {
+			rows[len(rows)-1] = append(rows[len(rows)-1], strconv.Itoa(x.Servers), strconv.Itoa(x.Twice), strconv.Itoa(x.Most), num(x.Took), num(f.Worst))
+		} else {
+			rows[len(rows)-1] = append(rows[len(rows)-1], "", "", "", "", num(f.Worst))
+		}
 	}
 	return table(w, rows)
 }
--- a/lab/run.go
+++ b/lab/run.go
@@ -53,6 +53,8 @@
 	Crashes    int                // proxies that have ended by themselves
 	Quarters   []float64          // service by quarters of a second
 	Return     *Return            // nil: nobody was killed
+	Worst      float64            // service of the worst 5 s after the warm-up
+	Plan       *PlanFigures       // nil: nothing was done to servers
 	Classes    map[string]float64 // service by rule set
 }
 
@@ -169,6 +171,10 @@
 	}
 	f.Recovered = m.recovered()
 	f.Return = m.returned()
+	f.Worst = 1
+	for q := int(int64(m.e.Warm) / quarter); q+20 <= len(m.quarters); q++ {
+		f.Worst = min(f.Worst, m.quarters.mean(q, q+20))
+	}
 	f.Breaches, f.Strain, f.Notes, f.Begun = j.Breaches, j.Strain, j.Notes, j.Begun
 }
 
@@ -352,6 +358,9 @@
 			for _, note := range f.Notes {
 				say("  %s", note)
 			}
+			if f.Plan != nil {
+				say("%s", f.Plan.said())
+			}
 		}
 	}
 	return all, nil
--- a/lab/sockets.go
+++ b/lab/sockets.go
@@ -21,14 +21,14 @@
 
 const (
 	readyWait = 10 * time.Second
-	mostLate  = 25e3 // microseconds: a load generator later than this, 99 in 100, did not play the load that was asked for
-	hostNet   = "127.0.0.2:0"
+	mostLate  = 25e3            // microseconds: a load generator later than this, 99 in 100, did not play the load that was asked for
 	blankFor  = 2 * time.Second // discovery sends an empty line so often
 )
 
 // rig is one run on sockets.
 type rig struct {
 	e             *Experiment
+	number        int64 // of the rigs of this process
 	terms         balance.Terms
 	clock         *emu.Wall
 	fleet         *emu.Fleet
@@ -75,7 +75,7 @@
 
 func newRig(e *Experiment, seed uint64) *rig {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &rig{e: e, terms: e.terms(), clock: emu.NewWall(), ctx: ctx, cancel: cancel, open: map[net.Conn]string{},
+	r := &rig{e: e, number: nets.Add(1), terms: e.terms(), clock: emu.NewWall(), ctx: ctx, cancel: cancel, open: map[net.Conn]string{},
 		met: newMet(e.Fleet.Balancers)}
 	r.fails.discovery, r.fails.servers = make([]int, e.Fleet.Balancers), make([]map[string]int, e.Fleet.Balancers)
 	r.dice.Seed = seed ^ 0xfa17
@@ -125,11 +125,11 @@
 		return nil, err
 	}
 	before := r.cpu()
-	views := r.watchViews()
+	views, maintained := r.watchViews(), r.maintain(v)
 	if err := r.play(l, m, f); err != nil {
 		return nil, err
 	}
-	f.Views = views()
+	f.Views, f.Plan = views(), maintained()
 	f.Processor = r.cpu() - before
 	r.clock.Do(func() {
 		r.fleet.Judge.Close()
@@ -175,14 +175,14 @@
 		r.addrs = append(r.addrs, addrs)
 	}
 	if r.e.Mode == "processes" {
-		if r.links, err = newLinks(r.ctx, &r.wait, r.e.Fleet.Balancers, seed); err != nil {
+		if r.links, err = newLinks(r.ctx, &r.wait, r.net(peerNet), r.e.Fleet.Balancers, seed); err != nil {
 			return err
 		}
 	}
-	if r.fronts, err = hold(r.e.Fleet.Balancers); err != nil {
+	if r.fronts, err = r.reserve(r.e.Fleet.Balancers); err != nil {
 		return err
 	}
-	if r.doors, err = hold(r.e.Fleet.Balancers); err != nil {
+	if r.doors, err = r.reserve(r.e.Fleet.Balancers); err != nil {
 		return err
 	}
 	for i := range r.e.Fleet.Balancers {
@@ -244,11 +244,27 @@
 	give func()
 }
 
-// hold takes so many. All are taken before the first is given up, which else could be taken again.
-func hold(n int) (all []held, err error) {
-	pid := os.Getpid()
+// nets counts the rigs of this process.
+var nets atomic.Int64
+
+// net is an address of this rig's own, for one kind of its parts: what a crashed server or a killed proxy gives up must not become another
+// rig's, whose proxies go on dialling it.
+func (r *rig) net(kind int) string {
+	pid := int64(os.Getpid())
+	return fmt.Sprintf("127.%d.%d.%d:0", 16+pid%200, (pid/200*31+r.number)%250, kind)
+}
+
+// kinds of part that have an address
+const (
+	hostNet = 2 + iota
+	frontNet
+	peerNet
+)
+
+// reserve takes so many. All are taken before the first is given up, which else could be taken again.
+func (r *rig) reserve(n int) (all []held, err error) {
 	for range n {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.3:0", 16+pid%200, pid/200%250))
+		l, err := net.Listen("tcp", r.net(frontNet))
 		if err != nil {
 			return nil, err
 		}
--- a/lab/standins.go
+++ b/lab/standins.go
@@ -18,7 +18,7 @@
 
 // standIn listens for one proxy as one server. While the server's process is gone it does not listen.
 func (r *rig) standIn(proxy int, s *emu.Server) (string, error) {
-	l, err := net.Listen("tcp", hostNet)
+	l, err := net.Listen("tcp", r.net(hostNet))
 	if err != nil {
 		return "", err
 	}
@@ -245,7 +245,7 @@
 
 // discovery tells one proxy of the list and its changes.
 func (r *rig) discovery(proxy int) (string, error) {
-	l, err := net.Listen("tcp", hostNet)
+	l, err := net.Listen("tcp", r.net(hostNet))
 	if err != nil {
 		return "", err
 	}
