--- a/cmd/ivybank/plan_test.go
+++ b/cmd/ivybank/plan_test.go
@@ -4,6 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +15,8 @@
 	"ivybank/crew"
 	"ivybank/emu"
 	"ivybank/lab"
+	"ivybank/recall"
+	"ivybank/snap"
 )
 
 // planning is what proxies that carry plans through are set to do.
@@ -159,3 +165,42 @@
 		})
 	}
 }
+
+// The commands on plans and snapshots say in one line what is wrong, with an exit status of their own.
+func TestPlanAndStateCommands(t *testing.T) {
+	folder := t.TempDir()
+	good, bad := write(t, folder, "good.toml", work), write(t, folder, "bad.toml", "format = \"ivybank/plan/1\"\nid = \"x\"\nall = true\nmost_out = 0\n")
+	state := filepath.Join(folder, "state")
+	at := time.Now().UnixNano()
+	if err := snap.Write(state, &recall.Memory{Whose: "127.0.0.1:80", Number: 3, Wall: at}); err != nil {
+		t.Fatal(err)
+	}
+	ahead := filepath.Join(folder, "ahead")
+	if err := snap.Write(ahead, &recall.Memory{Whose: "127.0.0.1:80", Wall: at + 3600e9}); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		args string
+		code int
+		want string
+	}{
+		"a sound plan":        {"plan check " + good, 0, "a sound plan"},
+		"a plan of none":      {"plan check " + bad, 2, "bad.toml:4: most_out: expected one at least"},
+		"no door":             {"plan show", 2, "--door: expected the address"},
+		"nobody at the door":  {"plan show --door " + nowhere, 1, "connection refused"},
+		"a whole snapshot":    {"state check " + snap.Path(state), 0, "whole, of 127.0.0.1:80"},
+		"what it holds":       {"state show " + snap.Path(state), 0, "snapshot 3 of 127.0.0.1:80"},
+		"one of the future":   {"state check " + snap.Path(ahead), 1, "from the future"},
+		"no snapshot":         {"state check " + good, 1, "not a snapshot"},
+		"no such file at all": {"state show " + folder + "/none", 2, "no such file"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cmd := exec.Command(binary, strings.Fields(c.args)...)
+			cmd.Env = append(os.Environ(), "GW_ADMIN_ADDR=")
+			out, _ := cmd.CombinedOutput()
+			if code := cmd.ProcessState.ExitCode(); code != c.code || !strings.Contains(string(out), c.want) {
+				t.Errorf("exit %d: %s", code, out)
+			}
+		})
+	}
+}
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -361,6 +361,20 @@
 	return a, true
 }
 
+// Leave hands the lead on to another that votes and takes part, as this process ends.
+func (c *Crew) Leave(alive func(member int) bool) {
+	if leads, _ := c.node.Leads(); !leads {
+		return
+	}
+	for i := range c.t.Voters {
+		if i != c.t.Me && alive(i) {
+			c.node.HandOn(i)
+			break
+		}
+	}
+	c.carry()
+}
+
 // Command makes an operator's command of a plan, checked against what is listed now.
 func Command(p *plan.Plan, listed []plan.Target, wall int64) (order.Command, error) {
 	if err := p.Feasible(listed); err != nil {
--- a/crew/crew_test.go
+++ b/crew/crew_test.go
@@ -184,3 +184,29 @@
 	b.run(60 * sec)
 	b.ended(t)
 }
+
+// One that leads and is told to end hands the lead on at once, in less than an election takes.
+func TestLeadHandedOn(t *testing.T) {
+	b := newBand(4)
+	b.run(15 * sec)
+	b.submit(3)
+	b.run(500 * ms)
+	leader := -1
+	for i, c := range b.members {
+		if leads, _ := c.node.Leads(); leads {
+			leader = i
+		}
+	}
+	if leader < 0 {
+		t.Fatal("nobody leads")
+	}
+	b.members[leader].Leave(b.sight().Alive)
+	b.carry(leader)
+	b.run(300 * ms)
+	b.members[leader] = nil
+	if now, _ := b.members[3].Leader(); now < 0 || now == leader {
+		t.Errorf("%d leads", now)
+	}
+	b.run(30 * sec)
+	b.ended(t)
+}
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -19,16 +19,19 @@
 )
 
 const (
-	watchDial    = 1e9     // a connection to discovery not up by then counts as failed
-	watchSilence = 4.5e9   // an empty line comes every 2 s: a watch silent for two of them has ended unseen
-	mostList     = 4 << 20 // bytes of one line of the list
-	reopen       = 1e9     // after about so long a watch that was lost is opened again where the module doesn't ask
+	watchDial    = 1e9         // a connection to discovery not up by then counts as failed
+	watchSilence = 4.5e9       // an empty line comes every 2 s: a watch silent for two of them has ended unseen
+	mostList     = 4 << 20     // bytes of one line of the list
+	mostPutOff   = int64(10e9) // the longest that discovery may put a call off
+	reopen       = 1e9         // after about so long a watch that was lost is opened again where the module doesn't ask
 )
 
 // discovery is what is known of the list and the watch on it.
 type discovery struct {
 	generation int64
 	watch      *watch // nil when none is up or asked for
+	after      int64  // discovery has asked not to be called before then
+	later      *timer // the call at that time; nil: none
 }
 
 // watch is one connection to discovery.
@@ -156,6 +159,7 @@
 // rediscover follows discovery to another address, with a watch at once.
 func (p *Proxy) rediscover(addr string, now int64) {
 	if addr != p.start.Discovery {
+		p.list.after = 0
 		logrus.Infof("discovery moves from %s to %s", p.start.Discovery, addr)
 		p.start.Discovery = addr
 		p.watch(now)
@@ -164,6 +168,15 @@
 
 // watch opens a watch, in place of one that is still up.
 func (p *Proxy) watch(now int64) {
+	if now < p.list.after {
+		if p.list.later == nil {
+			p.list.later = p.after(now, p.list.after-now, func(now int64) {
+				p.list.later = nil
+				p.watch(now)
+			})
+		}
+		return
+	}
 	p.count.Watches++
 	if w := p.list.watch; w != nil {
 		p.endWatch(w, now, false)
@@ -198,6 +211,14 @@
 	}
 }
 
+// putOff keeps to what discovery says when it is to be called again, and by chance a quarter longer, as it says so to all. Without what
+// operators set on coming back the module's own time stands alone.
+func (p *Proxy) putOff(wait, now int64) {
+	if p.comeback != nil && wait > 0 {
+		p.list.after = now + int64(float64(min(wait, mostPutOff))*(1+p.dice.Next()/4))
+	}
+}
+
 // heard notes that a watch is alive.
 func (p *Proxy) heard(w *watch, now int64) {
 	if p.list.watch != w {
@@ -232,7 +253,10 @@
 	for {
 		a, ok, err := w.answers.Next()
 		if err != nil || ok && a.Status != http.StatusOK {
-			p.post(at, &w.wire, func(at int64) { p.endWatch(w, at, true) })
+			p.post(at, &w.wire, func(at int64) {
+				p.putOff(a.RetryAfter, at)
+				p.endWatch(w, at, true)
+			})
 			return
 		}
 		if !ok {
--- a/proxy/maintain.go
+++ b/proxy/maintain.go
@@ -76,6 +76,14 @@
 	}
 }
 
+// leaveWorks hands the lead on, as this process ends.
+func (p *Proxy) leaveWorks(now int64) {
+	if w := p.works; w != nil {
+		w.crew.Leave(p.peers.fleet.Members().Alive)
+		p.carryWorks(now)
+	}
+}
+
 // closeWorks ends that.
 func (p *Proxy) closeWorks() {
 	if w := p.works; w != nil {
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -250,6 +250,7 @@
 // leavePeers tells the others that this process ends.
 func (p *Proxy) leavePeers(now int64) {
 	if p.peers != nil {
+		p.leaveWorks(now)
 		p.peers.fleet.Leave()
 		p.carryPeers(now)
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -409,3 +409,26 @@
 		t.Error("the list is not asked for any more")
 	}
 }
+
+// Discovery that is called by all at once says when to come again: it is kept to, spread, and called once then.
+func TestPutOff(t *testing.T) {
+	p := testProxy(t)
+	now := p.now()
+	if p.putOff(2e9, now); p.list.after != 0 {
+		t.Fatal("kept to, though nothing is set on coming back")
+	}
+	p.comeback = &comeback{}
+	p.putOff(2e9, now)
+	if wait := p.list.after - now; wait < 2e9 || wait > 25e8 {
+		t.Fatalf("put off for %d ms", wait/1e6)
+	}
+	for range 3 {
+		p.watch(now + 1e9)
+	}
+	if p.count.Watches != 0 || len(p.timers) != 1 || p.timers[0].at != p.list.after {
+		t.Errorf("%d calls, %d to come", p.count.Watches, len(p.timers))
+	}
+	if p.putOff(3600e9, now); p.list.after-now > 125e8 {
+		t.Errorf("put off for %d s", (p.list.after-now)/1e9)
+	}
+}
--- a/proxy/return.go
+++ b/proxy/return.go
@@ -155,7 +155,7 @@
 		return
 	}
 	c.next = p.after(now, c.Every, p.keep)
-	if c.writing || p.other.Load() && p.drain.begun { // the next process of an upgrade writes
+	if c.writing || p.other.Load() { // two processes of an upgrade would write one file
 		return
 	}
 	c.writing = true
