--- a/lab/mechanics.go
+++ b/lab/mechanics.go
@@ -47,23 +47,40 @@
 	r      *rig
 	work   time.Duration
 	mu     sync.Mutex
-	worked map[string]int
+	worked map[string]int   // times, by server
+	since  map[string]int64 // the agreed time of its latest going out
 	down   int
 	f      PlanFigures
 	done   sync.WaitGroup
 }
 
 func (r *rig) mechanics(work time.Duration) *mechanics {
-	return &mechanics{r: r, work: work, worked: map[string]int{}}
+	return &mechanics{r: r, work: work, worked: map[string]int{}, since: map[string]int64{}}
 }
 
-// mend takes a server down for its work, in which its process is not there, and up again, cold.
-func (m *mechanics) mend(id string) {
+// take counts a server that goes out for its work; false where it is known to be out since then.
+func (m *mechanics) take(id string, since int64) bool {
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at, had := m.since[id]; had && at == since {
+		return false
+	}
+	m.since[id] = since
 	m.worked[id]++
 	m.down++
 	m.f.Most = max(m.f.Most, m.down)
+	return true
+}
+
+// up counts one that is at work no more.
+func (m *mechanics) up() {
+	m.mu.Lock()
+	m.down--
 	m.mu.Unlock()
+}
+
+// mend takes a server down for its work, in which its process is not there, and up again, cold.
+func (m *mechanics) mend(id string) {
 	var undo func()
 	m.r.clock.Do(func() { undo = m.r.fleet.Strike(emu.Fault{Kind: "crash", Servers: []string{id}}) })
 	select {
@@ -72,9 +89,7 @@
 	case <-time.After(m.work):
 	}
 	m.r.clock.Do(undo)
-	m.mu.Lock()
-	m.down--
-	m.mu.Unlock()
+	m.up()
 }
 
 // figures sums up.
@@ -122,39 +137,14 @@
 				return
 			}
 			for _, s := range all[0].Steps {
-				m.mu.Lock()
-				fresh := s.Phase == "out" && m.worked[s.Server] == 0
-				if fresh {
-					m.worked[s.Server] = 0
-				}
-				m.mu.Unlock()
-				if fresh {
-					m.begin(s.Server)
+				if s.Phase == "out" && m.take(s.Server, s.At) {
+					m.done.Go(func() { m.mend(s.Server) })
 				}
 			}
 		}
 	}
 }
 
-// begin works on a server beside all else; it is counted before this comes back.
-func (m *mechanics) begin(id string) {
-	begun := make(chan bool)
-	m.done.Go(func() {
-		close(begun)
-		m.mend(id)
-	})
-	<-begun
-	for { // a second look must not find it untouched
-		m.mu.Lock()
-		n := m.worked[id]
-		m.mu.Unlock()
-		if n > 0 {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // timed drains servers by the list one after another, so many at a time, each for a stated time before it is worked on, whatever becomes
 // of service: a person's script.
 func (m *mechanics) timed(servers []string, atOnce int, each time.Duration, over chan bool) {
@@ -168,16 +158,10 @@
 				var undo func()
 				m.r.clock.Do(func() { undo = m.r.fleet.Strike(emu.Fault{Kind: "drain", Servers: []string{id}}) })
 				time.Sleep(grace)
-				m.mu.Lock()
-				m.worked[id]++
-				m.down++
-				m.f.Most = max(m.f.Most, m.down)
-				m.mu.Unlock()
+				m.take(id, 0)
 				time.Sleep(m.work)
 				m.r.clock.Do(undo)
-				m.mu.Lock()
-				m.down--
-				m.mu.Unlock()
+				m.up()
 			})
 		}
 		servers = servers[n:]
