What the fleet's parts wrote twice stands once; what nothing read is gone

One piece each for: strict CBOR (form/), a bucket of what may go out (datagrams, letters, answers), drawing a member that suits, hosts shown anew (plans, by hand, by others' word), a reply as JSON, a kept host (a listed server and its address, in place of a copy of its fields), a plan's counts apart from its floor, in-time judged once for an answer. What is known of servers is handed out without the rates and keys where only that is wanted, ten times a second while a plan runs; a plan's status works out its view once. Unread fields of crews, views and counters are gone.

--- a/balance/memory.go
+++ b/balance/memory.go
@@ -48,6 +48,12 @@
 	for i, t := range b.t.Tenants {
 		m.Tenants = append(m.Tenants, Load{t.Name, perSecond(&b.served[i])})
 	}
+	m.Servers = b.Learnt(now)
+	return m
+}
+
+// Learnt gives what is known of servers alone.
+func (b *Balancer) Learnt(now int64) (all []Learnt) {
 	for _, s := range b.servers {
 		if !s.known {
 			continue
@@ -60,9 +66,9 @@
 		if s.used > 0 {
 			l.Met = now - s.used
 		}
-		m.Servers = append(m.Servers, l)
+		all = append(all, l)
 	}
-	return m
+	return all
 }
 
 // Recall takes what was known, of servers of which this process has seen nothing itself. It follows Listed.
--- a/crew/crew.go
+++ b/crew/crew.go
@@ -89,10 +89,9 @@
 
 // asked is an operator's command that is not agreed on yet.
 type asked struct {
-	c     order.Command
-	at    int64
-	sent  int64
-	index uint64 // of the state when it was asked
+	c    order.Command
+	at   int64
+	sent int64
 }
 
 // Crew is one member's.
@@ -109,7 +108,6 @@
 	reportAt int64
 	wakeful  int64 // until then it ticks
 	writing  bool
-	agreed   []quorum.Entry // of the batch that is being written
 	leader   int
 	Count    struct{ Letters, Refused int }
 }
@@ -186,7 +184,7 @@
 
 // view is what a leader sees.
 func (c *Crew) view(s Sight) order.View {
-	v := order.View{Now: s.Now, Wall: s.Wall, Term: c.term, Servers: s.Servers, Service: s.Service, Cut: s.Cut}
+	v := order.View{Now: s.Now, Wall: s.Wall, Servers: s.Servers, Service: s.Service, Cut: s.Cut}
 	for i := range c.t.Of {
 		r, had := c.reports[i]
 		m := order.Member{Place: i, Reached: i == c.t.Me || s.Alive(i)}
@@ -201,11 +199,11 @@
 // Ask takes an operator's command. It is handed to the one that leads until it is agreed on.
 func (c *Crew) Ask(x order.Command, now int64) {
 	c.wakeful = now + awake
-	c.asks = append(c.asks, asked{c: x, at: now, index: c.state.Index})
+	c.asks = append(c.asks, asked{c: x, at: now})
 }
 
 func (c *Crew) ask(s Sight) {
-	c.asks = slices.DeleteFunc(c.asks, func(a asked) bool { return s.Now-a.at > askFor || c.settled(&a) })
+	c.asks = slices.DeleteFunc(c.asks, func(a asked) bool { return s.Now-a.at > askFor || c.Holds(&a.c) })
 	for i := range c.asks {
 		a := &c.asks[i]
 		if s.Now-a.sent < askEvery {
@@ -226,24 +224,21 @@
 }
 
 // Holds says whether what an operator asked for is agreed on.
-func (c *Crew) Holds(x *order.Command) bool { return c.settled(&asked{c: *x}) }
-
-// settled says whether what an operator asked for holds.
-func (c *Crew) settled(a *asked) bool {
-	w := c.state.Find(a.c.Plan)
+func (c *Crew) Holds(a *order.Command) bool {
+	w := c.state.Find(a.Plan)
 	switch {
 	case w == nil:
 		return false
-	case a.c.Kind == order.Submit:
+	case a.Kind == order.Submit:
 		return true
-	case a.c.Kind == order.Pause:
+	case a.Kind == order.Pause:
 		return w.Standing != order.Runs
-	case a.c.Kind == order.Resume:
+	case a.Kind == order.Resume:
 		return w.Standing != order.Paused
-	case a.c.Kind == order.Abandon:
+	case a.Kind == order.Abandon:
 		return w.Standing >= order.Ended
-	case a.c.Kind == order.Finish:
-		x := w.Find(a.c.Server)
+	case a.Kind == order.Finish:
+		x := w.Find(a.Server)
 		return x == nil || x.Phase > order.Out
 	}
 	return true
@@ -290,7 +285,7 @@
 			return
 		}
 		c.wakeful = now + awake
-		if leads, _ := c.node.Leads(); leads && !c.settled(&asked{c: x}) {
+		if leads, _ := c.node.Leads(); leads && !c.Holds(&x) {
 			c.propose(&x)
 		}
 	default:
@@ -409,6 +404,7 @@
 
 // Status gives all plans, or one.
 func (c *Crew) Status(id string, s Sight) (all []Status) {
+	members := c.view(s).Members
 	for _, w := range c.state.Works {
 		if id != "" && w.Plan.ID != id {
 			continue
@@ -420,7 +416,7 @@
 		for _, step := range w.Steps {
 			y := StepStatus{Server: step.ID, Phase: step.Phase.String(), At: step.At / ms, Tries: step.Tries, Note: step.Note}
 			if step.Phase == order.Drains && c.lead != nil {
-				for _, m := range c.view(s).Members {
+				for _, m := range members {
 					switch {
 					case !m.Reached:
 						y.Waits = append(y.Waits, fmt.Sprintf("%d is not reached: the grace and the longest client timeout", m.Place))
--- a/emu/return.go
+++ b/emu/return.go
@@ -47,7 +47,7 @@
 		if len(m.List.Hosts) > 0 {
 			st.list = st.list[:0]
 			for _, h := range m.List.Hosts {
-				st.list = append(st.list, balance.Server{ID: h.ID, Zone: h.Zone, Cell: h.Cell, State: h.State, Share: h.Share, Since: h.Since})
+				st.list = append(st.list, h.Server)
 			}
 		}
 	}
@@ -79,7 +79,7 @@
 	at := st.now()
 	m := recall.Memory{Whose: st.whose(), Wall: at.Wall, Boot: at.Boot, Up: at.Up, Shape: recall.Shape(&st.terms), Module: p.Memory(st.clock.Now())}
 	for _, e := range st.list {
-		m.List.Hosts = append(m.List.Hosts, recall.Host{ID: e.ID, Addr: e.ID, Zone: e.Zone, Cell: e.Cell, State: e.State, Share: e.Share, Since: e.Since})
+		m.List.Hosts = append(m.List.Hosts, recall.Host{Server: e, Addr: e.ID})
 	}
 	st.kept = &m
 	st.clock.At(st.clock.Now()+st.keeps.Every, func() { st.keep(life) })
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -120,8 +120,8 @@
 	servers                                                                     []string   // by id; set by Servers
 	version                                                                     int        // of the members that duties were divided among
 	dutyAt, adviseAt, cutAt, pushAt, ticked, deafUntil                          int64
-	level                                                                       int     // whose turn it is to be told
-	tokens                                                                      float64 // datagrams that may go now
+	level                                                                       int    // whose turn it is to be told
+	tokens                                                                      bucket // datagrams that may go now
 	advice                                                                      balance.Advice
 	was                                                                         struct {
 		on, stopped bool
@@ -137,9 +137,20 @@
 	Probes                   int
 }
 
+// bucket is what may still go out, filled as time passes; below 0 it is a debt.
+type bucket struct {
+	n  float64
+	at int64
+}
+
+func (b *bucket) fill(perSecond, most float64, now int64) {
+	b.n = min(most, b.n+perSecond*float64(now-b.at)/float64(sec))
+	b.at = now
+}
+
 // New begins alone.
 func New(t Terms, now int64) *Fleet {
-	f := &Fleet{t: t, dice: draw.Dice{Seed: t.Seed}, ticked: now, pushAt: now, tokens: burst}
+	f := &Fleet{t: t, dice: draw.Dice{Seed: t.Seed}, ticked: now, pushAt: now, tokens: bucket{burst, now}}
 	period := int64(6 / t.Datagrams * float64(sec)) // a ping and its answer are a third of what may be sent
 	f.swim = swim.New(swim.Terms{Me: t.Me, Of: t.Of, Period: period, AckWait: t.AckWait, Quiet: t.Quiet, Seed: t.Seed ^ 1}, t.Life, now)
 	most, part := math.Inf(1), math.Inf(1)
@@ -296,7 +307,7 @@
 		f.stood(passed, now)
 	}
 	f.ticked = now
-	f.tokens = min(max(burst, f.t.Datagrams/4), f.tokens+(1-pushPart)*f.t.Datagrams*float64(passed)/float64(sec))
+	f.tokens.fill((1-pushPart)*f.t.Datagrams, max(burst, f.t.Datagrams/4), now)
 	next = f.swim.Tick(now)
 	if f.swim.Version() != f.version {
 		f.fold.Gone(f.swim.Alive, func(p int) uint64 { return f.swim.Member(p).Life })
@@ -401,7 +412,7 @@
 	for range f.fold.Levels() {
 		f.level = (f.level + 1) % f.fold.Levels()
 		from, to := f.fold.Beside(f.level)
-		if who := f.oneOf(from, to); who >= 0 {
+		if who := f.oneThat(from, to, f.swim.Alive); who >= 0 {
 			d, room := f.swim.Datagram(peer.Push)
 			f.mark(&d, &room)
 			f.fill(&d, &room, f.level, now)
@@ -411,12 +422,12 @@
 	}
 }
 
-// oneOf draws a member that takes part among places; -1 where there is none.
-func (f *Fleet) oneOf(from, to int) int {
+// oneThat draws one of the places from one to before another that suit; -1 where none does.
+func (f *Fleet) oneThat(from, to int, suits func(i int) bool) int {
 	if n := to - from; n > 0 {
 		start := int(f.dice.Next() * float64(n))
 		for i := range n {
-			if who := from + (start+i)%n; f.swim.Alive(who) {
+			if who := from + (start+i)%n; suits(who) {
 				return who
 			}
 		}
@@ -483,12 +494,12 @@
 		}
 		// A question or an answer that is kept back is a suspicion, of another or of oneself: these may run into debt, which the rest pays.
 		must := a.Datagram.Kind != peer.Push
-		if !a.due && (f.tokens < -debt*f.t.Datagrams || !must && f.tokens < 1) {
+		if !a.due && (f.tokens.n < -debt*f.t.Datagrams || !must && f.tokens.n < 1) {
 			f.Count.Held++
 			continue
 		}
 		if f.Count.Sent++; !a.due {
-			f.tokens--
+			f.tokens.n--
 		}
 		return a, true
 	}
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -31,8 +31,7 @@
 	askAt  int64
 	asked  []bool        // by place
 	told   []recall.Told // by who tells; emptied when the time is over
-	taught float64       // answers that may go now
-	at     int64         // when that was worked out
+	taught bucket        // answers that may go now
 	marks  []uint64      // by place: Unix ms of the newest idempotency key that it has told of
 	Mark   uint64        // the own one
 	Found  uint64        // the newest that another has heard from this place before
@@ -43,9 +42,9 @@
 }
 
 func begin(t Terms, now int64) learn {
-	x := learn{begun: now, at: now}
+	x := learn{begun: now}
 	if t.Learn != nil {
-		x.until, x.asked, x.marks, x.taught = now+t.Learn.For, make([]bool, t.Of), make([]uint64, t.Of), t.Datagrams
+		x.until, x.asked, x.marks, x.taught = now+t.Learn.For, make([]bool, t.Of), make([]uint64, t.Of), bucket{t.Datagrams, now}
 	}
 	return x
 }
@@ -63,7 +62,7 @@
 	}
 	x.askAt = now + askEvery
 	// Who is known to have begun about now knows nothing either.
-	who := f.oneThat(func(i int) bool {
+	who := f.oneThat(0, f.t.Of, func(i int) bool {
 		m := f.swim.Member(i)
 		return i != f.t.Me && !x.asked[i] && m.Alive() && !(m.Known && m.Life>>8 != 0 && int64(m.Life>>8)*ms > f.startedAt()-oldEnough)
 	})
@@ -80,17 +79,6 @@
 // startedAt is this process's start by the clock of the day, as lives have it.
 func (f *Fleet) startedAt() int64 { return int64(f.swim.Life()>>8) * ms }
 
-// oneThat draws one of the places that suit; -1 where none does.
-func (f *Fleet) oneThat(suits func(i int) bool) int {
-	start := int(f.dice.Next() * float64(f.t.Of))
-	for i := range f.t.Of {
-		if who := (start + i) % f.t.Of; suits(who) {
-			return who
-		}
-	}
-	return -1
-}
-
 // lesson takes what a datagram asks or answers about servers.
 func (f *Fleet) lesson(d *peer.Datagram, now int64) {
 	x := &f.learn
@@ -99,10 +87,9 @@
 	}
 	switch d.Kind {
 	case peer.Want:
-		x.taught = min(f.t.Datagrams, x.taught+teachPart*f.t.Datagrams*float64(now-x.at)/float64(sec))
-		x.at = now
-		if (now-x.begun >= oldEnough || x.marks[d.From] > 0) && x.taught >= 1 {
-			x.taught--
+		x.taught.fill(teachPart*f.t.Datagrams, f.t.Datagrams, now)
+		if (now-x.begun >= oldEnough || x.marks[d.From] > 0) && x.taught.n >= 1 {
+			x.taught.n--
 			f.todo = append(f.todo, Action{Kind: Teach, To: d.From})
 		}
 	case peer.Teach:
--- a/fleet/letters.go
+++ b/fleet/letters.go
@@ -17,8 +17,7 @@
 // post is the letters of one member.
 type post struct {
 	seq    uint32
-	tokens float64
-	at     int64
+	tokens bucket
 	halves []half // emptied as they are whole, or by newer ones
 	Lost   int    // letters not sent as there were too many
 }
@@ -36,14 +35,13 @@
 func (f *Fleet) Post(to int, body []byte, now int64) {
 	x := &f.post
 	rate := letterTimes * f.t.Datagrams
-	x.tokens = min(rate, x.tokens+rate*float64(now-x.at)/float64(sec))
-	x.at = now
+	x.tokens.fill(rate, rate, now)
 	n := max(1, (len(body)+peer.PieceMost-1)/peer.PieceMost)
-	if to < 0 || to >= f.t.Of || to == f.t.Me || n > peer.MostPieces || x.tokens < float64(n) {
+	if to < 0 || to >= f.t.Of || to == f.t.Me || n > peer.MostPieces || x.tokens.n < float64(n) {
 		x.Lost++
 		return
 	}
-	x.tokens -= float64(n)
+	x.tokens.n -= float64(n)
 	x.seq++
 	for i := range n {
 		d, _ := f.swim.Datagram(peer.Letter)
--- a/lab/mechanics.go
+++ b/lab/mechanics.go
@@ -230,8 +230,5 @@
 
 // said is a line on what came of a plan.
 func (p *PlanFigures) said() string {
-	if p == nil {
-		return ""
-	}
 	return fmt.Sprintf("  %d servers worked on, %d twice, %d at once, in %.1f s", p.Servers, p.Twice, p.Most, p.Took)
 }
--- a/order/explore_test.go
+++ b/order/explore_test.go
@@ -103,7 +103,7 @@
 	leader := int(w.term-1) % members
 	if l := w.who[leader]; l.up {
 		mine := at(&w, leader, v)
-		view := View{Now: 1, Service: 1, Cut: w.cut, Term: w.term}
+		view := View{Now: 1, Service: 1, Cut: w.cut}
 		for i, m := range w.who {
 			word := w.words[i]
 			x := Member{Place: i, Reached: m.up && m.reached, Index: uint64(1 + word.index), Open: map[string]int{}}
--- a/order/lead.go
+++ b/order/lead.go
@@ -40,7 +40,6 @@
 // View is what a leader sees. Now is monotonic; Wall is Unix ns.
 type View struct {
 	Now, Wall int64
-	Term      uint64
 	Members   []Member // all that are configured, itself among them
 	Servers   []Server // by id
 	Service   float64  // of late, 0 to 1
--- a/order/order.go
+++ b/order/order.go
@@ -296,8 +296,7 @@
 		if v != w && len(v.away()) == 0 {
 			continue
 		}
-		bounds := plan.Plan{Most: v.Plan.Most, MostZone: v.Plan.MostZone, MostCell: v.Plan.MostCell}
-		if err := bounds.Allows(out, nil); err != nil {
+		if err := v.Plan.Within(out); err != nil {
 			return fmt.Errorf("plan %s: %w", v.Plan.ID, err)
 		}
 	}
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -102,7 +102,7 @@
 
 // sight is a fleet in which all is well.
 func sight(n int) View {
-	v := View{Now: 100 * sec, Wall: 1, Term: 1, Service: 1, Members: []Member{{Place: 0, Reached: true, Index: 99}, {Place: 1, Reached: true, Index: 99}}}
+	v := View{Now: 100 * sec, Wall: 1, Service: 1, Members: []Member{{Place: 0, Reached: true, Index: 99}, {Place: 1, Reached: true, Index: 99}}}
 	for _, x := range targets(n) {
 		v.Servers = append(v.Servers, Server{Target: x, Listed: true, Well: true, Warm: true})
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -8,6 +8,8 @@
 	"hash/crc32"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"ivybank/form"
 )
 
 // Most is the longest datagram, in bytes, that the platform carries between proxies.
@@ -134,20 +136,7 @@
 	ErrForm    = errors.New("not of the form")
 )
 
-var encoder, decoder = modes()
-
-func modes() (cbor.EncMode, cbor.DecMode) {
-	e, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	d, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
-		MaxNestedLevels: 4, MaxArrayElements: 64, MaxMapPairs: 32}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return e, d
-}
+var encoder, decoder = form.Modes(cbor.DecOptions{MaxNestedLevels: 4, MaxArrayElements: 64, MaxMapPairs: 32})
 
 // Fleet is a fleet's name as it stands on the wire.
 func Fleet(name string) uint32 { return crc32.ChecksumIEEE([]byte(name)) }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -149,8 +149,8 @@
 	return nil
 }
 
-// Allows says why these servers may not be out together, naming the constraint; nil where they may.
-func (p *Plan) Allows(out []Target, listed []Target) error {
+// Within says why so many may not be out at once, whatever is listed, naming the constraint; nil where they may.
+func (p *Plan) Within(out []Target) error {
 	last := out[len(out)-1]
 	zone, cell := 0, 0
 	for _, t := range out {
@@ -169,6 +169,15 @@
 	case p.MostCell > 0 && cell > p.MostCell:
 		return fmt.Errorf("most_out_cell = %d: %d of cell %d would be out with %s", p.MostCell, cell, last.Cell, last.ID)
 	}
+	return nil
+}
+
+// Allows says why these servers may not be out together, naming the constraint; nil where they may.
+func (p *Plan) Allows(out []Target, listed []Target) error {
+	if err := p.Within(out); err != nil {
+		return err
+	}
+	last := out[len(out)-1]
 	total, left, stay := 0.0, 0.0, 0
 	for _, t := range listed {
 		total += t.Share
@@ -188,11 +197,14 @@
 	return nil
 }
 
+// Of is a listed server as a plan sees it.
+func Of(s balance.Server) Target { return Target{s.ID, s.Zone, s.Cell, s.Share, s.Since} }
+
 // Listed gives the targets of a list.
 func Listed(servers []balance.Server) (all []Target) {
 	for _, s := range servers {
 		if s.State != balance.Gone {
-			all = append(all, Target{s.ID, s.Zone, s.Cell, s.Share, s.Since})
+			all = append(all, Of(s))
 		}
 	}
 	slices.SortFunc(all, func(x, y Target) int { return cmp.Compare(x.ID, y.ID) })
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -94,7 +94,7 @@
 // listed hands a line to the module and keeps the addresses.
 func (p *Proxy) listed(form balance.Form, r roll, now int64) {
 	p.list.generation = r.Generation
-	p.toldBy("discovery", form, r, now)
+	p.discovered(form, r, now)
 	if form != balance.Changes {
 		for _, h := range p.hosts {
 			h.ready, h.listed = false, false
--- a/proxy/maintain.go
+++ b/proxy/maintain.go
@@ -109,16 +109,14 @@
 		return s
 	}
 	known := map[string]balance.Learnt{}
-	for _, l := range p.module.Memory(now).Servers {
+	for _, l := range p.module.Learnt(now) {
 		known[l.ID] = l
 	}
 	for _, h := range p.hosts {
 		if !h.listed {
 			continue
 		}
-		t := h.told
-		s.Servers = append(s.Servers, order.Server{Target: plan.Target{ID: h.id, Zone: t.Zone, Cell: t.Cell, Share: t.Share, Since: t.Since},
-			Listed: t.State == balance.Running, Well: known[h.id].Left == 0, Warm: p.terms.RampTime <= 0 || now-h.since >= p.terms.RampTime, Hand: p.held.Hosts[h.id].Out})
+		s.Servers = append(s.Servers, order.Server{Target: plan.Of(h.told), Listed: h.told.State == balance.Running, Well: known[h.id].Left == 0, Warm: p.terms.RampTime <= 0 || now-h.since >= p.terms.RampTime, Hand: p.held.Hosts[h.id].Out})
 	}
 	for _, t := range w.crew.State().Away() {
 		for _, r := range p.reqs {
@@ -155,7 +153,7 @@
 				p.post(p.now(), nil, func(int64) { p.written(w, &a.Batch, err, p.now()) })
 			}()
 		case crew.Hold:
-			p.holdWorks(now)
+			p.reshow(now)
 		case crew.Tell:
 			logrus.WithFields(a.Fields).Info(a.Text)
 		}
@@ -175,20 +173,6 @@
 	p.carryWorks(now)
 }
 
-// holdWorks shows the module what plans have out now.
-func (p *Proxy) holdWorks(now int64) {
-	changed := false
-	for _, h := range p.hosts {
-		if h.listed && p.shown(h.told) != h.shown {
-			p.show(h)
-			changed = true
-		}
-	}
-	if changed {
-		p.relist(now)
-	}
-}
-
 // planned is a host as plans have it: out for work it gets nothing new, and back it counts as started then, unless the list tells of a start
 // since.
 func (p *Proxy) planned(s balance.Server) balance.Server {
@@ -214,11 +198,7 @@
 	if id != "" && len(all) == 0 {
 		return door.No(http.StatusNotFound, crew.ErrUnknown.Error())
 	}
-	text, err := json.MarshalIndent(all, "", " ")
-	if err != nil {
-		return door.No(http.StatusInternalServerError, err.Error())
-	}
-	return door.Yes(string(text))
+	return asJSON(all)
 }
 
 // plan takes an operator's call on a plan and waits a moment until it is agreed on.
@@ -244,12 +224,7 @@
 		case body == nil && had == nil:
 			return door.No(http.StatusNotFound, crew.ErrUnknown.Error())
 		case body != nil && had == nil:
-			var listed []balance.Server
-			for _, h := range p.hosts {
-				if h.listed {
-					listed = append(listed, h.told)
-				}
-			}
+			listed := p.listing(func(h *host) balance.Server { return h.told })
 			var err error
 			if x, err = crew.Command(body, plan.Listed(listed), x.At); err != nil {
 				return door.No(http.StatusConflict, err.Error())
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -4,6 +4,7 @@
 // upgrade. It must never keep the door's callers waiting on anything but the owner.
 
 import (
+	"encoding/json"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -98,18 +99,32 @@
 		return
 	}
 	p.held = t
-	changed := false
+	for _, h := range p.reshow(now) {
+		logrus.Infof("host %s by hand: out %v", h.id, t.Hosts[h.id].Out)
+	}
+}
+
+// reshow brings up to date the hosts that something else than the list has changed, and gives them.
+func (p *Proxy) reshow(now int64) (changed []*host) {
 	for _, h := range p.hosts {
-		if !h.listed || p.shown(h.told) == h.shown {
-			continue
+		if h.listed && p.shown(h.told) != h.shown {
+			p.show(h)
+			changed = append(changed, h)
 		}
-		p.show(h)
-		changed = true
-		logrus.Infof("host %s by hand: out %v", h.id, t.Hosts[h.id].Out)
 	}
-	if changed {
+	if len(changed) > 0 {
 		p.relist(now)
 	}
+	return changed
+}
+
+// asJSON is a reply that holds a value for programs.
+func asJSON(v any) door.Reply {
+	text, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return door.No(http.StatusInternalServerError, err.Error())
+	}
+	return door.Yes(string(text))
 }
 
 // relist hands the module all hosts as they are shown now. It is not discovery's word: should the module be about to ask for that, it still
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -4,7 +4,6 @@
 // it asks for, and what it is told of reqs. It must never decide anything, nor let a datagram hold up a req.
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -196,7 +195,7 @@
 		case fleet.Advise:
 			p.module.Advised(a.Advice)
 		case fleet.Teach:
-			q.fleet.Answer(a.To, p.module.Memory(now).Servers, now)
+			q.fleet.Answer(a.To, p.module.Learnt(now), now)
 		case fleet.Deliver:
 			if p.works != nil {
 				p.works.crew.Heard(a.To, a.Letter, now)
@@ -286,12 +285,16 @@
 
 // told tells of a final answer.
 func (p *Proxy) told(r *req, done bool, now int64) {
-	p.measured(r, done, now)
-	if p.peers == nil || r.shed {
+	if p.peers == nil && p.comeback == nil {
 		return
 	}
 	set := p.terms.RuleSet(r.call.RuleSet)
-	if done && (set == nil || now-r.taken <= set.ResponseTarget) {
+	good := done && (set == nil || now-r.taken <= set.ResponseTarget)
+	p.measured(set, good, now)
+	if p.peers == nil || r.shed {
+		return
+	}
+	if good {
 		p.peers.fleet.Done(now)
 	} else {
 		p.peers.fleet.Lost(r.luck, now)
@@ -305,13 +308,9 @@
 		return door.No(http.StatusNotFound, "no peers are heard: the operator file has no [fleet]")
 	}
 	d := &q.drops
-	text, err := json.MarshalIndent(struct {
+	return asJSON(struct {
 		fleet.Status
 		Dropped map[string]int64 `json:"dropped"`
 	}{q.fleet.Status(now), map[string]int64{"address": d.Address, "short": d.Short, "garbled": d.Garbled, "version": d.Version,
-		"fleet": d.Fleet, "form": d.Form, "unsent": d.Unsent}}, "", " ")
-	if err != nil {
-		return door.No(http.StatusInternalServerError, err.Error())
-	}
-	return door.Yes(string(text))
+		"fleet": d.Fleet, "form": d.Form, "unsent": d.Unsent}})
 }
--- a/proxy/return.go
+++ b/proxy/return.go
@@ -4,7 +4,6 @@
 // takes to be full again. It must never hold up a req, decide what is to be believed (package recall), or take a clock's jump for time.
 
 import (
-	"encoding/json"
 	"errors"
 	"io/fs"
 	"net/http"
@@ -49,12 +48,16 @@
 	writing  bool
 	next     *timer // of the snapshots
 	warned   time.Time
-	count    struct{ Written, Unwritten, Refused, Learnt, Drained, Stood int }
+	count    struct{ Written, Unwritten, Refused, Drained, Stood int }
 	drained  map[string]bool // hosts that another says drain; emptied by what discovery tells
 	unsure   bool            // the process stood still, and the list has not been told since: nothing is dispatched
 	sureAt   *timer          // when that ends at the latest
 }
 
+func newComeback(x Return, source string, now int64) *comeback {
+	return &comeback{Return: x, source: source, listAt: now, drained: map[string]bool{}, meter: recall.Meter{Begun: now}}
+}
+
 // clocks are those of snapshots. The time since the machine's start goes on while a clock of the day jumps.
 func clocks() recall.Now {
 	n := recall.Now{Wall: time.Now().UnixNano()}
@@ -71,8 +74,7 @@
 	if x == nil {
 		return
 	}
-	c := &comeback{Return: *x, source: "start", listAt: now, drained: map[string]bool{}}
-	c.meter.Begun = now
+	c := newComeback(*x, "start", now)
 	p.comeback = c
 	if c.Folder == "" {
 		return
@@ -137,8 +139,7 @@
 		p.stop(c.next)
 		p.comeback = nil
 	case x != nil && c == nil:
-		p.comeback = &comeback{Return: *x, source: "discovery", listAt: now, drained: map[string]bool{}}
-		p.comeback.meter.Begun = now
+		p.comeback = newComeback(*x, "discovery", now)
 		p.keep(now)
 		p.lookFull(now)
 	case x != nil && c.Return != *x:
@@ -166,7 +167,7 @@
 	m.List = recall.List{Generation: p.list.generation, Age: now - c.listAt}
 	for _, h := range p.hosts {
 		if h.listed {
-			m.List.Hosts = append(m.List.Hosts, recall.Host{ID: h.id, Addr: h.addr, Zone: h.told.Zone, Cell: h.told.Cell, State: h.told.State, Share: h.told.Share, Since: h.told.Since})
+			m.List.Hosts = append(m.List.Hosts, recall.Host{Server: h.told, Addr: h.addr})
 		}
 	}
 	if p.keys != nil {
@@ -203,30 +204,24 @@
 		}
 		return h.since, peer.Start(h.told.Since), true
 	})
-	c.count.Learnt++
 	all := recall.Learn(recall.Later(c.own, now-c.meter.Begun, c.Trust), told, now)
-	drains := false
 	for _, l := range all {
 		if h := p.host(l.ID); l.Draining && h != nil && h.ready && !c.drained[l.ID] {
 			c.drained[l.ID] = true
 			c.count.Drained++
-			p.show(h)
-			drains = true
 		}
 	}
-	if drains {
-		p.relist(now)
-	}
+	p.reshow(now)
 	p.module.Recall(balance.Memory{Servers: all}, now)
 }
 
-// toldBy notes that discovery has spoken; what others said of drains is past with it.
-func (p *Proxy) toldBy(source string, form balance.Form, r roll, now int64) {
+// discovered notes that discovery has spoken; what others said of drains is past with it.
+func (p *Proxy) discovered(form balance.Form, r roll, now int64) {
 	c := p.comeback
 	if c == nil || form == balance.Restored {
 		return
 	}
-	c.source, c.listAt = source, now
+	c.source, c.listAt = "discovery", now
 	if form == balance.Whole {
 		clear(c.drained)
 		c.unsure = false // the module is told all of it in a moment
@@ -277,14 +272,13 @@
 }
 
 // measured takes a final answer for the time to full service.
-func (p *Proxy) measured(r *req, done bool, now int64) {
+func (p *Proxy) measured(set *balance.RuleSet, good bool, now int64) {
 	if c := p.comeback; c != nil {
 		worth := 1.0
-		if set := p.terms.RuleSet(r.call.RuleSet); set != nil {
+		if set != nil {
 			worth = set.BillingValue
-			done = done && now-r.taken <= set.ResponseTarget
 		}
-		c.meter.Add(worth, done, now)
+		c.meter.Add(worth, good, now)
 	}
 }
 
@@ -312,9 +306,5 @@
 	if p.peers != nil {
 		s.Asked, s.Answers, s.Taught = p.peers.fleet.Lessons()
 	}
-	text, err := json.MarshalIndent(s, "", " ")
-	if err != nil {
-		return door.No(http.StatusInternalServerError, err.Error())
-	}
-	return door.Yes(string(text))
+	return asJSON(s)
 }
--- a/recall/recall.go
+++ b/recall/recall.go
@@ -32,11 +32,8 @@
 
 // Host is one entry of a list.
 type Host struct {
-	ID, Addr, Zone string
-	Cell           int64
-	State          balance.State
-	Share          float64
-	Since          int64
+	balance.Server
+	Addr string
 }
 
 // List is the list of servers as a proxy held it.
--- a/recall/recall_test.go
+++ b/recall/recall_test.go
@@ -13,7 +13,7 @@
 
 // kept is a memory as it was written at a time.
 func kept() Memory {
-	m := Memory{Whose: "a", Wall: 1000 * sec, Boot: "b", Up: 100 * sec, Shape: Shape(terms()), List: List{Generation: 3, Age: sec, Hosts: []Host{{ID: "s-1", Addr: "x"}}}}
+	m := Memory{Whose: "a", Wall: 1000 * sec, Boot: "b", Up: 100 * sec, Shape: Shape(terms()), List: List{Generation: 3, Age: sec, Hosts: []Host{{balance.Server{ID: "s-1"}, "x"}}}}
 	m.Module = balance.Memory{Rate: 60, Servers: []balance.Learnt{
 		{ID: "s-1", Health: 0.4, Left: 4 * sec, Streak: 2, Ejections: 1, Lat: 5, Unit: 5, Grow: 9, Met: sec},
 		{ID: "s-2", Health: 1, Lat: 5, Unit: 5, Grow: 9, Met: 0}}}
--- a/snap/snap.go
+++ b/snap/snap.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"ivybank/form"
 	"ivybank/recall"
 )
 
@@ -35,19 +36,7 @@
 	ErrForm    = errors.New("its content is not of the form")
 )
 
-var encoder, decoder = modes()
-
-func modes() (cbor.EncMode, cbor.DecMode) {
-	e, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	d, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return e, d
-}
+var encoder, decoder = form.Modes(cbor.DecOptions{})
 
 // Path is the file in a folder.
 func Path(folder string) string { return filepath.Join(folder, name) }
