--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,8 +10,8 @@
 	"math/bits"
 	"slices"
 
-	"ivybank/draw"
-	"ivybank/fade"
+	"ivybank/internal/draw"
+	"ivybank/internal/fade"
 )
 
 const (
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -5,7 +5,7 @@
 	"math"
 	"testing"
 
-	"ivybank/fade"
+	"ivybank/internal/fade"
 )
 
 // fleet is an instance with n running servers of one zone and cell, named a, b, c...
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -6,7 +6,7 @@
 import (
 	"slices"
 
-	"ivybank/fade"
+	"ivybank/internal/fade"
 )
 
 // Memory is what an instance has learnt. All times in it are ages or times left in ns, so that no clock has to agree.
--- a/balance/move_test.go
+++ b/balance/move_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"ivybank/fade"
+	"ivybank/internal/fade"
 )
 
 // What the deployments of another shape brought: each of these failed on them before the module was changed.
--- a/cmd/ivybank/fleet_test.go
+++ b/cmd/ivybank/fleet_test.go
@@ -10,17 +10,17 @@
 	"testing"
 	"time"
 
-	"ivybank/emu"
-	"ivybank/fold"
-	"ivybank/lab"
-	"ivybank/peer"
-	"ivybank/swim"
+	"ivybank/fleet/fold"
+	"ivybank/fleet/peer"
+	"ivybank/fleet/swim"
+	"ivybank/rehearse/emu"
+	"ivybank/rehearse/lab"
 )
 
 // rehearse starts so many processes of the program that hear one another through the rig, with a little load to be played.
 func rehearse(t *testing.T, proxies int, length, more string) *lab.Rehearsal {
 	t.Helper()
-	operator, err := filepath.Abs("../../lab/experiments/operator/fleet.toml")
+	operator, err := filepath.Abs("../../rehearse/lab/experiments/operator/fleet.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/ivybank/keys_test.go
+++ b/cmd/ivybank/keys_test.go
@@ -396,15 +396,15 @@
 	})
 }
 
-// A small form of lab/experiments/keys.toml: clients that retry hard through a kill of the proxy, resets and a crash, judged by the
+// A small form of rehearse/lab/experiments/keys.toml: clients that retry hard through a kill of the proxy, resets and a crash, judged by the
 // servers' counts; and the same without keys, where they have to show that filings ran twice.
 func TestKeysLab(t *testing.T) {
-	text, err := os.ReadFile("../../lab/experiments/keys.toml")
+	text, err := os.ReadFile("../../rehearse/lab/experiments/keys.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
 	folder := t.TempDir()
-	operator, err := os.ReadFile("../../lab/experiments/operator/keys-disk.toml")
+	operator, err := os.ReadFile("../../rehearse/lab/experiments/operator/keys-disk.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/ivybank/lab.go
+++ b/cmd/ivybank/lab.go
@@ -14,7 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"ivybank/conf"
-	"ivybank/lab"
+	"ivybank/rehearse/lab"
 )
 
 // status is an error with the exit status that it ends the program with.
--- a/cmd/ivybank/lab_test.go
+++ b/cmd/ivybank/lab_test.go
@@ -69,7 +69,7 @@
 
 // The experiments that come along are sound.
 func TestExperiments(t *testing.T) {
-	files, err := filepath.Glob("../../lab/experiments/*.toml")
+	files, err := filepath.Glob("../../rehearse/lab/experiments/*.toml")
 	if err != nil || len(files) == 0 {
 		t.Fatalf("got %v, %v", files, err)
 	}
@@ -118,7 +118,7 @@
 
 // The built program is played against stand-ins on loopback, and table and chart are kept.
 func TestLabSockets(t *testing.T) {
-	text, err := os.ReadFile("../../lab/experiments/sockets.toml")
+	text, err := os.ReadFile("../../rehearse/lab/experiments/sockets.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,7 +149,7 @@
 // A replay is the same twice, tells each bad row, and stops with status 1 past as many as are allowed.
 func TestReplay(t *testing.T) {
 	folder := t.TempDir()
-	experiment, err := os.ReadFile("../../lab/experiments/replay.toml")
+	experiment, err := os.ReadFile("../../rehearse/lab/experiments/replay.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/ivybank/ledger.go
+++ b/cmd/ivybank/ledger.go
@@ -13,8 +13,8 @@
 
 	"github.com/spf13/cobra"
 
-	"ivybank/ledger"
-	"ivybank/once"
+	"ivybank/keys/ledger"
+	"ivybank/keys/once"
 )
 
 func ledgerCommand() *cobra.Command {
--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -22,12 +22,12 @@
 	"github.com/sirupsen/logrus"
 
 	"ivybank/conf"
-	"ivybank/door"
-	"ivybank/holds"
-	"ivybank/once"
+	"ivybank/fleet/holds"
+	"ivybank/keys/once"
 	"ivybank/proxy"
+	"ivybank/proxy/door"
+	"ivybank/proxy/twin"
 	"ivybank/terms"
-	"ivybank/twin"
 )
 
 const (
--- a/cmd/ivybank/plan.go
+++ b/cmd/ivybank/plan.go
@@ -18,8 +18,8 @@
 
 	"github.com/spf13/cobra"
 
-	"ivybank/crew"
-	"ivybank/plan"
+	"ivybank/fleet/crew"
+	"ivybank/fleet/plan"
 )
 
 func planCommands() *cobra.Command {
--- a/cmd/ivybank/plan_test.go
+++ b/cmd/ivybank/plan_test.go
@@ -12,11 +12,11 @@
 	"testing"
 	"time"
 
-	"ivybank/crew"
-	"ivybank/emu"
-	"ivybank/lab"
-	"ivybank/recall"
-	"ivybank/snap"
+	"ivybank/fleet/crew"
+	"ivybank/fleet/recall"
+	"ivybank/fleet/snap"
+	"ivybank/rehearse/emu"
+	"ivybank/rehearse/lab"
 )
 
 // planning is what proxies that carry plans through are set to do.
@@ -34,7 +34,7 @@
 grace = "200ms"
 `
 
-const work = "format = \"ivybank/plan/1\"\nid = \"kernel\"\nall = true\nmost_out = 1\nleast_capacity = 0.5\norder = \"zone\"\ndone_by = \"start\"\n"
+const work = "format = \"ivybank/fleet/plan/1\"\nid = \"kernel\"\nall = true\nmost_out = 1\nleast_capacity = 0.5\norder = \"zone\"\ndone_by = \"start\"\n"
 
 // mechanics restart each server that any proxy says is out, once, and note what was out at once. They are the operators, not the proxies.
 type mechanics struct {
@@ -169,7 +169,7 @@
 // The commands on plans and snapshots say in one line what is wrong, with an exit status of their own.
 func TestPlanAndStateCommands(t *testing.T) {
 	folder := t.TempDir()
-	good, bad := write(t, folder, "good.toml", work), write(t, folder, "bad.toml", "format = \"ivybank/plan/1\"\nid = \"x\"\nall = true\nmost_out = 0\n")
+	good, bad := write(t, folder, "good.toml", work), write(t, folder, "bad.toml", "format = \"ivybank/fleet/plan/1\"\nid = \"x\"\nall = true\nmost_out = 0\n")
 	state := filepath.Join(folder, "state")
 	at := time.Now().UnixNano()
 	if err := snap.Write(state, &recall.Memory{Whose: "127.0.0.1:80", Number: 3, Wall: at}); err != nil {
--- a/cmd/ivybank/return_test.go
+++ b/cmd/ivybank/return_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"ivybank/emu"
-	"ivybank/lab"
-	"ivybank/snap"
+	"ivybank/fleet/snap"
+	"ivybank/rehearse/emu"
+	"ivybank/rehearse/lab"
 )
 
 // returning is what proxies that come back are set to do: they hear one another, keep snapshots, and ask.
--- a/cmd/ivybank/state.go
+++ b/cmd/ivybank/state.go
@@ -13,8 +13,8 @@
 	"github.com/spf13/cobra"
 
 	"ivybank/balance"
-	"ivybank/recall"
-	"ivybank/snap"
+	"ivybank/fleet/recall"
+	"ivybank/fleet/snap"
 )
 
 func stateCommands() *cobra.Command {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"ivybank/simwire"
+	"ivybank/rehearse/simwire"
 )
 
 func main() {
--- a/conf/fleet.go
+++ b/conf/fleet.go
@@ -7,8 +7,8 @@
 	"net/netip"
 	"strings"
 
-	"ivybank/duty"
 	"ivybank/fleet"
+	"ivybank/fleet/duty"
 )
 
 // Fleet is what operators set on proxies that hear one another.
--- a/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -13,9 +13,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"ivybank/order"
-	"ivybank/plan"
-	"ivybank/quorum"
+	"ivybank/fleet/order"
+	"ivybank/fleet/plan"
+	"ivybank/fleet/quorum"
 )
 
 const (
--- a/crew/crew_test.go
+++ b/fleet/crew/crew_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"testing"
 
-	"ivybank/order"
-	"ivybank/plan"
-	"ivybank/quorum"
+	"ivybank/fleet/order"
+	"ivybank/fleet/plan"
+	"ivybank/fleet/quorum"
 )
 
 // band is some members whose letters arrive, and servers that are worked on as soon as they are out.
--- a/duty/duty.go
+++ b/fleet/duty/duty.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strconv"
 
-	"ivybank/draw"
+	"ivybank/internal/draw"
 )
 
 // Ranks is how many members stand ready for a duty.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,14 +14,14 @@
 	"strings"
 
 	"ivybank/balance"
-	"ivybank/draw"
-	"ivybank/duty"
-	"ivybank/fade"
-	"ivybank/fold"
-	"ivybank/peer"
-	"ivybank/recall"
-	"ivybank/shed"
-	"ivybank/swim"
+	"ivybank/fleet/duty"
+	"ivybank/fleet/fold"
+	"ivybank/fleet/peer"
+	"ivybank/fleet/recall"
+	"ivybank/fleet/shed"
+	"ivybank/fleet/swim"
+	"ivybank/internal/draw"
+	"ivybank/internal/fade"
 )
 
 const (
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -6,11 +6,11 @@
 	"testing"
 
 	"ivybank/balance"
-	"ivybank/draw"
-	"ivybank/duty"
-	"ivybank/fold"
-	"ivybank/peer"
-	"ivybank/swim"
+	"ivybank/fleet/duty"
+	"ivybank/fleet/fold"
+	"ivybank/fleet/peer"
+	"ivybank/fleet/swim"
+	"ivybank/internal/draw"
 )
 
 const begun = int64(1e15)
--- a/fold/fold.go
+++ b/fleet/fold/fold.go
@@ -13,7 +13,7 @@
 	"math/bits"
 	"slices"
 
-	"ivybank/peer"
+	"ivybank/fleet/peer"
 )
 
 // Classes is how many classes of reqs a load tells apart at the most.
--- a/fold/fold_test.go
+++ b/fleet/fold/fold_test.go
@@ -4,7 +4,7 @@
 	"math"
 	"testing"
 
-	"ivybank/peer"
+	"ivybank/fleet/peer"
 )
 
 const second = int64(1e9)
--- a/fleet/learn.go
+++ b/fleet/learn.go
@@ -7,8 +7,8 @@
 	"slices"
 
 	"ivybank/balance"
-	"ivybank/peer"
-	"ivybank/recall"
+	"ivybank/fleet/peer"
+	"ivybank/fleet/recall"
 )
 
 const (
--- a/fleet/learn_test.go
+++ b/fleet/learn_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"ivybank/balance"
-	"ivybank/peer"
+	"ivybank/fleet/peer"
 )
 
 // class is a mesh in which all learn and teach; the members' servers are known to the old.
--- a/fleet/letters.go
+++ b/fleet/letters.go
@@ -6,7 +6,7 @@
 import (
 	"slices"
 
-	"ivybank/peer"
+	"ivybank/fleet/peer"
 )
 
 const (
--- a/fleet/letters_test.go
+++ b/fleet/letters_test.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"testing"
 
-	"ivybank/peer"
+	"ivybank/fleet/peer"
 )
 
 // pieces posts a letter and gives its datagrams.
--- a/order/explore_test.go
+++ b/fleet/order/explore_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"ivybank/plan"
+	"ivybank/fleet/plan"
 )
 
 // The step logic with three members, servers and a limit of one, explored as a graph: every order in which proposals are agreed on or lost,
--- a/order/lead.go
+++ b/fleet/order/lead.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"slices"
 
-	"ivybank/plan"
+	"ivybank/fleet/plan"
 )
 
 const sec = int64(1e9)
--- a/order/order.go
+++ b/fleet/order/order.go
@@ -10,7 +10,7 @@
 	"fmt"
 	"slices"
 
-	"ivybank/plan"
+	"ivybank/fleet/plan"
 )
 
 // Phase is where a step stands.
--- a/order/order_test.go
+++ b/fleet/order/order_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"ivybank/plan"
+	"ivybank/fleet/plan"
 )
 
 func targets(n int) (all []plan.Target) {
--- a/peer/peer.go
+++ b/fleet/peer/peer.go
@@ -9,7 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"ivybank/form"
+	"ivybank/internal/form"
 )
 
 // Most is the longest datagram, in bytes, that the platform carries between proxies.
--- a/plan/plan.go
+++ b/fleet/plan/plan.go
@@ -14,7 +14,7 @@
 )
 
 // Format is what a plan says it is.
-const Format = "ivybank/plan/1"
+const Format = "ivybank/fleet/plan/1"
 
 // most servers of one plan, and bytes of its id.
 const (
--- a/plan/plan_test.go
+++ b/fleet/plan/plan_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-const whole = "format = \"ivybank/plan/1\"\nid = \"kernel\"\nall = true\nmost_out = 2\nmost_out_zone = 1\nleast_capacity = 0.6\norder = \"zone\"\ndone_by = \"time\"\nwork = \"2s\"\n"
+const whole = "format = \"ivybank/fleet/plan/1\"\nid = \"kernel\"\nall = true\nmost_out = 2\nmost_out_zone = 1\nleast_capacity = 0.6\norder = \"zone\"\ndone_by = \"time\"\nwork = \"2s\"\n"
 
 func listed() (all []Target) {
 	for i, id := range []string{"s-1", "s-2", "s-3", "s-4"} {
--- a/quorum/quorum.go
+++ b/fleet/quorum/quorum.go
@@ -18,7 +18,7 @@
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 
-	"ivybank/draw"
+	"ivybank/internal/draw"
 )
 
 const (
--- a/recall/recall.go
+++ b/fleet/recall/recall.go
@@ -11,7 +11,7 @@
 	"slices"
 
 	"ivybank/balance"
-	"ivybank/holds"
+	"ivybank/fleet/holds"
 )
 
 const (
--- a/shed/cut.go
+++ b/fleet/shed/cut.go
@@ -8,8 +8,8 @@
 	"math"
 	"slices"
 
-	"ivybank/fade"
-	"ivybank/fold"
+	"ivybank/fleet/fold"
+	"ivybank/internal/fade"
 )
 
 const (
--- a/shed/shed_test.go
+++ b/fleet/shed/shed_test.go
@@ -4,7 +4,7 @@
 	"math"
 	"testing"
 
-	"ivybank/fold"
+	"ivybank/fleet/fold"
 )
 
 // four rule sets of rising worth, one tenant.
--- a/shed/spare.go
+++ b/fleet/shed/spare.go
@@ -6,7 +6,7 @@
 import (
 	"math"
 
-	"ivybank/fold"
+	"ivybank/fleet/fold"
 )
 
 const (
--- a/snap/snap.go
+++ b/fleet/snap/snap.go
@@ -13,8 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
-	"ivybank/form"
-	"ivybank/recall"
+	"ivybank/fleet/recall"
+	"ivybank/internal/form"
 )
 
 const (
--- a/snap/snap_test.go
+++ b/fleet/snap/snap_test.go
@@ -8,9 +8,9 @@
 	"testing"
 
 	"ivybank/balance"
-	"ivybank/fade"
-	"ivybank/holds"
-	"ivybank/recall"
+	"ivybank/fleet/holds"
+	"ivybank/fleet/recall"
+	"ivybank/internal/fade"
 )
 
 func memory(n uint64) *recall.Memory {
--- a/swim/swim.go
+++ b/fleet/swim/swim.go
@@ -7,8 +7,8 @@
 	"math"
 	"slices"
 
-	"ivybank/draw"
-	"ivybank/peer"
+	"ivybank/fleet/peer"
+	"ivybank/internal/draw"
 )
 
 const (
--- a/fleet/wary.go
+++ b/fleet/wary.go
@@ -7,8 +7,8 @@
 	"cmp"
 	"slices"
 
-	"ivybank/fade"
-	"ivybank/peer"
+	"ivybank/fleet/peer"
+	"ivybank/internal/fade"
 )
 
 const (
--- a/fade/keys.go
+++ b/internal/fade/keys.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"ivybank/draw"
+	"ivybank/internal/draw"
 )
 
 // Keys counts what comes with each key, in a table of fixed size: keys that share a place count together.
--- a/ledger/ledger.go
+++ b/keys/ledger/ledger.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"syscall"
 
-	"ivybank/once"
+	"ivybank/keys/once"
 )
 
 const (
--- a/ledger/ledger_test.go
+++ b/keys/ledger/ledger_test.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"testing"
 
-	"ivybank/once"
+	"ivybank/keys/once"
 )
 
 func record(i int, kind Kind) Record {
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -8,8 +8,8 @@
 	"net/http"
 
 	"ivybank/balance"
-	"ivybank/http1"
-	"ivybank/once"
+	"ivybank/keys/once"
+	"ivybank/proxy/http1"
 )
 
 // wayMargin is what an answer may need back to the client: its wait began when it sent the call.
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -7,7 +7,7 @@
 	"net/http"
 
 	"ivybank/balance"
-	"ivybank/http1"
+	"ivybank/proxy/http1"
 )
 
 // outcome reads a host's answer. Without the host's word that it was not started a refusal may have run.
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -15,7 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ivybank/balance"
-	"ivybank/http1"
+	"ivybank/proxy/http1"
 )
 
 const (
--- a/proxy/flow.go
+++ b/proxy/flow.go
@@ -7,7 +7,7 @@
 	"net/http"
 
 	"ivybank/balance"
-	"ivybank/http1"
+	"ivybank/proxy/http1"
 )
 
 // stall is how long a body may stand still before it is given up, however short the time is that clients wait for an
--- a/proxy/intake.go
+++ b/proxy/intake.go
@@ -12,7 +12,7 @@
 
 	"github.com/lesismal/nbio"
 
-	"ivybank/http1"
+	"ivybank/proxy/http1"
 )
 
 const (
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -20,9 +20,9 @@
 	"github.com/sirupsen/logrus"
 
 	"ivybank/balance"
-	"ivybank/draw"
-	"ivybank/holds"
-	"ivybank/twin"
+	"ivybank/fleet/holds"
+	"ivybank/internal/draw"
+	"ivybank/proxy/twin"
 )
 
 // mostUnsent bounds the bytes of answers that a client does not read; past it its connection is closed.
--- a/proxy/maintain.go
+++ b/proxy/maintain.go
@@ -13,11 +13,11 @@
 	"github.com/sirupsen/logrus"
 
 	"ivybank/balance"
-	"ivybank/crew"
-	"ivybank/door"
-	"ivybank/order"
-	"ivybank/plan"
-	"ivybank/quorum"
+	"ivybank/fleet/crew"
+	"ivybank/fleet/order"
+	"ivybank/fleet/plan"
+	"ivybank/fleet/quorum"
+	"ivybank/proxy/door"
 )
 
 const (
--- a/proxy/once.go
+++ b/proxy/once.go
@@ -17,9 +17,9 @@
 	"github.com/sirupsen/logrus"
 
 	"ivybank/balance"
-	"ivybank/http1"
-	"ivybank/ledger"
-	"ivybank/once"
+	"ivybank/keys/ledger"
+	"ivybank/keys/once"
+	"ivybank/proxy/http1"
 )
 
 const (
--- a/proxy/once_test.go
+++ b/proxy/once_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"ivybank/ledger"
-	"ivybank/once"
+	"ivybank/keys/ledger"
+	"ivybank/keys/once"
 )
 
 // A ledger that is mostly of the past is written anew, with what is live and nothing else; one that is live is left as it is.
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -12,8 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"ivybank/balance"
-	"ivybank/door"
-	"ivybank/holds"
+	"ivybank/fleet/holds"
+	"ivybank/proxy/door"
 )
 
 const (
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -18,11 +18,11 @@
 	"github.com/sirupsen/logrus"
 
 	"ivybank/balance"
-	"ivybank/door"
 	"ivybank/fleet"
-	"ivybank/http1"
-	"ivybank/peer"
-	"ivybank/swim"
+	"ivybank/fleet/peer"
+	"ivybank/fleet/swim"
+	"ivybank/proxy/door"
+	"ivybank/proxy/http1"
 )
 
 const (
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -13,7 +13,7 @@
 	"github.com/lesismal/nbio"
 
 	"ivybank/balance"
-	"ivybank/http1"
+	"ivybank/proxy/http1"
 )
 
 const (
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -10,8 +10,8 @@
 	"github.com/lesismal/nbio"
 
 	"ivybank/balance"
-	"ivybank/holds"
-	"ivybank/http1"
+	"ivybank/fleet/holds"
+	"ivybank/proxy/http1"
 )
 
 // testProxy is a proxy that knows one server and listens to nobody.
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -4,7 +4,7 @@
 // It must never begin an answer that it does not hold to the end.
 
 import (
-	"ivybank/http1"
+	"ivybank/proxy/http1"
 )
 
 // final gives a req its one final answer, counted by its kind.
--- a/proxy/return.go
+++ b/proxy/return.go
@@ -13,11 +13,11 @@
 	"golang.org/x/sys/unix"
 
 	"ivybank/balance"
-	"ivybank/door"
-	"ivybank/peer"
-	"ivybank/recall"
-	"ivybank/snap"
-	"ivybank/swim"
+	"ivybank/fleet/peer"
+	"ivybank/fleet/recall"
+	"ivybank/fleet/snap"
+	"ivybank/fleet/swim"
+	"ivybank/proxy/door"
 )
 
 const (
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ivybank/balance"
-	"ivybank/http1"
+	"ivybank/proxy/http1"
 )
 
 func (p *Proxy) route(now int64) {
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -9,7 +9,7 @@
 	"fmt"
 
 	"ivybank/balance"
-	"ivybank/http1"
+	"ivybank/proxy/http1"
 )
 
 // reached is how far an attempt had come when it broke.
--- a/emu/emu_test.go
+++ b/rehearse/emu/emu_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"ivybank/balance"
-	"ivybank/draw"
+	"ivybank/internal/draw"
 )
 
 func rehearsed(t *testing.T, n int, change func(*Nature)) (*Virtual, *Fleet) {
--- a/emu/fleet.go
+++ b/rehearse/emu/fleet.go
@@ -9,7 +9,7 @@
 	"slices"
 
 	"ivybank/balance"
-	"ivybank/draw"
+	"ivybank/internal/draw"
 )
 
 // Fault is one line of the timetable. Faults may overlap; one that ends undoes what it did alone.
--- a/emu/life_test.go
+++ b/rehearse/emu/life_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"ivybank/swim"
+	"ivybank/fleet/swim"
 )
 
 // One that begins anew in the same instant, as after a reload, is heard though its datagrams count from the start again.
--- a/emu/peers.go
+++ b/rehearse/emu/peers.go
@@ -6,10 +6,10 @@
 import (
 	"slices"
 
-	"ivybank/draw"
 	"ivybank/fleet"
-	"ivybank/peer"
-	"ivybank/swim"
+	"ivybank/fleet/peer"
+	"ivybank/fleet/swim"
+	"ivybank/internal/draw"
 )
 
 // Rough is what befalls datagrams; parts of them. All wait so long, and by chance up to Spread more.
--- a/emu/peers_test.go
+++ b/rehearse/emu/peers_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"ivybank/fleet"
-	"ivybank/peer"
+	"ivybank/fleet/peer"
 )
 
 const ms, second = int64(1e6), int64(1e9)
--- a/emu/return.go
+++ b/rehearse/emu/return.go
@@ -8,8 +8,8 @@
 	"slices"
 
 	"ivybank/balance"
-	"ivybank/peer"
-	"ivybank/recall"
+	"ivybank/fleet/peer"
+	"ivybank/fleet/recall"
 )
 
 // Keeps is what balancers write down; none where Every is 0.
--- a/emu/seat.go
+++ b/rehearse/emu/seat.go
@@ -11,9 +11,9 @@
 	"math"
 
 	"ivybank/balance"
-	"ivybank/draw"
 	"ivybank/fleet"
-	"ivybank/recall"
+	"ivybank/fleet/recall"
+	"ivybank/internal/draw"
 )
 
 // Policy is what decides: the module, or what it is compared with.
--- a/emu/server.go
+++ b/rehearse/emu/server.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"ivybank/balance"
-	"ivybank/draw"
+	"ivybank/internal/draw"
 )
 
 // Nature is what all servers of a fleet have in common.
--- a/lab/baseline.go
+++ b/rehearse/lab/baseline.go
@@ -9,8 +9,8 @@
 	"slices"
 
 	"ivybank/balance"
-	"ivybank/draw"
-	"ivybank/emu"
+	"ivybank/internal/draw"
+	"ivybank/rehearse/emu"
 )
 
 // Policies are those that a variant may name.
--- a/lab/clients.go
+++ b/rehearse/lab/clients.go
@@ -16,7 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"ivybank/balance"
-	"ivybank/emu"
+	"ivybank/rehearse/emu"
 )
 
 // play sends the load, each ask at its time. What waits for a machine that is late counts from the time at which it was due.
--- a/lab/experiment.go
+++ b/rehearse/lab/experiment.go
@@ -13,8 +13,8 @@
 
 	"ivybank/balance"
 	"ivybank/conf"
-	"ivybank/emu"
-	"ivybank/trace"
+	"ivybank/rehearse/emu"
+	"ivybank/rehearse/trace"
 )
 
 // Format is what an experiment file says it is.
--- a/lab/gentrace.go
+++ b/rehearse/lab/gentrace.go
@@ -10,7 +10,7 @@
 	"math"
 	"slices"
 
-	"ivybank/draw"
+	"ivybank/internal/draw"
 )
 
 // MadeLayouts are those that a trace can be made in.
--- a/lab/lab_test.go
+++ b/rehearse/lab/lab_test.go
@@ -14,7 +14,7 @@
 	"testing"
 
 	"ivybank/balance"
-	"ivybank/emu"
+	"ivybank/rehearse/emu"
 )
 
 // text is a small experiment; with is written over it, line by line "from -> to".
--- a/lab/links.go
+++ b/rehearse/lab/links.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
-	"ivybank/draw"
-	"ivybank/emu"
+	"ivybank/internal/draw"
+	"ivybank/rehearse/emu"
 )
 
 // links are those of all pairs.
--- a/lab/load.go
+++ b/rehearse/lab/load.go
@@ -12,9 +12,9 @@
 	"slices"
 	"sort"
 
-	"ivybank/draw"
-	"ivybank/emu"
-	"ivybank/trace"
+	"ivybank/internal/draw"
+	"ivybank/rehearse/emu"
+	"ivybank/rehearse/trace"
 )
 
 // load gives asks in time order; io.EOF ends it.
--- a/lab/measure_test.go
+++ b/rehearse/lab/measure_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"ivybank/conf"
-	"ivybank/emu"
+	"ivybank/rehearse/emu"
 )
 
 // measured plays asks of worth 1 and 8, ten of each a second for 8 s; what becomes of each is the test's.
--- a/lab/mechanics.go
+++ b/rehearse/lab/mechanics.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"ivybank/conf"
-	"ivybank/crew"
-	"ivybank/emu"
-	"ivybank/plan"
+	"ivybank/fleet/crew"
+	"ivybank/fleet/plan"
+	"ivybank/rehearse/emu"
 )
 
 // maintenance is what an experiment has done to all servers, each once.
--- a/lab/process.go
+++ b/rehearse/lab/process.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"ivybank/fleet"
-	"ivybank/recall"
+	"ivybank/fleet/recall"
 )
 
 // process is a client proxy that can be killed, started again and stopped for a while.
--- a/lab/rehearsal.go
+++ b/rehearse/lab/rehearsal.go
@@ -8,9 +8,9 @@
 	"net/http"
 	"time"
 
-	"ivybank/emu"
 	"ivybank/fleet"
-	"ivybank/recall"
+	"ivybank/fleet/recall"
+	"ivybank/rehearse/emu"
 )
 
 // Rehearsal is proxies as processes between stand-ins, with every link between two of them through the rig.
--- a/lab/run.go
+++ b/rehearse/lab/run.go
@@ -16,8 +16,8 @@
 
 	"ivybank/balance"
 	"ivybank/conf"
-	"ivybank/emu"
 	"ivybank/fleet"
+	"ivybank/rehearse/emu"
 )
 
 // Figures are what came of one run.
--- a/lab/sockets.go
+++ b/rehearse/lab/sockets.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"ivybank/balance"
-	"ivybank/draw"
-	"ivybank/emu"
+	"ivybank/internal/draw"
+	"ivybank/rehearse/emu"
 )
 
 const (
--- a/lab/standins.go
+++ b/rehearse/lab/standins.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"ivybank/balance"
-	"ivybank/emu"
+	"ivybank/rehearse/emu"
 )
 
 // standIn listens for one proxy as one server. While the server's process is gone it does not listen.
--- a/lab/state.go
+++ b/rehearse/lab/state.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"ivybank/emu"
+	"ivybank/rehearse/emu"
 )
 
 const (
--- a/lab/timetable.go
+++ b/rehearse/lab/timetable.go
@@ -9,8 +9,8 @@
 	"syscall"
 	"time"
 
-	"ivybank/draw"
-	"ivybank/emu"
+	"ivybank/internal/draw"
+	"ivybank/rehearse/emu"
 )
 
 const starvePiece = 100 * time.Millisecond // a starved proxy is stopped for a part of each such piece
