--- a/balance/balance.go
+++ b/balance/balance.go
@@ -72,7 +72,8 @@
 type req struct {
 	Arrival
 	rules            *RuleSet
-	taken, giveUp    int64
+	taken, giveUp    int64 // until: the end of its client's wait as far as it is told
+	until            int64
 	value, luck      float64 // luck: a random number below 1
 	sends            []*dispatch
 	tenant, outs     int
@@ -87,6 +88,7 @@
 	health                 float64
 	streak, ejections      int
 	until, answered, used  int64       // end of the ejection; last answer; last outcome
+	started                int64       // at the latest
 	full, spentAt          int64       // turned a req away until then; when spent was brought up to date
 	out                    []*dispatch // oldest first
 	unit, lat              float64     // time for each place in flight, and of an answer; 0: not measured
@@ -186,7 +188,8 @@
 
 // start starts a req's time. What comes past the response target is worth little: it ends before it.
 func (b *Balancer) start(r *req, now int64) {
-	r.taken, r.giveUp = now, now+r.Budget
+	r.taken, r.until = now, now+max(r.Budget, b.t.BudgetError) // an answer is in time till then
+	r.giveUp = r.until
 	if r.rules.OverdueValue <= 0 || b.t.Tail > 0 && r.rules.Harmless() {
 		r.giveUp = min(r.giveUp, now+r.rules.ResponseTarget)
 	}
@@ -202,7 +205,7 @@
 			if d.out {
 				d.sent = now
 				b.enter(d)
-				b.do(Decision{Kind: Limit, Req: id, Attempt: i, Time: r.giveUp})
+				b.do(Decision{Kind: Limit, Req: id, Attempt: i, Time: b.limit(r)})
 			}
 		}
 	}
@@ -271,7 +274,7 @@
 	s.used, d.maybe = now, o != Refused && o != NoConnection && o != NotSent
 	r.ended = r.ended || final
 	b.drop(r)
-	if s.Since <= d.sent && (o != Served || !d.passed) { // an earlier process tells nothing of this one
+	if s.started <= d.sent && (o != Served || !d.passed) { // an earlier process tells nothing of this one
 		b.judge(s, d, o, took, now)
 	}
 }
@@ -369,8 +372,9 @@
 		b.servers = slices.Insert(b.servers, i, &server{Server: Server{Since: -1}})
 	}
 	s := b.servers[i]
-	if e.Since > s.Since {
+	if e.Since > s.Since || b.t.StartError > 0 && e.Since != s.Since {
 		*s = server{out: s.out, health: cmp.Or(b.mean, 1), grow: newcomer / float64(1+b.t.Beside), answered: now}
+		s.started = min(e.Since+b.t.StartError, now) // clocks may differ
 		if s.spentAt = now; b.t.Copies <= len(b.servers) && b.many(now) {
 			s.spent = 1 + b.dice.Next() // not the first of all balancers at once
 		}
@@ -381,11 +385,11 @@
 }
 
 // warmth is the part of its capacity that a server has at the least, by its age.
-func (b *Balancer) warmth(e Server, now int64) float64 {
-	if e.Since <= 0 || b.t.RampTime <= 0 || now-e.Since >= b.t.RampTime {
+func (b *Balancer) warmth(s *server, now int64) float64 {
+	if s.Since <= 0 || b.t.RampTime <= 0 || now-s.started >= b.t.RampTime {
 		return 1
 	}
-	return b.t.StartCapacity + (1-b.t.StartCapacity)*max(0, float64(now-e.Since)/float64(b.t.RampTime))
+	return b.t.StartCapacity + (1-b.t.StartCapacity)*max(0, float64(now-s.started)/float64(b.t.RampTime))
 }
 
 // Next gives the next decision; false when there is none.
@@ -462,7 +466,7 @@
 	}
 	b.unit = math.Exp(units / max(1, n))
 	for _, s := range b.servers {
-		s.cold = b.warmth(s.Server, now)
+		s.cold = b.warmth(s, now)
 		if !s.known || s.State != Running {
 			continue
 		}
@@ -520,6 +524,11 @@
 // serve decides on one req and says when it is to be looked at again.
 func (b *Balancer) serve(r *req, now int64) int64 {
 	if (now >= r.giveUp || r.Shed) && !r.streaming {
+		for _, d := range r.sends {
+			if d.counts && b.limit(r) > r.giveUp { // it will end as cancelled, which tells nothing
+				b.judge(d.srv, d, TimedOut, now-d.sent, now)
+			}
+		}
 		b.finish(r)
 	}
 	if r.ended || r.streaming {
@@ -583,8 +592,11 @@
 	return x.Effect == Replayable || x.Effect == Uniqued && same && now < sent+x.Window
 }
 
-// allowed says whether the req may go to this server without taking effect twice.
+// allowed says whether the req may go to this server: it is placed there and takes effect once.
 func (r *req) allowed(s *server, now int64) bool {
+	if !r.rules.Placed(s.Server) {
+		return false
+	}
 	for _, d := range r.sends {
 		if d.out && d.srv == s || d.maybe && !r.rules.Again(d.srv.Server, s.Server, d.sent, now) {
 			return false
@@ -700,5 +712,14 @@
 	if r.tenant >= 0 {
 		b.served[r.tenant].Add(now, span)
 	}
-	b.do(Decision{Kind: Dispatch, Req: r.ID, Server: s.ID, Time: r.giveUp})
+	b.do(Decision{Kind: Dispatch, Req: r.ID, Server: s.ID, Time: b.limit(r)})
+}
+
+// limit is when a dispatch is to end by itself. A server whose clock is ahead refuses or breaks off what it takes
+// to be over: where clocks may differ it is told all the time there is, and the end comes by a cancel.
+func (b *Balancer) limit(r *req) int64 {
+	if b.t.BudgetError > 0 && b.t.CanCancel {
+		return r.until
+	}
+	return r.giveUp
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -439,7 +439,7 @@
 			b.rate.N = 200 * float64(span/sec)
 			b.rate.At = now
 			s := b.servers[0]
-			if s.cold = b.warmth(s.Server, now); b.afford(s, s.cold/(3+s.cold), now) {
+			if s.cold = b.warmth(s, now); b.afford(s, s.cold/(3+s.cold), now) {
 				s.spent++
 				sent++
 			}
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -82,7 +82,7 @@
 		s.health, s.streak, s.ejections = max(floor, l.Health), l.Streak, l.Ejections
 		s.ejected, s.until = l.Left > 0, now+l.Left
 		s.unit, s.lat, s.blips, s.answered = l.Unit, l.Lat, l.Blips, now
-		if s.grow = max(1, l.Grow); b.warmth(s.Server, now) < 1 { // a cold one begins as for all
+		if s.grow = max(1, l.Grow); b.warmth(s, now) < 1 { // a cold one begins as for all
 			s.grow = min(s.grow, newcomer)
 		}
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -30,7 +30,14 @@
 	Window         int64
 	ResponseTarget int64
 	BillingValue   float64
-	OverdueValue   float64 // share of the billing value that is left past the response target
+	OverdueValue   float64  // share of the billing value that is left past the response target
+	Zones, Kinds   []string // the only zones and kinds of machine that may run it; empty: any
+}
+
+// Placed says whether a server may run the rule set's reqs.
+func (x *RuleSet) Placed(s Server) bool {
+	return (len(x.Zones) == 0 || slices.Contains(x.Zones, s.Zone)) &&
+		(len(x.Kinds) == 0 || slices.Contains(x.Kinds, s.Kind))
 }
 
 // Tenant is one customer and its share of the fleet.
@@ -62,6 +69,11 @@
 	Tail          float64 // weight of the part of the score that late answers cost and early denials do not
 	WastePrice    float64 // points for work that served no answer, as much as was asked for
 	Tick          int64
+	TailMiss      float64 // share of reqs that may miss their response target before that part is less
+	Held          int     // answers that clients may be reading at a time, 0: no limit
+	BudgetError   int64   // told budgets are this much off at the most, either way; 0: clocks agree
+	StartError    int64   // and told starts of servers
+	GoneIsAdvice  bool    // one that is gone without having drained may still be sent to
 }
 
 // RuleSet finds one by its name; nil where there is none.
@@ -92,6 +104,7 @@
 type Server struct {
 	ID    string
 	Zone  string
+	Kind  string
 	Cell  int64
 	State State
 	Share float64
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"math"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -265,7 +266,8 @@
 
 // Same says whether a member goes by these rule sets and tenants, and this longest advice.
 func (f *Fleet) Same(sets []balance.RuleSet, tenants []balance.Tenant, advice int64) bool {
-	return slices.Equal(f.t.RuleSets, sets) && slices.Equal(f.t.Tenants, tenants) && f.t.MaxAdvice == advice
+	return reflect.DeepEqual(f.t.RuleSets, sets) && slices.Equal(f.t.Tenants, tenants) &&
+		f.t.MaxAdvice == advice
 }
 
 // Heard takes a datagram that came from the address of the member that it names.
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -54,6 +54,7 @@
 	ID      string  `json:"instanceId"`
 	Addr    string  `json:"hostPort"`
 	Zone    string  `json:"zone"`
+	Kind    string  `json:"machineType"`
 	Cell    int64   `json:"cell"`
 	State   string  `json:"lifecycle"`
 	Weight  float64 `json:"weight"`
@@ -102,7 +103,8 @@
 	}
 	servers := make([]balance.Server, 0, len(r.Instances))
 	for _, e := range r.Instances {
-		s := balance.Server{ID: e.ID, Zone: e.Zone, Cell: e.Cell, Share: e.Weight, Since: int64(e.Started * 1e6)}
+		s := balance.Server{ID: e.ID, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, Share: e.Weight,
+			Since: int64(e.Started * 1e6)}
 		switch e.State {
 		case "ready":
 			s.State = balance.Running
--- a/proxy/return.go
+++ b/proxy/return.go
@@ -125,7 +125,8 @@
 	r := roll{Generation: l.Generation, Reset: true, Instances: []entry{}}
 	words := map[balance.State]string{balance.Running: "ready", balance.Draining: "draining", balance.Gone: "gone"}
 	for _, h := range l.Hosts {
-		r.Instances = append(r.Instances, entry{ID: h.ID, Addr: h.Addr, Zone: h.Zone, Cell: h.Cell, State: words[h.State], Weight: h.Share, Started: float64(h.Since) / 1e6})
+		r.Instances = append(r.Instances, entry{ID: h.ID, Addr: h.Addr, Zone: h.Zone, Kind: h.Kind, Cell: h.Cell,
+			State: words[h.State], Weight: h.Share, Started: float64(h.Since) / 1e6})
 	}
 	return r
 }
--- a/rehearse/simwire/simwire.go
+++ b/rehearse/simwire/simwire.go
@@ -213,7 +213,8 @@
 		if !ok {
 			state = balance.Draining // a state not known here: nothing new goes there
 		}
-		list = append(list, balance.Server{ID: h.At["Host"], Zone: h.At["RackZone"], Cell: h.Int("Cell"),
+		list = append(list, balance.Server{ID: h.At["Host"], Zone: h.At["RackZone"], Kind: h.At["Shape"],
+			Cell:  h.Int("Cell"),
 			State: state, Share: h.Float("Share"), Since: h.Int("SinceNs")})
 		if h.Err != nil {
 			return h.Err
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -78,6 +78,14 @@
 	return false
 }
 
+// Words reads a list of plain values; nil where there is none.
+func (v *Values) Words(key string) []string {
+	if text := v.At[key]; text != "" {
+		return strings.Split(text, ",")
+	}
+	return nil
+}
+
 // Flatten turns nested JSON into path=value pairs: parts joined by dots, the length of a list of objects
 // under .count and its items under .0, .1 and so on, a list of plain values joined by commas.
 func Flatten(text []byte) (*Values, error) {
@@ -144,6 +152,16 @@
 			v.Fail(p+"Name", "a name of its own")
 		}
 		names[name] = true
+		for _, field := range []string{"ZonesOnly", "ServedOn"} {
+			known := map[string]string{"ZonesOnly": "Zones", "ServedOn": "HostTypes"}[field]
+			_, empty := v.At[p+field+".count"]
+			for _, word := range v.Words(p + field) {
+				empty = empty || v.At[known] != "" && !slices.Contains(v.Words(known), word)
+			}
+			if empty {
+				v.Fail(p+field, "names of "+known)
+			}
+		}
 	}
 	for _, c := range [][]string{{"Discovery", "on_request", "pushed"}, {"Weights", "off", "nominal", "rough", "live"}} {
 		if word, ok := v.At[c[0]]; ok && !slices.Contains(c[1:], word) {
@@ -156,9 +174,17 @@
 	if v.Float("Contract.OverloadFactor") < 0 {
 		v.Fail("Contract.OverloadFactor", "a number from 0")
 	}
-	if tail := v.Float("ScoringMix.Tail"); tail < 0 || tail > 1 {
-		v.Fail("ScoringMix.Tail", "a number from 0 to 1")
+	for _, key := range []string{"ScoringMix.Tail", "ScoringMix.TailMiss"} {
+		if part := v.Float(key); part < 0 || part > 1 {
+			v.Fail(key, "a number from 0 to 1")
+		}
+	}
+	for _, key := range []string{"Ceilings.HeldReplies", "Contract.BudgetErrorNs", "Contract.StartErrorNs"} {
+		if v.Int(key) < 0 {
+			v.Fail(key, "a whole number from 0")
+		}
 	}
+	v.Bool("Contract.GoneIsAdvice")
 	return v.Err
 }
 
@@ -230,7 +256,10 @@
 		AskWithin: v.Int("Contract.AskWithinNs"), StartCapacity: v.Float("Contract.StartCapacity"),
 		RampTime: v.Int("Contract.RampTimeNs"), CrossPrice: v.Float("Prices.CrossZone"),
 		WastePrice: v.Float("Prices.Waste"), Tick: v.Int("TickNs"),
-		Tail: v.Float("ScoringMix.Tail"), Overload: v.Float("Contract.OverloadFactor"), FallTime: v.Int("Contract.FallNs"),
+		Tail: v.Float("ScoringMix.Tail"), TailMiss: v.Float("ScoringMix.TailMiss"),
+		Overload: v.Float("Contract.OverloadFactor"), FallTime: v.Int("Contract.FallNs"),
+		Held: int(v.Int("Ceilings.HeldReplies")), BudgetError: v.Int("Contract.BudgetErrorNs"),
+		StartError: v.Int("Contract.StartErrorNs"), GoneIsAdvice: v.Bool("Contract.GoneIsAdvice"),
 	}
 	if v.Bool("Ceilings.RetryAfter") {
 		t.MaxAdvice = v.Int("Ceilings.MaxRetryAfterNs")
@@ -249,7 +278,8 @@
 		}
 		t.RuleSets = append(t.RuleSets, balance.RuleSet{Name: v.At[p+"Name"], Effect: effect, Group: group,
 			Window: v.Int(p + "WindowNs"), ResponseTarget: v.Int(p + "ResponseTargetNs"),
-			BillingValue: v.Float(p + "BillingValue"), OverdueValue: v.Float(p + "OverdueBillingValue")})
+			BillingValue: v.Float(p + "BillingValue"), OverdueValue: v.Float(p + "OverdueBillingValue"),
+			Zones: v.Words(p + "ZonesOnly"), Kinds: v.Words(p + "ServedOn")})
 	}
 	for i := range v.Int("Tenants.count") {
 		p := fmt.Sprintf("Tenants.%d.", i)
--- a/terms/terms_test.go
+++ b/terms/terms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 
 	"ivybank/balance"
@@ -35,6 +36,17 @@
 			t.Fatalf("got %+v, %v, want %+v", got, v.Err, want)
 		}
 	})
+	t.Run("clocks, buffers, placement", func(t *testing.T) {
+		v := &Values{At: map[string]string{"Contract.BudgetErrorNs": "5", "Contract.StartErrorNs": "6",
+			"Contract.GoneIsAdvice": "true", "Ceilings.HeldReplies": "7", "ScoringMix.Tail": "0.2", "ScoringMix.TailMiss": "0.01",
+			"RuleSets.count": "1", "RuleSets.0.ServedOn": "small,tiny", "RuleSets.0.ZonesOnly": "a"}}
+		want := balance.Terms{BudgetError: 5, StartError: 6, GoneIsAdvice: true, Held: 7, Tail: 0.2, TailMiss: 0.01,
+			RuleSets: []balance.RuleSet{{Effect: balance.NonReplayable, Group: balance.GroupCell,
+				Kinds: []string{"small", "tiny"}, Zones: []string{"a"}}}}
+		if got := Read(v, 0); v.Err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, %v, want %+v", got, v.Err, want)
+		}
+	})
 	t.Run("unknown kinds are the strictest", func(t *testing.T) {
 		v := &Values{At: map[string]string{"RuleSets.count": "1", "RuleSets.0.Effect": "new", "RuleSets.0.Group": "new"}}
 		if r := Read(v, 0).RuleSets[0]; r.Effect != balance.NonReplayable || r.Group != balance.GroupCell {
@@ -48,3 +60,18 @@
 		}
 	})
 }
+
+func TestCheckFurther(t *testing.T) {
+	for key, text := range map[string]string{"": "", "RuleSets.0.ServedOn": "small", "RuleSets.0.ZonesOnly": "a,b",
+		"Contract.BudgetErrorNs": "-1", "Contract.StartErrorNs": "soon", "Contract.GoneIsAdvice": "maybe",
+		"Ceilings.HeldReplies": "-2", "ScoringMix.TailMiss": "1.5", "RuleSets.0.ServedOn.count": "0",
+		"RuleSets.0.ServedOn ": "large"} {
+		v := &Values{At: map[string]string{"Ceilings.MaxDispatches": "3", "RuleSets.count": "1", "RuleSets.0.Name": "n",
+			"RuleSets.0.ClientTimeoutNs": "9", "RuleSets.0.ResponseTargetNs": "5", "HostTypes": "large,dual", "Zones": "a,c"}}
+		good := key == "" || key == "RuleSets.0.ServedOn "
+		v.At[strings.TrimSpace(key)] = text
+		if err := Check(v); (err == nil) != good || !good && !strings.Contains(err.Error(), strings.TrimSuffix(key, ".count")) {
+			t.Errorf("%s = %q: %v", key, text, err)
+		}
+	}
+}
