--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,6 +53,8 @@
 	fullKey     = 0.3      // part of what a server gets by the mean that one key may bring it alone
 	easeStep    = 0.1      // weight of the newest listed weight where they move with load
 	preferred   = 0.15     // power of its value over the mean by which a req may fill more in flight
+	ownOver     = 1.3      // what comes of one source may be tried this multiple of what would be done of others,
+	ownFree     = 2.0      // and so many times more, before failures are the source's own
 	askApart    = 5e6      // time that calls for the list are spread over, for each balancer
 )
 
@@ -78,7 +80,9 @@
 	sends            []*dispatch
 	tenant, outs     int
 	ended, streaming bool
-	most             int // dispatches that its terms allow
+	most             int          // dispatches that its terms allow
+	order            string       // what its order of servers goes by, where it isn't the key
+	from             []*fade.Odds // its key and its tenant, as far as told
 }
 
 // server is what this balancer knows of one listed server; tend drops it when off the list and idle.
@@ -108,13 +112,16 @@
 	askAt, reqAt      int64 // when the list is to be asked again, 0: subscribed; when the latest req came
 	wake, begun, pace int64 // pace: the shortest response target
 	inflight, healthy int
-	late              [5]fade.Count // part of dispatches that time out, by how long connections rested
-	jam, total, unit  float64       // times over response targets; all servers' ready; mean time for each place
-	mean, ease        float64       // of all servers
-	rate              fade.Count    // answers
-	served            []fade.Count  // dispatches of each tenant
-	target, worth     fade.Mean     // response target and billing value of reqs
-	keys              fade.Keys     // reqs by key
+	late              [5]fade.Count   // part of dispatches that time out, by how long connections rested
+	jam, total, unit  float64         // times over response targets; all servers' ready; mean time for each place
+	mean, ease        float64         // of all servers
+	rate              fade.Count      // answers
+	served            []fade.Count    // dispatches of each tenant
+	tenants           []fade.Odds     // what became of their reqs,
+	sources           [1024]fade.Odds // of those of keys (that share a place count together)
+	all               fade.Odds       // and of all
+	target, worth     fade.Mean       // response target and billing value of reqs
+	keys              fade.Keys       // reqs by key
 	planned, dazed    bool
 	advice            Advice
 }
@@ -136,7 +143,7 @@
 			served[i] = b.served[had]
 		}
 	}
-	b.t, b.served, b.pace = t, served, firstBackoff
+	b.t, b.served, b.pace, b.tenants = t, served, firstBackoff, make([]fade.Odds, len(t.Tenants))
 	for _, x := range t.RuleSets {
 		b.pace = min(b.pace, x.ResponseTarget)
 	}
@@ -177,11 +184,21 @@
 	if b.start(r, now); a.Open { // its time has not begun: it may wait for a server all of its target
 		r.taken, r.giveUp = now+int64((1-holdShare)*float64(r.rules.ResponseTarget)), math.MaxInt64
 	}
+	if a.Key != "" {
+		r.from = append(r.from, &b.sources[int(draw.Hash(a.Key, "")*float64(len(b.sources)))])
+	}
+	if r.tenant >= 0 {
+		r.from = append(r.from, &b.tenants[r.tenant])
+	}
+	if x, part := b.own(r, now); b.dice.Next() < part {
+		x.Add(false, now, span)
+		r.Shed = true
+	}
 	if a.Key == "" {
-		r.Key = fmt.Sprint(r.luck) // without a key chance decides
+		r.order = fmt.Sprint(r.luck) // without a key chance decides
 	} else if n := b.keys.Add(a.Key, now, keySpan) * float64(len(b.servers)) / fullKey; r.luck*n >= 1 {
 		// One that alone would fill a server has several parts, each with an order of servers of its own.
-		r.Key = fmt.Sprint(a.Key, "/", int(r.luck*n))
+		r.order = fmt.Sprint(a.Key, "/", int(r.luck*n))
 	}
 	b.reqs[a.ID], b.open = r, append(b.open, r)
 }
@@ -279,8 +296,36 @@
 	}
 }
 
-// judge lets an outcome speak on the server.
+// own gives the source of a req whose like fails wherever it goes, its key before its tenant, and the part that does
+// so. What strikes the reqs of all sources alike, as overload does, is no source's own.
+func (b *Balancer) own(r *req, now int64) (*fade.Odds, float64) {
+	allTried, allDone := b.all.Now(now, span)
+	for _, x := range r.from {
+		tried, done := x.Now(now, span)
+		others := min(1, max(0.01, (allDone-done+1)/(allTried-tried+1)))
+		if part := 1 - ownOver*(done+ownFree)/((tried+ownFree)*others); part > 0 {
+			return x, part
+		}
+	}
+	return nil, 0
+}
+
+// judge lets an outcome speak on the server, or on the source of its req.
 func (b *Balancer) judge(s *server, d *dispatch, o Outcome, took, now int64) {
+	if o == Served || o == Errored || o == TimedOut {
+		own, _ := b.own(d.req, now)
+		done := o == Served && took <= d.req.rules.ResponseTarget
+		b.all.Add(done, now, span)
+		for i := 0; i < len(d.req.from) && (i == 0 || d.req.from[i-1] != own); i++ { // a key's are not its tenant's
+			d.req.from[i].Add(done, now, span)
+		}
+		if own != nil && !done { // it would have failed anywhere: no server is blamed
+			if o != TimedOut {
+				s.answered = now
+			}
+			return
+		}
+	}
 	if o == Served || o == TimedOut {
 		b.jam += 0.1 * (float64(took)/float64(d.req.rules.ResponseTarget) - b.jam)
 		b.late[d.rested].N = 0.85 * b.late[d.rested].Now(now, restSpan)
@@ -633,7 +678,7 @@
 		if slices.ContainsFunc(r.sends, func(d *dispatch) bool { return d.srv == s }) {
 			w *= 1e-9 // one that was tried is only better than none
 		}
-		key := r.Key
+		key := cmp.Or(r.order, r.Key)
 		if s.cold < 1 && many {
 			// Hundreds of balancers would push it over with one popular key: it gets its part of each key.
 			key = fmt.Sprint(r.luck)
--- a/balance/move_test.go
+++ b/balance/move_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 
@@ -27,7 +28,7 @@
 			if s := b.pick(r, now); i > 1000 && key == "hot" {
 				n[s.ID]++
 			} else if i > 1000 {
-				others[r.Key] = true
+				others[cmp.Or(r.order, r.Key)] = true
 			}
 			delete(b.reqs, i)
 		}
--- /dev/null
+++ b/balance/source_test.go
@@ -0,0 +1,99 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+)
+
+// play hands in reqs of a key each 10 ms and answers what is sent at once; end says how.
+func play(b *Balancer, from int64, n int, key func(int) string, end func(key, srv string) Outcome) (sent, shed map[string]int) {
+	sent, shed = map[string]int{}, map[string]int{}
+	for i := range n {
+		now, id := from+int64(i)*10*ms, uint64(from)+uint64(i)
+		b.Req(Arrival{ID: id, RuleSet: "once", Key: key(i), Tenant: "t", Budget: 2 * sec}, now)
+		for _, d := range pull(b, now, -1) {
+			switch d.Kind {
+			case Dispatch:
+				sent[key(i)]++
+				if o := end(key(i), d.Server); o != TimedOut {
+					b.Finished(d.Req, d.Attempt, o, o == Served, 5*ms, now)
+				}
+			case Deny:
+				shed[key(i)]++
+			}
+		}
+		pull(b, now, -1)
+	}
+	return sent, shed
+}
+
+func TestFailsAnywhere(t *testing.T) {
+	begin := func() *Balancer {
+		return fleet(6, func(t *Terms) { t.Tenants = []Tenant{{Name: "t", Share: 1}} })
+	}
+	good := func(i int) string { return fmt.Sprint("key-", i%50) }
+	bad := func(i int) string { // two in ten are of a key that no server serves
+		if i%5 == 0 {
+			return "bad"
+		}
+		return good(i)
+	}
+	t.Run("no server is blamed for a key that fails at each", func(t *testing.T) {
+		// All thirteen servers were ejected by each balancer within a second (altiplano-pedidos rough-1).
+		b := begin()
+		_, shed := play(b, 0, 2000, bad, func(key, _ string) Outcome {
+			if key == "bad" {
+				return Errored
+			}
+			return Served
+		})
+		for _, s := range b.servers {
+			if s.ejections > 0 || s.ejected || s.health < 0.9 {
+				t.Errorf("%s: health %.2f, ejected %d times", s.ID, s.health, s.ejections)
+			}
+		}
+		if shed["bad"] < 300 {
+			t.Errorf("%d of 400 reqs of the key were denied at once, want most", shed["bad"])
+		}
+		if n := len(shed); n != 1 {
+			t.Errorf("%d keys had denials, want the one", n)
+		}
+		// It is tried again now and then, and comes back when it is well.
+		sent, _ := play(b, 100*sec, 100, bad, func(string, string) Outcome { return Served })
+		if sent["bad"] < 15 {
+			t.Errorf("%d of 20 sent after it was well again", sent["bad"])
+		}
+	})
+	t.Run("a server that fails is not taken for its keys", func(t *testing.T) {
+		b := begin()
+		_, shed := play(b, 0, 300, good, func(_, srv string) Outcome {
+			if srv == "c" {
+				return Errored
+			}
+			return Served
+		})
+		if c := b.servers[2]; c.ejections == 0 {
+			t.Error("c was never ejected")
+		}
+		if len(shed) > 0 {
+			t.Errorf("denied %v", shed)
+		}
+	})
+	t.Run("what strikes all alike is nobody's own", func(t *testing.T) {
+		b := begin()
+		n := 0
+		_, shed := play(b, 0, 500, good, func(string, string) Outcome {
+			if n++; n%2 == 0 {
+				return Errored
+			}
+			return Served
+		})
+		all := 0
+		for _, x := range shed {
+			all += x
+		}
+		if all > 100 {
+			t.Errorf("%d of 500 denied", all)
+		}
+	})
+}
