--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,6 +54,7 @@
 	easeStep    = 0.1      // weight of the newest listed weight where they move with load
 	preferred   = 0.15     // power of its value over the mean by which a req may fill more in flight
 	ownOver     = 1.3      // what comes of one source may be tried this multiple of what would be done of others,
+	mostOdd     = 2        // servers that are well and fail a req: the next would fail it too
 	ownFree     = 2.0      // and so many times more, before failures are the source's own
 	askApart    = 5e6      // time that calls for the list are spread over, for each balancer
 )
@@ -80,6 +81,7 @@
 	sends            []*dispatch
 	tenant, outs     int
 	ended, streaming bool
+	odd              int          // errors of servers that were well
 	most             int          // dispatches that its terms allow
 	order            string       // what its order of servers goes by, where it isn't the key
 	from             []*fade.Odds // its key and its tenant, as far as told
@@ -319,7 +321,10 @@
 		for i := 0; i < len(d.req.from) && (i == 0 || d.req.from[i-1] != own); i++ { // a key's are not its tenant's
 			d.req.from[i].Add(done, now, span)
 		}
-		if own != nil && !done { // it would have failed anywhere: no server is blamed
+		if o == Errored && s.streak == 0 {
+			d.req.odd++
+		}
+		if !done && (own != nil || d.req.odd >= mostOdd) { // it would have failed anywhere: no server is blamed
 			if o != TimedOut {
 				s.answered = now
 			}
@@ -627,7 +632,7 @@
 
 // canSend says whether the rules leave room for a further dispatch to some server.
 func (b *Balancer) canSend(r *req) bool {
-	return len(r.sends) < r.most && (r.outs == 0 || b.t.Parallel) &&
+	return len(r.sends) < r.most && r.odd < mostOdd && (r.outs == 0 || b.t.Parallel) &&
 		(r.rules.Effect != NonReplayable || b.canDeny(r))
 }
 
--- a/balance/source_test.go
+++ b/balance/source_test.go
@@ -97,3 +97,43 @@
 		}
 	})
 }
+
+func TestFailsAtTwo(t *testing.T) {
+	// A bad req went to all six servers that its terms allow, and cost each its good name (pnw-core rough-1).
+	b := fleet(6, func(t *Terms) { t.MaxDispatches = 6 })
+	b.Req(Arrival{ID: 1, RuleSet: "again", Key: "k", Budget: sec}, 0)
+	for i := range 6 {
+		now := int64(i) * 10 * ms
+		for _, d := range pull(b, now, -1) {
+			if d.Kind == Dispatch {
+				b.Finished(1, d.Attempt, Errored, false, 5*ms, now)
+			}
+		}
+	}
+	r := b.reqs[1]
+	if r != nil {
+		t.Errorf("still open after %d dispatches", len(r.sends))
+	}
+	blamed := 0
+	for _, s := range b.servers {
+		blamed += s.streak
+	}
+	if blamed > 1 {
+		t.Errorf("%d servers blamed for one req, want the first alone", blamed)
+	}
+	// One that only an ill server failed goes on: that server's word is no second opinion.
+	b = fleet(6, func(t *Terms) { t.MaxDispatches = 6 })
+	b.Req(Arrival{ID: 1, RuleSet: "again", Key: "k", Budget: sec}, 0)
+	for i := range 3 {
+		now := int64(i) * 10 * ms
+		for _, s := range b.servers {
+			s.streak = 1
+		}
+		for _, d := range pull(b, now, Dispatch) {
+			b.Finished(1, d.Attempt, Errored, false, 5*ms, now)
+		}
+	}
+	if r := b.reqs[1]; r == nil || len(r.sends) < 3 {
+		t.Error("given up after errors of servers that failed others as well")
+	}
+}
