--- a/balance/balance.go
+++ b/balance/balance.go
@@ -196,8 +196,8 @@
 		x.Add(false, now, span)
 		r.Shed = true
 	}
-	if a.Key == "" {
-		r.order = fmt.Sprint(r.luck) // without a key chance decides
+	if a.Key == "" || !b.t.WarmKeys {
+		r.order = fmt.Sprint(r.luck) // without a key that servers keep warm chance decides
 	} else if n := b.keys.Add(a.Key, now, keySpan) * float64(len(b.servers)) / fullKey; r.luck*n >= 1 {
 		// One that alone would fill a server has several parts, each with an order of servers of its own.
 		r.order = fmt.Sprint(a.Key, "/", int(r.luck*n))
--- a/balance/types.go
+++ b/balance/types.go
@@ -69,6 +69,7 @@
 	Tail          float64 // weight of the part of the score that late answers cost and early denials do not
 	WastePrice    float64 // points for work that served no answer, as much as was asked for
 	Tick          int64
+	WarmKeys      bool    // a server does less for a key that it met lately
 	TailMiss      float64 // share of reqs that may miss their response target before that part is less
 	Held          int     // answers that clients may be reading at a time, 0: no limit
 	BudgetError   int64   // told budgets are this much off at the most, either way; 0: clocks agree
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -258,7 +258,7 @@
 		WastePrice: v.Float("Prices.Waste"), Tick: v.Int("TickNs"),
 		Tail: v.Float("ScoringMix.Tail"), TailMiss: v.Float("ScoringMix.TailMiss"),
 		Overload: v.Float("Contract.OverloadFactor"), FallTime: v.Int("Contract.FallNs"),
-		Held: int(v.Int("Ceilings.HeldReplies")), BudgetError: v.Int("Contract.BudgetErrorNs"),
+		WarmKeys: v.Bool("Extra.WarmKeys"), Held: int(v.Int("Ceilings.HeldReplies")), BudgetError: v.Int("Contract.BudgetErrorNs"),
 		StartError: v.Int("Contract.StartErrorNs"), GoneIsAdvice: v.Bool("Contract.GoneIsAdvice"),
 	}
 	if v.Bool("Ceilings.RetryAfter") {
