--- a/balance/balance.go
+++ b/balance/balance.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/bits"
 	"slices"
+	"strconv"
 
 	"ivybank/internal/draw"
 	"ivybank/internal/fade"
@@ -197,7 +198,7 @@
 		r.Shed = true
 	}
 	if a.Key == "" || !b.t.WarmKeys {
-		r.order = fmt.Sprint(r.luck) // without a key that servers keep warm chance decides
+		r.order = strconv.FormatUint(uint64(r.luck*(1<<32)), 36) // without a key that servers keep warm chance decides
 	} else if n := b.keys.Add(a.Key, now, keySpan) * float64(len(b.servers)) / fullKey; r.luck*n >= 1 {
 		// One that alone would fill a server has several parts, each with an order of servers of its own.
 		r.order = fmt.Sprint(a.Key, "/", int(r.luck*n))
@@ -644,7 +645,7 @@
 
 // allowed says whether the req may go to this server: it is placed there and takes effect once.
 func (r *req) allowed(s *server, now int64) bool {
-	if !r.rules.Placed(s.Server) {
+	if !r.rules.Placed(&s.Server) {
 		return false
 	}
 	for _, d := range r.sends {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -10,7 +10,7 @@
 
 // fleet is an instance with n running servers of one zone and cell, named a, b, c...
 func fleet(n int, change func(*Terms)) *Balancer {
-	t := Terms{Seed: 7, Zone: "z", MaxDispatches: 3, CanCancel: true, Tick: 5 * ms, StartCapacity: 0.2,
+	t := Terms{Seed: 7, Zone: "z", MaxDispatches: 3, CanCancel: true, Tick: 5 * ms, StartCapacity: 0.2, WarmKeys: true,
 		RampTime: 20 * sec, RuleSets: []RuleSet{
 			{Name: "again", Effect: Replayable, BillingValue: 1, ResponseTarget: sec},
 			{Name: "cell", Effect: Uniqued, Group: GroupCell, Window: sec, BillingValue: 1, ResponseTarget: sec},
--- a/balance/more_test.go
+++ b/balance/more_test.go
@@ -1,6 +1,10 @@
 package balance
 
-import "testing"
+import (
+	"testing"
+
+	"ivybank/internal/fade"
+)
 
 // What three further deployments brought: each of these failed on them before the module was changed.
 
@@ -96,3 +100,20 @@
 	b.t.BudgetError = 0
 	near(t, "limit", float64(b.limit(r)), float64(r.giveUp), 0)
 }
+
+func TestKeysThatKeepNothingWarm(t *testing.T) {
+	// Popular keys crowded a few servers where meeting a key again saves a server nothing.
+	for _, warm := range []bool{true, false} {
+		b := fleet(6, func(t *Terms) { t.WarmKeys = warm })
+		got := map[string]bool{}
+		for i := range uint64(60) {
+			b.Req(Arrival{ID: i, RuleSet: "again", Key: "k", Budget: sec}, 0)
+			b.weigh()
+			b.keys = fade.Keys{} // it is not split
+			got[b.pick(b.reqs[i], 0).ID] = true
+		}
+		if (len(got) == 1) != warm {
+			t.Errorf("warm keys %v: a key's reqs went to %d servers", warm, len(got))
+		}
+	}
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -35,7 +35,11 @@
 }
 
 // Placed says whether a server may run the rule set's reqs.
-func (x *RuleSet) Placed(s Server) bool {
+func (x *RuleSet) Placed(s *Server) bool {
+	return len(x.Zones)+len(x.Kinds) == 0 || x.placed(s)
+}
+
+func (x *RuleSet) placed(s *Server) bool {
 	return (len(x.Zones) == 0 || slices.Contains(x.Zones, s.Zone)) &&
 		(len(x.Kinds) == 0 || slices.Contains(x.Kinds, s.Kind))
 }
