--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,7 +33,8 @@
 	aimShare    = 0.14     // part of the response target that a server's own in-flight may fill,
 	few         = 4.0      // balancers; where there are fewer, each may fill more while servers are out
 	leastShare  = 1.5      // servers for each balancer times this may always be in flight,
-	flightShare = 0.3      // part of the response target whose worth of answers may be in flight
+	flightShare = 0.3      // part of the response target whose worth of answers may be in flight,
+	closeShare  = 0.5      // and so much more at the most where balancers are few enough to see how servers are
 	spill       = 3        // servers of its own rank order that a req may go to
 	holdShare   = 0.08     // part of the response target that a req may be held
 	newcomer    = 2.0      // in-flight cap of a new server, until it has answered
@@ -711,13 +712,15 @@
 	if b.dazed {
 		healthy = len(b.servers) // all are picked
 	}
-	least := leastShare * float64(healthy) / float64(max(1, b.t.Copies))
+	apiece := leastShare / float64(max(1, b.t.Copies)) // of what a server may always have in flight
+	share := flightShare + min(closeShare, max(0, apiece*float64(len(b.servers))-1))
+	least := apiece * float64(healthy)
 	if least < 1 {
 		// One dispatch for each of hundreds is several a server: while answers are late fewer go, by chance.
 		calm := max(1, calmLeast*float64(b.healthy)/float64(len(b.servers)))
 		least += (calm-least)*max(0, 1-math.Pow(b.jam/jammed, 6)) - r.luck
 	}
-	full := least + b.rate.Now(now, span)*flightShare*b.target.V/past
+	full := least + b.rate.Now(now, span)*share*b.target.V/past
 	if r.value > 0 && b.worth.V > 0 { // when short, the less valuable go first
 		full *= math.Pow(min(16, max(1.0/16, r.value/b.worth.V)), preferred)
 	}
