--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,7 +37,7 @@
 	spill       = 3        // servers of its own rank order that a req may go to
 	holdShare   = 0.08     // part of the response target that a req may be held
 	newcomer    = 2.0      // in-flight cap of a new server, until it has answered
-	coldShare   = 1.6      // times the mean rate at warm servers that a cold one may get, by its warmth
+	coldShare   = 1.25     // times its part of all answers, by its warmth, that a cold server is sent
 	nearer      = 70.0     // times the price of crossing zones: extra weight of a server in the own zone
 	quiet       = 3.0      // typical answer times without an answer after which a server counts as silent
 	span        = 4 * sec  // over which rates are remembered
@@ -72,6 +72,7 @@
 type req struct {
 	Arrival
 	rules            *RuleSet
+	in               *scope
 	taken, giveUp    int64 // until: the end of its client's wait as far as it is told
 	until            int64
 	value, luck      float64 // luck: a random number below 1
@@ -89,15 +90,24 @@
 	streak, ejections      int
 	until, answered, used  int64       // end of the ejection; last answer; last outcome
 	started                int64       // at the latest
-	full, spentAt          int64       // turned a req away until then; when spent was brought up to date
+	full                   int64       // turned a req away until then
 	out                    []*dispatch // oldest first
 	unit, lat              float64     // time for each place in flight, and of an answer; 0: not measured
-	grow, spent            float64     // in-flight cap that grows with answers; budget of a cold server, in reqs
+	grow                   float64     // in-flight cap that grows with answers
 	cold, ready, score     float64     // part of its capacity by age; weight and score now
 	size, ease             float64     // what it can bear beside others; mean listed weight of late
 	blips                  float64     // part of its answers that followed a failure, which they refute
 }
 
+// scope is what all servers open to reqs of one placement come to. Where no rule set is placed there is one.
+type scope struct {
+	rules        *RuleSet   // one of that placement
+	total, whole float64    // ready now; of late, over the span of rates, ejected and silent ones too
+	sent, served fade.Count // first dispatches and answers
+	healthy      int        // servers that are not ejected
+	dazed        bool       // there are none
+}
+
 type Balancer struct { // one instance
 	t                 Terms
 	reqs              map[uint64]*req // emptied when a req has ended and nothing of it is out
@@ -109,13 +119,15 @@
 	wake, begun, pace int64 // pace: the shortest response target
 	inflight, healthy int
 	late              [5]fade.Count // part of dispatches that time out, by how long connections rested
-	jam, total, unit  float64       // times over response targets; all servers' ready; mean time for each place
+	scopes            []*scope      // one for each placement that terms have had
+	weighed           int64         // when scopes were
+	jam, unit         float64       // times over response targets; mean time for each place
 	mean, ease        float64       // of all servers
 	rate              fade.Count    // answers
 	served            []fade.Count  // dispatches of each tenant
 	target, worth     fade.Mean     // response target and billing value of reqs
 	keys              fade.Keys     // reqs by key
-	planned, dazed    bool
+	planned           bool
 	advice            Advice
 }
 
@@ -170,7 +182,7 @@
 	if float64(now-b.reqAt) > max(float64(sec), lull*float64(span)/max(1, b.rate.Now(now, span))) {
 		b.begun, b.rate = now, fade.Count{At: now}
 	}
-	b.reqAt = now
+	b.reqAt, r.in = now, b.scope(r.rules)
 	r.value = b.value(r, now)
 	b.target.Add(float64(r.rules.ResponseTarget))
 	b.worth.Add(r.value)
@@ -186,6 +198,19 @@
 	b.reqs[a.ID], b.open = r, append(b.open, r)
 }
 
+// scope finds that of a rule set's placement.
+func (b *Balancer) scope(x *RuleSet) *scope {
+	i := slices.IndexFunc(b.scopes, func(c *scope) bool {
+		return slices.Equal(c.rules.Zones, x.Zones) && slices.Equal(c.rules.Kinds, x.Kinds)
+	})
+	if i >= 0 {
+		return b.scopes[i]
+	}
+	b.scopes = append(b.scopes, &scope{rules: x})
+	b.weigh(b.weighed)
+	return b.scopes[len(b.scopes)-1]
+}
+
 // start starts a req's time. What comes past the response target is worth little: it ends before it.
 func (b *Balancer) start(r *req, now int64) {
 	r.taken, r.until = now, now+max(r.Budget, b.t.BudgetError) // an answer is in time till then
@@ -290,6 +315,7 @@
 	case Served:
 		s.answered = now
 		b.rate.Add(now, span)
+		d.req.in.served.Add(now, span)
 		s.lat = fade.Toward(s.lat, float64(took), s.lat > 0)
 		s.grow += 0.5
 		s.blips += 0.05 * (float64(min(1, s.streak)) - s.blips)
@@ -375,9 +401,6 @@
 	if e.Since > s.Since || b.t.StartError > 0 && e.Since != s.Since {
 		*s = server{out: s.out, health: cmp.Or(b.mean, 1), grow: newcomer / float64(1+b.t.Beside), answered: now}
 		s.started = min(e.Since+b.t.StartError, now) // clocks may differ
-		if s.spentAt = now; b.t.Copies <= len(b.servers) && b.many(now) {
-			s.spent = 1 + b.dice.Next() // not the first of all balancers at once
-		}
 	}
 	s.Server, s.known = e, e.State != Gone
 	s.Share = cmp.Or(max(0, s.Share), 1)
@@ -451,7 +474,7 @@
 
 // tend looks after the servers: warmth, silence, the end of ejections, the dazed mode.
 func (b *Balancer) tend(now int64) int64 {
-	next, usable, units, n := int64(math.MaxInt64), 0, 0.0, 0.0
+	next, units, n := int64(math.MaxInt64), 0.0, 0.0
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return !s.known && len(s.out) == 0 })
 	b.healthy, b.mean, b.ease = 0, 0, 0
 	for _, s := range b.servers {
@@ -470,7 +493,6 @@
 		if !s.known || s.State != Running {
 			continue
 		}
-		usable++
 		if s.ejected && now >= s.until {
 			// It comes back through the fresh host's cap, one failure away from the next ejection.
 			s.ejected, s.streak, s.grow = false, b.streak()-1, 1
@@ -493,20 +515,15 @@
 			}
 		}
 	}
-	if dazed := usable > 0 && b.healthy == 0; dazed != b.dazed {
-		b.dazed = dazed
-		b.log("dazed %v: %d of %d servers healthy", dazed, b.healthy, usable)
-	}
-	b.weigh()
+	b.weigh(now)
 	return next
 }
 
-// weigh says what each server that may be picked can bear.
-func (b *Balancer) weigh() {
-	b.total = 0
+// weigh says what each server can bear, and what all open to a placement can.
+func (b *Balancer) weigh(now int64) {
 	for _, s := range b.servers {
 		s.ready = 0
-		if s.known && s.State == Running && (b.dazed || !s.ejected && !s.silent) {
+		if s.known && s.State == Running {
 			if s.ready = s.cold * s.size; b.t.Live && s.cold < 1 {
 				s.ready *= min(s.ease, b.ease) // it looks idle, as it is new
 			} else if b.t.Live {
@@ -516,9 +533,32 @@
 				s.ready *= math.Sqrt(b.unit / (s.unit * s.size))
 			}
 			s.ready *= cmp.Or(b.advice.Wary[s.ID], 1)
-			b.total += s.ready
 		}
 	}
+	for _, c := range b.scopes {
+		all := 0.0
+		c.healthy, c.total = 0, 0
+		for _, s := range b.servers {
+			if s.ready > 0 && c.rules.Placed(s.Server) {
+				if all += s.ready; !s.ejected {
+					c.healthy++
+				}
+				if !s.ejected && !s.silent {
+					c.total += s.ready
+				}
+			}
+		}
+		if dazed := all > 0 && c.healthy == 0; dazed != c.dazed {
+			c.dazed = dazed
+			b.log("dazed %v: servers of %v", dazed, c.rules.Kinds)
+		}
+		if c.dazed {
+			c.total = all
+		}
+		// As a rate over the span is remembered, so is what bore it: their quotient is a load at any time.
+		c.whole = max(all, all+(c.whole-all)*math.Exp(-float64(now-b.weighed)/float64(span)))
+	}
+	b.weighed = now
 }
 
 // serve decides on one req and says when it is to be looked at again.
@@ -605,12 +645,6 @@
 	return true
 }
 
-// many says whether one req of each balancer at once is more than a cold server could bear beside its share.
-func (b *Balancer) many(now int64) bool {
-	bears := b.rate.Now(now, span) * float64(b.t.FallTime) / float64(span) * (b.t.Overload - coldShare)
-	return b.t.Copies > len(b.servers) || b.t.FallTime > 0 && bears*b.t.StartCapacity < float64(len(b.servers))
-}
-
 // pick is the weighted rendezvous: of the servers that are not skipped, the one with the top score.
 func (b *Balancer) pick(r *req, now int64) *server {
 	short := b.advice.Bounded && b.advice.Further < min(1, len(r.sends))
@@ -618,27 +652,32 @@
 		return nil
 	}
 	var ranked [spill]*server
-	many := b.many(now)
+	c, lot := r.in, draw.Hash(fmt.Sprint(r.luck), "cold")
+	answered := min(1, (0.1+c.served.Now(now, span))/(1+c.sent.Now(now, span)))
 	for _, s := range b.servers {
-		if s.ready == 0 || !r.allowed(s, now) || !b.afford(s, s.ready/b.total, now) {
+		if s.ready == 0 || (s.ejected || s.silent) && !c.dazed || !r.allowed(s, now) {
 			continue
 		}
 		w := s.health * s.ready
-		if s.Zone == b.t.Zone && (s.cold >= 1 || !many) {
+		if s.Zone == b.t.Zone {
 			w *= 1 + nearer*b.t.CrossPrice
 		}
-		if b.dazed {
+		if c.dazed {
 			w = 1
 		}
 		if slices.ContainsFunc(r.sends, func(d *dispatch) bool { return d.srv == s }) {
 			w *= 1e-9 // one that was tried is only better than none
 		}
-		key := r.Key
-		if s.cold < 1 && many {
-			// Hundreds of balancers would push it over with one popular key: it gets its part of each key.
-			key = fmt.Sprint(r.luck)
+		s.score = -w / math.Log(draw.Hash(r.Key, s.ID))
+		if s.cold < 1 {
+			// All balancers would push it over with one popular key, or with what is left while others are out:
+			// it is drawn by lot, for a first dispatch, for no more than its part of what is answered.
+			part := coldShare * answered * s.ready / c.whole
+			if lot -= part; len(r.sends) > 0 || lot > 0 || lot <= -part {
+				continue
+			}
+			s.score = math.Inf(1)
 		}
-		s.score = -w / math.Log(draw.Hash(key, s.ID))
 		for i, x := 0, s; i < spill && x != nil; i++ {
 			if ranked[i] == nil || x.score > ranked[i].score {
 				ranked[i], x = x, ranked[i]
@@ -646,7 +685,7 @@
 		}
 	}
 	for i, s := range ranked {
-		if s != nil && b.room(s, r, now) && (i == 0 || s.cold >= 1 || !many) {
+		if s != nil && b.room(s, r, now) && (i == 0 || s.cold >= 1) {
 			return s
 		}
 	}
@@ -658,7 +697,7 @@
 	// A rate over the span holds less of a shorter past.
 	past := float64(span) * (1 - math.Exp(-float64(max(now-b.begun, sec/10))/float64(span)))
 	healthy := b.healthy
-	if b.dazed {
+	if r.in.dazed {
 		healthy = len(b.servers) // all are picked
 	}
 	least := leastShare * float64(healthy) / float64(max(1, b.t.Copies))
@@ -676,23 +715,13 @@
 
 // room says whether a server may take one more: by rate times time, and by its share of what is in flight.
 func (b *Balancer) room(s *server, r *req, now int64) bool {
-	limit := min(s.grow, skipOver*s.ready/b.total*float64(b.inflight+1)+skipSlack)
+	limit := min(s.grow, skipOver*s.ready/r.in.total*float64(b.inflight+1)+skipSlack)
 	// While servers are out the others may fill more, unless many balancers would do so at once.
 	more := max(1, min(few/float64(max(2, b.t.Copies)), float64(len(b.servers))/float64(max(1, b.healthy))))
 	limit = min(limit, max(1, more*aimShare*float64(r.rules.ResponseTarget)/s.unit)) // unit 0: no limit
 	return now >= s.full && float64(len(s.out)) < limit
 }
 
-// afford keeps all balancers from pushing a cold server over: each sends its rate at warm ones, by warmth.
-func (b *Balancer) afford(s *server, share float64, now int64) bool {
-	if s.cold >= 1 {
-		return true
-	}
-	rate := coldShare / float64(1+b.t.Beside) * share * b.rate.Now(now, span) * float64(sec) / float64(span)
-	s.spent, s.spentAt = max(0, s.spent-rate*float64(now-s.spentAt)/float64(sec)), now
-	return s.spent < 1
-}
-
 // send dispatches a req.
 func (b *Balancer) send(r *req, s *server, now int64) {
 	d := &dispatch{req: r, srv: s, sent: now, out: true, maybe: true}
@@ -704,11 +733,13 @@
 		d.rested = 0
 		b.do(Decision{Kind: Close, Server: s.ID})
 	}
-	b.advice.Further -= min(1, len(r.sends))
+	if b.advice.Further -= min(1, len(r.sends)); len(r.sends) == 0 {
+		r.in.sent.Add(now, span)
+	}
 	if r.sends = append(r.sends, d); !r.Open {
 		b.enter(d)
 	}
-	r.outs, s.spent = r.outs+1, s.spent+1
+	r.outs++
 	if r.tenant >= 0 {
 		b.served[r.tenant].Add(now, span)
 	}
