--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,6 +51,7 @@
 	restSpan    = 20 * sec // over which that is forgotten: one is tried again
 	keySpan     = 20 * sec // over which the reqs of keys are remembered
 	fullKey     = 0.3      // part of what a server gets by the mean that one key may bring it alone
+	leftLeast   = 0.05     // part of a server that is left at the least beside placed rule sets
 	easeStep    = 0.1      // weight of the newest listed weight where they move with load
 	preferred   = 0.15     // power of its value over the mean by which a req may fill more in flight
 	askApart    = 5e6      // time that calls for the list are spread over, for each balancer
@@ -96,6 +97,7 @@
 	grow                   float64     // in-flight cap that grows with answers
 	cold, ready, score     float64     // part of its capacity by age; weight and score now
 	size, ease             float64     // what it can bear beside others; mean listed weight of late
+	left                   float64     // part that reqs of placed rule sets, which have no other servers, leave
 	blips                  float64     // part of its answers that followed a failure, which they refute
 }
 
@@ -104,6 +106,7 @@
 	rules        *RuleSet   // one of that placement
 	total, whole float64    // ready now; of late, over the span of rates, ejected and silent ones too
 	sent, served fade.Count // first dispatches and answers
+	unit         float64    // mean time for each place
 	healthy      int        // servers that are not ejected
 	dazed        bool       // there are none
 }
@@ -120,7 +123,8 @@
 	inflight, healthy int
 	late              [5]fade.Count // part of dispatches that time out, by how long connections rested
 	scopes            []*scope      // one for each placement that terms have had
-	weighed           int64         // when scopes were
+	weighed, due      int64         // when servers were looked after; when they are to be again
+	stale             bool          // at once
 	jam, unit         float64       // times over response targets; mean time for each place
 	mean, ease        float64       // of all servers
 	rate              fade.Count    // answers
@@ -148,7 +152,7 @@
 			served[i] = b.served[had]
 		}
 	}
-	b.t, b.served, b.pace = t, served, firstBackoff
+	b.t, b.served, b.pace, b.stale = t, served, firstBackoff, true
 	for _, x := range t.RuleSets {
 		b.pace = min(b.pace, x.ResponseTarget)
 	}
@@ -169,7 +173,7 @@
 }
 
 // Advised takes what other balancers' word comes to.
-func (b *Balancer) Advised(a Advice) { b.advice = a }
+func (b *Balancer) Advised(a Advice) { b.advice, b.stale = a, true }
 
 // Req takes a req.
 func (b *Balancer) Req(a Arrival, now int64) {
@@ -198,17 +202,19 @@
 	b.reqs[a.ID], b.open = r, append(b.open, r)
 }
 
-// scope finds that of a rule set's placement.
+// scope finds that of a rule set's placement, the placed ones first.
 func (b *Balancer) scope(x *RuleSet) *scope {
 	i := slices.IndexFunc(b.scopes, func(c *scope) bool {
 		return slices.Equal(c.rules.Zones, x.Zones) && slices.Equal(c.rules.Kinds, x.Kinds)
 	})
-	if i >= 0 {
-		return b.scopes[i]
+	if i < 0 {
+		if i = 0; !x.placed() {
+			i = len(b.scopes)
+		}
+		b.scopes = slices.Insert(b.scopes, i, &scope{rules: x})
+		b.weigh(b.weighed)
 	}
-	b.scopes = append(b.scopes, &scope{rules: x})
-	b.weigh(b.weighed)
-	return b.scopes[len(b.scopes)-1]
+	return b.scopes[i]
 }
 
 // start starts a req's time. What comes past the response target is worth little: it ends before it.
@@ -253,14 +259,14 @@
 }
 
 func (b *Balancer) enter(d *dispatch) {
-	d.counts, d.srv.out = true, append(d.srv.out, d)
+	d.counts, d.srv.out, b.stale = true, append(d.srv.out, d), true
 	b.inflight++
 	d.rank = float64(len(d.srv.out))
 }
 
 func (b *Balancer) leave(d *dispatch) {
 	if d.counts {
-		d.counts, b.inflight = false, b.inflight-1
+		d.counts, b.inflight, b.stale = false, b.inflight-1, true
 		d.srv.out = slices.DeleteFunc(d.srv.out, func(x *dispatch) bool { return x == d })
 	}
 }
@@ -306,10 +312,12 @@
 
 // judge lets an outcome speak on the server.
 func (b *Balancer) judge(s *server, d *dispatch, o Outcome, took, now int64) {
+	b.stale = true
 	if o == Served || o == TimedOut {
 		b.jam += 0.1 * (float64(took)/float64(d.req.rules.ResponseTarget) - b.jam)
 		b.late[d.rested].N = 0.85 * b.late[d.rested].Now(now, restSpan)
 		s.unit = fade.Toward(s.unit, float64(took)/d.rank, s.lat > 0)
+		d.req.in.unit = fade.Toward(d.req.in.unit, float64(took)/d.rank*s.size, d.req.in.unit > 0)
 	}
 	switch o {
 	case Served:
@@ -383,6 +391,7 @@
 	} else if form != Restored {
 		b.askAt = 0
 	}
+	b.stale = true
 	for _, s := range b.servers {
 		s.known = s.known && form == Changes
 	}
@@ -436,7 +445,10 @@
 		}
 		next = b.askAt
 	}
-	next = min(next, b.tend(now))
+	if b.stale || now >= b.due || now-b.weighed > sec/10 { // with hundreds of servers each look costs
+		b.stale, b.due = false, b.tend(now)
+	}
+	next = min(next, b.due)
 	order := slices.Clone(b.sweep())
 	slices.SortStableFunc(order, func(x, y *req) int { return cmp.Compare(y.value, x.value) })
 	for _, r := range order {
@@ -521,9 +533,9 @@
 
 // weigh says what each server can bear, and what all open to a placement can.
 func (b *Balancer) weigh(now int64) {
+	all, work := 0.0, 0.0
 	for _, s := range b.servers {
-		s.ready = 0
-		if s.known && s.State == Running {
+		if s.ready, s.left = 0, 1; s.known && s.State == Running {
 			if s.ready = s.cold * s.size; b.t.Live && s.cold < 1 {
 				s.ready *= min(s.ease, b.ease) // it looks idle, as it is new
 			} else if b.t.Live {
@@ -533,34 +545,52 @@
 				s.ready *= math.Sqrt(b.unit / (s.unit * s.size))
 			}
 			s.ready *= cmp.Or(b.advice.Wary[s.ID], 1)
+			all += s.ready
 		}
 	}
 	for _, c := range b.scopes {
-		all := 0.0
+		work += c.sent.Now(now, span) * c.unit
+	}
+	for _, c := range b.scopes {
+		// What the reqs of a placement take of its servers when all is full, others that may go elsewhere leave.
+		load, sum := c.sent.N*c.unit/max(1, work)*all/max(1e-9, c.whole), 0.0
 		c.healthy, c.total = 0, 0
 		for _, s := range b.servers {
-			if s.ready > 0 && c.rules.Placed(s.Server) {
-				if all += s.ready; !s.ejected {
-					c.healthy++
-				}
-				if !s.ejected && !s.silent {
-					c.total += s.ready
-				}
+			if s.ready == 0 || !c.rules.Placed(s.Server) {
+				continue
+			}
+			sum += s.ready * s.left
+			if !s.ejected {
+				c.healthy++
+			}
+			if !s.ejected && !s.silent {
+				c.total += s.ready * s.left
+			}
+			if c.rules.placed() {
+				s.left = max(leftLeast, s.left-load)
 			}
 		}
-		if dazed := all > 0 && c.healthy == 0; dazed != c.dazed {
+		if dazed := sum > 0 && c.healthy == 0; dazed != c.dazed {
 			c.dazed = dazed
 			b.log("dazed %v: servers of %v", dazed, c.rules.Kinds)
 		}
 		if c.dazed {
-			c.total = all
+			c.total = sum
 		}
 		// As a rate over the span is remembered, so is what bore it: their quotient is a load at any time.
-		c.whole = max(all, all+(c.whole-all)*math.Exp(-float64(now-b.weighed)/float64(span)))
+		c.whole = max(sum, sum+(c.whole-sum)*math.Exp(-float64(now-b.weighed)/float64(span)))
 	}
 	b.weighed = now
 }
 
+// bears is what a server has for reqs of a placement.
+func (s *server) bears(c *scope) float64 {
+	if c.rules.placed() {
+		return s.ready
+	}
+	return s.ready * s.left
+}
+
 // serve decides on one req and says when it is to be looked at again.
 func (b *Balancer) serve(r *req, now int64) int64 {
 	if (now >= r.giveUp || r.Shed) && !r.streaming {
@@ -658,7 +688,7 @@
 		if s.ready == 0 || (s.ejected || s.silent) && !c.dazed || !r.allowed(s, now) {
 			continue
 		}
-		w := s.health * s.ready
+		w := s.health * s.bears(c)
 		if s.Zone == b.t.Zone {
 			w *= 1 + nearer*b.t.CrossPrice
 		}
@@ -672,7 +702,7 @@
 		if s.cold < 1 {
 			// All balancers would push it over with one popular key, or with what is left while others are out:
 			// it is drawn by lot, for a first dispatch, for no more than its part of what is answered.
-			part := coldShare * answered * s.ready / c.whole
+			part := coldShare * answered * s.bears(c) / c.whole
 			if lot -= part; len(r.sends) > 0 || lot > 0 || lot <= -part {
 				continue
 			}
@@ -715,7 +745,7 @@
 
 // room says whether a server may take one more: by rate times time, and by its share of what is in flight.
 func (b *Balancer) room(s *server, r *req, now int64) bool {
-	limit := min(s.grow, skipOver*s.ready/r.in.total*float64(b.inflight+1)+skipSlack)
+	limit := min(s.grow, skipOver*s.bears(r.in)/r.in.total*float64(b.inflight+1)+skipSlack)
 	// While servers are out the others may fill more, unless many balancers would do so at once.
 	more := max(1, min(few/float64(max(2, b.t.Copies)), float64(len(b.servers))/float64(max(1, b.healthy))))
 	limit = min(limit, max(1, more*aimShare*float64(r.rules.ResponseTarget)/s.unit)) // unit 0: no limit
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -369,7 +369,7 @@
 	t.Run("little moves when a server leaves, and keys are not correlated", func(t *testing.T) {
 		b, c := fleet(5, nil), fleet(5, nil)
 		c.Listed(Changes, []Server{{ID: "e", State: Gone}}, 0)
-		c.weigh(0)
+		c.scope(&c.t.RuleSets[0])
 		same := 0.0
 		last := ""
 		for i := range 20000 {
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -100,5 +100,6 @@
 		b.target.Add(m.Target)
 		b.worth.Add(m.Worth)
 	}
+	b.stale = true
 	b.keys.Recall(m.Keys, now)
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -34,6 +34,8 @@
 	Zones, Kinds   []string // the only zones and kinds of machine that may run it; empty: any
 }
 
+func (x *RuleSet) placed() bool { return len(x.Zones)+len(x.Kinds) > 0 }
+
 // Placed says whether a server may run the rule set's reqs.
 func (x *RuleSet) Placed(s Server) bool {
 	return (len(x.Zones) == 0 || slices.Contains(x.Zones, s.Zone)) &&
