--- a/cmd/ivybank/main_test.go
+++ b/cmd/ivybank/main_test.go
@@ -218,13 +218,16 @@
 	}
 	eventually(t, "the known list serves", served("one"))
 	d.lines <- `{"generation":2,"instances":[{"instanceId":"s-1","hostPort":"` + two.Addr().String() + `"},{"hostPort":"x"}]}`
-	d.lines <- `{"generation":`
-	eventually(t, "malformed lines are counted", func() bool { return p.counters(t)["bad_lines"] == 2 })
+	eventually(t, "a malformed list is counted", func() bool { return p.counters(t)["bad_lines"] == 1 })
 	if !served("one")() {
-		t.Fatal("a malformed line was not ignored whole")
+		t.Fatal("a malformed list was not ignored whole")
 	}
-	d.lines <- list(3, false, entry("s-1", two.Addr().String(), "ready"))
+	d.lines <- `{"generation":` // cut off, which shows once the next has come
+	d.lines <- strings.ReplaceAll(list(3, false, entry("s-1", two.Addr().String(), "ready")), ",", ",\n ")
 	eventually(t, "a host has moved", served("two"))
+	if n := p.counters(t)["bad_lines"]; n != 2 {
+		t.Errorf("%d malformed lists are counted, want 2", n)
+	}
 	d.lines <- list(4, false, entry("s-2", one.Addr().String(), "ready"), entry("s-1", two.Addr().String(), "draining"))
 	eventually(t, "a host drains", served("one"))
 	before := two.seen()
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -1,13 +1,13 @@
 package proxy
 
-// This file owns the list of hosts: a watch on discovery and what its lines say. It opens one when the module asks, or
-// keeps one up by itself where the list is to come unasked. It must never drop the list it holds because discovery is gone.
+// This file owns the list of hosts: a watch on discovery and what its lines say. It opens one when the module
+// asks, or keeps one up by itself where the list is to come unasked. It must never drop the list it holds
+// because discovery is gone.
 
 import (
 	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 
@@ -20,10 +20,13 @@
 
 const (
 	watchDial    = 1e9         // a connection to discovery not up by then counts as failed
-	watchSilence = 4.5e9       // an empty line comes every 2 s: a watch silent for two of them has ended unseen
-	mostList     = 4 << 20     // bytes of one line of the list
+	watchSilence = 3e9         // an empty line comes every 2 s: a watch silent for longer has ended unseen,
+	silenceApart = 1e9         // and is broken within this time, by chance: all may fall silent at once
+	silenceTold  = int64(6e9)  // so long after its last byte what a silent watch misses counts as told
+	mostList     = 4 << 20     // bytes of one list
 	mostPutOff   = int64(10e9) // the longest that discovery may put a call off
-	reopen       = 1e9         // after about so long a watch that was lost is opened again where the module doesn't ask
+	reopen       = 1e9         // after about so long a lost watch is opened again where the module doesn't ask,
+	firstReopen  = 1e8         // and sooner, doubling, where the list comes unasked
 )
 
 // discovery is what is known of the list and the watch on it.
@@ -32,50 +35,20 @@
 	watch      *watch // nil when none is up or asked for
 	after      int64  // discovery has asked not to be called before then
 	later      *timer // the call at that time; nil: none
+	missing    int64  // the last byte of a watch that fell silent; 0: nothing of it is missing
+	failures   int    // watches that were lost since one spoke
 }
 
 // watch is one connection to discovery.
 type watch struct {
 	wire
 	answers *http1.Answers // the poller's
-	line    []byte         // the poller's: a line that is not whole yet
+	text    listText       // the poller's: what is not a whole list yet
+	good    bool           // the poller's: what comes is a list's
 	silence *timer
-	up      bool // nb is set
-}
-
-// roll is one line of the list.
-type roll struct {
-	Generation int64   `json:"generation"`
-	Reset      bool    `json:"reset"`
-	Instances  []entry `json:"instances"`
-}
-
-type entry struct {
-	ID      string  `json:"instanceId"`
-	Addr    string  `json:"hostPort"`
-	Zone    string  `json:"zone"`
-	Kind    string  `json:"machineType"`
-	Cell    int64   `json:"cell"`
-	State   string  `json:"lifecycle"`
-	Weight  float64 `json:"weight"`
-	Started float64 `json:"startedAtMs"`
-}
-
-// parseRoll reads one line. One with an entry that cannot be used is refused whole.
-func parseRoll(text []byte) (roll, error) {
-	var r roll
-	if err := json.Unmarshal(text, &r); err != nil {
-		return r, err
-	}
-	if r.Instances == nil {
-		return r, errors.New("no list of instances")
-	}
-	for _, e := range r.Instances {
-		if e.ID == "" || e.Addr == "" && e.State != "gone" {
-			return r, errors.New("an entry without id or address")
-		}
-	}
-	return r, nil
+	last    int64 // when it was up, or spoke last
+	spoke   bool  // something has come
+	up      bool  // nb is set
 }
 
 // known takes the list that was last held.
@@ -161,7 +134,7 @@
 // rediscover follows discovery to another address, with a watch at once.
 func (p *Proxy) rediscover(addr string, now int64) {
 	if addr != p.start.Discovery {
-		p.list.after = 0
+		p.list.after, p.list.missing, p.list.failures = 0, 0, 0 // all of it was the old one's
 		logrus.Infof("discovery moves from %s to %s", p.start.Discovery, addr)
 		p.start.Discovery = addr
 		p.watch(now)
@@ -202,13 +175,21 @@
 		}
 		target := fmt.Sprintf("/catalog/members?watch=1&from=%d", p.list.generation)
 		w.write(http1.AppendCall(nil, http1.Call{Method: http.MethodGet, Target: target}, p.start.Discovery, 0))
-		p.heard(w, now)
+		p.listen(w, now)
 	})
 }
 
-// subscribe keeps a watch up where the list comes unasked; there the module has no say in it.
+// subscribe keeps a watch up where the list comes unasked; there the module has no say in it. What is out or
+// still comes while the process drains goes by the list too.
 func (p *Proxy) subscribe(now int64) {
-	if !p.terms.MustAsk && p.list.watch == nil && !p.drain.begun {
+	if !p.terms.MustAsk {
+		p.again(now)
+	}
+}
+
+// again opens a watch unless one is up or asked for.
+func (p *Proxy) again(now int64) {
+	if p.list.watch == nil && !p.done {
 		p.watch(now)
 	}
 }
@@ -221,16 +202,27 @@
 	}
 }
 
-// heard notes that a watch is alive.
+// listen waits for a watch's next byte.
+func (p *Proxy) listen(w *watch, now int64) {
+	p.stop(w.silence)
+	w.last = now
+	limit := watchSilence + int64(silenceApart*p.dice.Next())
+	w.silence = p.after(now, limit, func(now int64) { p.endWatch(w, now, true) })
+}
+
+// heard notes that a watch is alive. The module learns of it once, as discovery may have nothing to tell: else it would
+// ask again, and what is written to the watch meanwhile would be lost with it.
 func (p *Proxy) heard(w *watch, now int64) {
-	if p.list.watch != w {
-		return
+	if p.list.watch == w {
+		if !w.spoke {
+			p.module.Listed(balance.Changes, nil, now)
+		}
+		w.spoke, p.list.missing, p.list.failures = true, 0, 0
+		p.listen(w, now)
 	}
-	p.stop(w.silence)
-	w.silence = p.after(now, watchSilence, func(now int64) { p.endWatch(w, now, true) })
 }
 
-// endWatch ends a watch; the module is told of a failure and says when to ask again.
+// endWatch ends a watch, and has the next one opened where it has failed.
 func (p *Proxy) endWatch(w *watch, now int64, failed bool) {
 	if p.list.watch != w {
 		return
@@ -240,14 +232,34 @@
 	if w.up {
 		w.shut()
 	}
-	if failed {
-		p.count.WatchesLost++
-		if p.terms.MustAsk {
-			p.module.Listed(balance.Unavailable, nil, now)
-		} else {
-			p.after(now, int64(reopen*(0.5+p.dice.Next())), p.subscribe)
-		}
+	if !failed {
+		return
+	}
+	p.count.WatchesLost++
+	p.list.failures++
+	switch {
+	case w.spoke && now-w.last >= watchSilence:
+		// What it misses counts as told before long, and its end was spread already: the next is opened at once.
+		p.list.missing = w.last
+		p.watch(now)
+	case !p.terms.MustAsk:
+		wait := min(reopen, firstReopen*math.Pow(2, float64(p.list.failures-1)))
+		p.after(now, int64(wait*(0.5+p.dice.Next())), p.subscribe)
+	case p.list.missing > 0 && now < p.list.missing+silenceTold-reopen:
+		p.after(now, int64(reopen*(0.5+p.dice.Next())), p.again)
+	default: // the module says when to ask again
+		p.list.missing = 0
+		p.module.Listed(balance.Unavailable, nil, now)
+	}
+}
+
+// turned ends a watch that discovery has no room for. One that says when to come again is not pressed.
+func (p *Proxy) turned(w *watch, wait, now int64) {
+	p.putOff(wait, now)
+	if wait > 0 {
+		p.list.missing = 0
 	}
+	p.endWatch(w, now, true)
 }
 
 func (w *watch) read(p *Proxy, at int64, b []byte) {
@@ -255,34 +267,31 @@
 	for {
 		a, ok, err := w.answers.Next()
 		if err != nil || ok && a.Status != http.StatusOK {
-			p.post(at, &w.wire, func(at int64) {
-				p.putOff(a.RetryAfter, at)
-				p.endWatch(w, at, true)
-			})
+			p.post(at, &w.wire, func(at int64) { p.turned(w, a.RetryAfter, at) })
 			return
 		}
-		if !ok {
+		if w.good = w.good || ok || w.answers.HeadIn(); w.good {
 			p.post(at, &w.wire, func(at int64) { p.heard(w, at) })
+		}
+		if !ok {
 			return
 		}
-		w.line = append(w.line, a.Body...)
-		for i := bytes.IndexByte(w.line, '\n'); i >= 0; i = bytes.IndexByte(w.line, '\n') {
-			text := bytes.TrimSpace(w.line[:i])
-			w.line = w.line[i+1:]
-			if len(text) == 0 {
-				continue
+		w.text.add(a.Body)
+		for bytes.IndexByte(a.Body, '}') >= 0 { // else no list can have become whole
+			r, whole, err := w.text.next()
+			if !whole {
+				break
 			}
-			r, err := parseRoll(text)
 			p.post(at, &w.wire, func(at int64) { p.line(w, r, err, at) })
 		}
-		if len(w.line) > mostList {
+		if len(w.text.held) > mostList || !w.answers.HeadIn() { // its answer is over
 			p.post(at, &w.wire, func(at int64) { p.endWatch(w, at, true) })
 			return
 		}
 	}
 }
 
-// line takes one line of a watch.
+// line takes one list of a watch.
 func (p *Proxy) line(w *watch, r roll, err error, now int64) {
 	if p.list.watch != w {
 		return
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -49,11 +49,12 @@
 	})
 }
 
-// ending closes idle clients; the others end with the answer that they wait for.
+// ending closes idle clients; the others end with the answer that they wait for, and so do those of which a
+// part of a call has come or lies unread in the kernel.
 func (p *Proxy) ending(now int64) {
 	p.drain.ending = true
 	for _, c := range p.clients {
-		if c.idle() && !c.last {
+		if c.idle() && !c.last && !c.coming && c.silent() {
 			c.last = true
 			p.endClient(c, now)
 		}
@@ -72,6 +73,9 @@
 		p.drain.quietFrom = now
 	}
 	for _, r := range p.reqs { // a body that still gets on is not broken off; one that does not ends by itself
+		if !r.ended { // it may have come after the drain began, and is waited for as long as by its client
+			latest = max(latest, r.taken+min(r.call.Timeout, p.start.LongestTimeout))
+		}
 		if r.relay != nil || r.flow != nil && !r.flow.useless {
 			latest = max(latest, now+linger)
 		}
@@ -115,7 +119,7 @@
 	}
 	var resting []*client
 	for _, c := range p.clients {
-		if c.idle() && !c.last && !c.coming && now-c.rests >= least && c.silent() {
+		if c.idle() && !c.last && !c.coming && now-c.rests >= least && c.written() && c.silent() {
 			resting = append(resting, c)
 		}
 	}
--- a/proxy/http1/http1_test.go
+++ b/proxy/http1/http1_test.go
@@ -319,3 +319,27 @@
 		t.Errorf("got %v for a target without its server", err)
 	}
 }
+
+// A watch lasts for days: what bounds a chunk must not count all of them together.
+func TestStreamHasNoEnd(t *testing.T) {
+	a := NewChunks(100)
+	a.Feed([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	for i := range 50 {
+		a.Feed(AppendPiece(nil, true, make([]byte, 90), false))
+		if got, ok, err := a.Next(); !ok || err != nil || len(got.Body) != 90 {
+			t.Fatalf("chunk %d: %v, %v, %d bytes", i, ok, err, len(got.Body))
+		}
+		if !a.HeadIn() {
+			t.Fatal("the answer counts as over")
+		}
+	}
+	a.Feed([]byte("65\r\n")) // 101 bytes
+	if _, _, err := a.Next(); err != ErrTooLarge {
+		t.Errorf("got %v for a chunk past the bound", err)
+	}
+	a = NewChunks(100)
+	a.Feed([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	if _, ok, err := a.Next(); !ok || err != nil || a.HeadIn() {
+		t.Errorf("%v, %v: the end of the answer is not seen", ok, err)
+	}
+}
--- a/proxy/http1/parse.go
+++ b/proxy/http1/parse.go
@@ -221,6 +221,7 @@
 				return false, nil
 			}
 			if p.at = chunkLine; p.stream {
+				p.got = 0 // a stream has no end: its chunks are bounded one by one
 				return true, nil
 			}
 		case chunkLine:
@@ -483,7 +484,7 @@
 	return a
 }
 
-// NewChunks makes a parser that gives each chunk of an answer as it comes; most is the longest body of all of them.
+// NewChunks makes a parser that gives each chunk of an answer as it comes; most is the longest chunk, in bytes.
 func NewChunks(most int) *Answers {
 	a := NewAnswers()
 	a.most, a.stream, a.ends = most, true, false
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -198,14 +198,7 @@
 	if err := p.engine.Start(); err != nil {
 		return err
 	}
-	if p.start.Seat != nil && p.start.Seat.Other() {
-		// The other knows of drains that the list handed over at start is too old for.
-		p.other.Store(true)
-		p.beside(true)
-		p.after(p.now(), listWait, func(int64) { p.letIn() })
-	} else {
-		p.letIn()
-	}
+	p.welcomeFrom(p.start.Seat != nil && p.start.Seat.Other(), p.now())
 	if p.start.Holds != nil {
 		go p.follow()
 	}
--- a/proxy/operate.go
+++ b/proxy/operate.go
@@ -20,7 +20,7 @@
 	replyWait = 800 * time.Millisecond // a caller waits no longer than a second
 	lookApart = 100 * time.Millisecond // between looks at what the other process has changed
 	mostSeen  = 1 << 14                // ids of the list that are remembered
-	listWait  = 15e8                   // beside another process clients are taken once the list was told, or then
+	listWait  = 15e8                   // the list at start may be too old: clients are taken once told, or then
 )
 
 // Operate answers a call of the door; it may be called from any goroutine.
@@ -211,6 +211,18 @@
 	})
 }
 
+// welcomeFrom has clients taken from when the list held at start is good enough to serve by.
+func (p *Proxy) welcomeFrom(other bool, now int64) {
+	if other { // it knows of drains that the list handed over at start is too old for
+		p.other.Store(true)
+		p.beside(true)
+	} else if p.terms.MustAsk {
+		p.letIn()
+		return
+	} // else all that whoever pushes the list holds counts as told from the first moment on
+	p.after(now, listWait, func(int64) { p.letIn() })
+}
+
 // beside shares what the platform gives with another process, as long as it lives.
 func (p *Proxy) beside(other bool) {
 	logrus.Infof("another process beside this one: %v", other)
--- /dev/null
+++ b/proxy/standing_test.go
@@ -0,0 +1,618 @@
+package proxy
+
+// The terms of the operators' standing test that this package keeps, a test each; docs/sockets.md lists them.
+// Clocks are driven: nothing waits for time to pass but for the kernel to hand bytes over.
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/pelletier/go-toml/v2"
+
+	"ivybank/balance"
+	"ivybank/proxy/http1"
+)
+
+// drive lets time pass: timers that fall due, in turn, and after each what the module decides. It gives how
+// often there was something to do.
+func drive(t *testing.T, p *Proxy, from, to int64) (rounds int) {
+	t.Helper()
+	p.route(from)
+	for len(p.timers) > 0 && p.timers[0].at <= to {
+		if rounds++; rounds > 100000 {
+			t.Fatal("time does not pass")
+		}
+		x := p.timers[0]
+		p.stop(x)
+		x.do(x.at)
+		p.route(x.at)
+	}
+	return rounds
+}
+
+// standing is a proxy with rule sets and one server.
+func standing(t *testing.T, change func(*Start)) *Proxy {
+	t.Helper()
+	s := Start{Sockets: 100, ConnIdle: 60e9, DialTimeout: 250e6, LongestTimeout: 3e9, Discovery: "127.0.0.1:1",
+		Known: []byte(`{"generation":7,"instances":[
+			{"instanceId":"s","hostPort":"127.0.0.1:1","lifecycle":"ready"}]}`),
+		Terms: balance.Terms{Tick: 5e6, MaxDispatches: 3, Copies: 300, MustAsk: true, AskWithin: 4e9,
+			CanCancel: true, RuleSets: []balance.RuleSet{
+				{Name: "once", Effect: balance.NonReplayable, ResponseTarget: 8e8, BillingValue: 1},
+				{Name: "again", ResponseTarget: 8e8, BillingValue: 1, OverdueValue: 0.5}}}}
+	if change != nil {
+		change(&s)
+	}
+	return New(s)
+}
+
+func pushed(s *Start) { s.Terms.MustAsk = false }
+
+// attach has the kernel take what is written to a connection; nothing is read from it.
+func attach(t *testing.T, p *Proxy, e end) {
+	t.Helper()
+	if p.engine == nil {
+		p.engine = nbio.NewEngine(nbio.Config{NPoller: 1, EpollMod: nbio.EPOLLET})
+		p.engine.OnRead(func(*nbio.Conn) {})
+		p.engine.OnWrittenSize(p.taken)
+		if err := p.engine.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			end, done := context.WithTimeout(context.Background(), time.Second)
+			defer done()
+			_ = p.engine.Shutdown(end)
+		})
+	}
+	e.link().nb.SetSession(e)
+	if _, err := p.engine.AddConn(e.link().nb); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// customer is a client's connection and what reads the answers on its other side.
+func customer(t *testing.T, p *Proxy) (*client, net.Conn, *bufio.Reader) {
+	t.Helper()
+	nb, other := pair(t)
+	c := newClient(nb)
+	attach(t, p, c)
+	p.clients = append(p.clients, c)
+	_ = other.SetReadDeadline(time.Now().Add(10 * time.Second))
+	return c, other, bufio.NewReader(other)
+}
+
+func said(t *testing.T, in *bufio.Reader) *http.Response {
+	t.Helper()
+	r, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	_ = r.Body.Close()
+	return r
+}
+
+func asks(rules, id string, timeout int64) http1.Call {
+	return http1.Call{Method: http.MethodPost, Target: "/api", ID: id, RuleSet: rules, Timeout: timeout}
+}
+
+// spoken is a watch that is up and has brought something at this time.
+func spoken(t *testing.T, p *Proxy, at int64) *watch {
+	t.Helper()
+	nb, _ := pair(t)
+	w := &watch{wire: wire{nb: nb}, answers: http1.NewChunks(mostList), up: true}
+	p.list.watch = w
+	p.heard(w, at)
+	return w
+}
+
+// next is when the earliest timer falls due.
+func next(t *testing.T, p *Proxy) *timer {
+	t.Helper()
+	if len(p.timers) == 0 {
+		t.Fatal("nothing is due")
+	}
+	return p.timers[0]
+}
+
+// fire lets the earliest timer fall due and says when that was.
+func fire(t *testing.T, p *Proxy) int64 {
+	x := next(t, p)
+	p.stop(x)
+	x.do(x.at)
+	return x.at
+}
+
+// moduleAsks says whether the module is about to ask for the list.
+func moduleAsks(p *Proxy, from, to int64) bool {
+	for at := from; at < to; at += 5e7 {
+		for d, ok := p.module.Next(at); ok; d, ok = p.module.Next(at) {
+			if d.Kind == balance.Watch {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// What a silent watch misses counts as told 6 s after its last byte. It is broken well before, not by all at
+// the same moment, and the next call goes out at that moment, whoever opens watches; the module is not told
+// of a failure.
+func TestSilentWatchBegunAnew(t *testing.T) {
+	for name, change := range map[string]func(*Start){"asked": nil, "pushed": pushed} {
+		t.Run(name, func(t *testing.T) {
+			ends := map[int64]bool{}
+			for seed := range uint64(20) {
+				p := standing(t, change)
+				p.dice.Seed = seed
+				p.module.Listed(balance.Whole, []balance.Server{{ID: "s"}}, p.now()) // subscribed
+				from := p.now()
+				w := spoken(t, p, from)
+				p.heard(w, from+2e9) // an empty line is a sign of life
+				at := fire(t, p)
+				if silent := at - from - 2e9; silent < 25e8 || silent > 4e9 {
+					t.Fatalf("broken after %d ms of silence", silent/1e6)
+				}
+				if ends[at-from] = true; !w.closed || p.list.watch == w || p.list.watch == nil || p.count.Watches != 1 {
+					t.Fatal("the next watch is not opened at once")
+				}
+				if moduleAsks(p, at, at+10e9) {
+					t.Fatal("the module was told of a failure")
+				}
+			}
+			if len(ends) < 15 {
+				t.Errorf("%d of 20 break at a time of their own", len(ends))
+			}
+		})
+	}
+}
+
+// Where discovery then refuses or is dead, it is called again while what is missing does not count as told
+// yet, each second or so; after that, or once discovery says when to come again, the module's time stands.
+func TestSilentWatchRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		retryIn     int64
+		least, most int
+	}{"refused": {0, 2, 5}, "busy": {2e9, 0, 0}} {
+		t.Run(name, func(t *testing.T) {
+			p := standing(t, nil)
+			p.module.Listed(balance.Whole, []balance.Server{{ID: "s"}}, p.now())
+			from := p.now()
+			spoken(t, p, from)
+			at, calls := fire(t, p), 0
+			for ; ; calls++ {
+				p.turned(p.list.watch, c.retryIn, at)
+				if len(p.timers) == 0 {
+					break
+				}
+				at = fire(t, p)
+			}
+			if calls < c.least || calls > c.most || at > from+65e8 {
+				t.Errorf("%d calls of its own, the last after %d ms", calls, (at-from)/1e6)
+			}
+			if !moduleAsks(p, at, at+3e9) {
+				t.Error("nobody asks any more")
+			}
+		})
+	}
+}
+
+// A call that is never answered, or a watch that ends, is the module's to repeat: it knows how long the list
+// held counts.
+func TestLostWatchIsTheModules(t *testing.T) {
+	for name, end := range map[string]func(*Proxy, *watch, int64) int64{
+		"ended": func(p *Proxy, w *watch, now int64) int64 { w.gone(p, now+1e9); return now + 1e9 },
+		"never answered": func(p *Proxy, w *watch, now int64) int64 {
+			w.spoke = false
+			return fire(t, p)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := standing(t, nil)
+			p.module.Listed(balance.Whole, []balance.Server{{ID: "s"}}, p.now())
+			now := p.now()
+			at := end(p, spoken(t, p, now), now)
+			if p.list.watch != nil || p.count.Watches != 0 {
+				t.Fatal("the proxy calls by itself")
+			}
+			if h := p.host("s"); !h.ready {
+				t.Error("the list held was dropped")
+			}
+			if !moduleAsks(p, at, at+p.terms.AskWithin) {
+				t.Error("the module does not ask within the settings' time")
+			}
+		})
+	}
+}
+
+// A watch that is up and has nothing to tell is kept: what is written to one that is replaced counts as told.
+func TestWatchWithNothingToTell(t *testing.T) {
+	p := standing(t, nil)
+	nb, _ := pair(t)
+	w := &watch{wire: wire{nb: nb}, answers: http1.NewChunks(mostList), up: true}
+	p.list.watch = w
+	now := p.now()
+	w.read(p, now, []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	p.round()
+	if p.list.watch != w || moduleAsks(p, now, now+30e9) {
+		t.Error("another watch is asked for")
+	}
+	p.heard(w, now+1e9)
+	if p.endWatch(w, now+2e9, true); !moduleAsks(p, now+2e9, now+2e9+p.terms.AskWithin) {
+		t.Error("the module does not ask once it has ended")
+	}
+}
+
+// Where lists are pushed what the agent has counts as told with no watch open: the next one is tried for at
+// once, and no rarer than every 1.5 s while there is none, also while the proxy drains.
+func TestPushedWatchComesBackAtOnce(t *testing.T) {
+	p := standing(t, pushed)
+	p.drain.begun = true
+	now := p.now()
+	p.endWatch(spoken(t, p, now), now+1e9, true)
+	at := now + 1e9
+	for i, most := range []int64{15e7, 3e8, 6e8, 12e8, 15e8, 15e8, 15e8} {
+		due := fire(t, p)
+		if wait := due - at; wait <= 0 || wait > most {
+			t.Fatalf("try %d after %d ms, want %d at most", i, wait/1e6, most/1e6)
+		}
+		if at = due; p.list.watch == nil || p.count.Watches != i+1 {
+			t.Fatalf("try %d did not call", i)
+		}
+		p.endWatch(p.list.watch, at, true)
+	}
+	p.stop(p.timers[0])
+	p.endWatch(spoken(t, p, at), at+1e9, true) // one that spoke
+	if wait := next(t, p).at - at - 1e9; wait > 15e7 {
+		t.Errorf("after one that spoke it waits %d ms", wait/1e6)
+	}
+	p.done = true
+	calls := p.count.Watches
+	if fire(t, p); p.count.Watches != calls {
+		t.Error("it calls after its end")
+	}
+}
+
+// From the first moment of a new process what the agent has counts as told: no client is let in by the older
+// list of the start, but for no longer than a moment. Where discovery is asked that list counts, and the
+// proxy is ready at once.
+func TestPushedListBeforeClients(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Start)
+		told   bool
+		open   bool // at once
+	}{
+		"asked":            {nil, false, true},
+		"pushed, told":     {pushed, true, false},
+		"pushed, not told": {pushed, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := standing(t, c.change)
+			p.accept = newListener(nil)
+			now := p.now()
+			if p.welcomeFrom(false, now); p.open != c.open {
+				t.Fatalf("open %v at the start", p.open)
+			}
+			if c.told {
+				r, err := parseRoll([]byte(`{"generation":8,"reset":true,"instances":[
+					{"instanceId":"s","hostPort":"127.0.0.1:1","lifecycle":"draining"}]}`))
+				w := spoken(t, p, now)
+				if p.line(w, r, err, now+1e8); !p.open || p.host("s").ready {
+					t.Errorf("open %v once the list has come, the server in use %v", p.open, p.host("s").ready)
+				}
+				return
+			}
+			if !c.open {
+				if at := fire(t, p); at > now+2e9 {
+					t.Errorf("ready after %d ms", (at-now)/1e6)
+				}
+			}
+			select {
+			case <-p.accept.opened:
+			default:
+				t.Error("clients are not taken")
+			}
+		})
+	}
+}
+
+// Another discovery's news counts 4 s after SIGHUP: its watch is opened at once and the old one's end says
+// nothing of it.
+func TestMovedDiscovery(t *testing.T) {
+	for name, change := range map[string]func(*Start){"asked": nil, "pushed": pushed} {
+		t.Run(name, func(t *testing.T) {
+			p := standing(t, change)
+			old := spoken(t, p, p.now())
+			p.list.failures = 9
+			s := p.start
+			s.Discovery = "127.0.0.1:2"
+			p.Retune(s)
+			p.round()
+			w := p.list.watch
+			if !old.closed || w == nil || w == old || p.count.Watches != 1 || !p.host("s").ready {
+				t.Fatalf("%d calls, the old watch closed %v", p.count.Watches, old.closed)
+			}
+			if lost := p.count.WatchesLost; lost != 0 {
+				t.Errorf("%d watches lost", lost)
+			}
+			if name == "asked" {
+				return
+			}
+			now := p.now()
+			p.endWatch(w, now, true) // the first call fails
+			if wait := next(t, p).at - now; wait > 15e7 {
+				t.Errorf("the next call after %d ms", wait/1e6)
+			}
+		})
+	}
+}
+
+// After SIGTERM clients send on every connection that stays open. One at rest is closed; one of which
+// something lies in the kernel, or half a call has come, stays and gets its answer, which ends it.
+func TestTermAnswersWhatIsSent(t *testing.T) {
+	p := standing(t, nil)
+	p.start.Known, p.drain.begun = nil, true
+	p.listed(balance.Whole, roll{Instances: []entry{}}, p.now()) // no server: each is denied
+	resting, _, _ := customer(t, p)
+	unread, other, unreadIn := customer(t, p)
+	half, _, halfIn := customer(t, p)
+	half.coming = true
+	call := "POST /api HTTP/1.1\r\nHost: a\r\nRequest-Id: a\r\nRequest-Class: once\r\nRequest-Timeout: 1\r\n" +
+		"Content-Length: 0\r\n\r\n"
+	if _, err := other.Write([]byte(call)); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(10 * time.Second); unread.nothing() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	now := p.now()
+	p.ending(now)
+	if !resting.closed || unread.closed || half.closed {
+		t.Fatalf("closed: at rest %v, unread %v, half %v", resting.closed, unread.closed, half.closed)
+	}
+	unread.read(p, now, []byte(call))
+	half.read(p, now, []byte(strings.Replace(call, "Id: a", "Id: b", 1)))
+	p.round()
+	drive(t, p, now, now+1e9)
+	for name, in := range map[string]*bufio.Reader{"unread": unreadIn, "half": halfIn} {
+		if r := said(t, in); r.StatusCode != http.StatusServiceUnavailable || !r.Close {
+			t.Errorf("%s: got %d, last %v", name, r.StatusCode, r.Close)
+		}
+	}
+}
+
+// The process does not end before a req that it took has its answer, as long as its client may wait.
+func TestTermWaitsForReqs(t *testing.T) {
+	p := standing(t, nil)
+	now := p.now()
+	r := &req{taken: now + 2e9, call: asks("once", "a", 25e8)}
+	p.reqs[1] = r
+	p.awaitEnd(now)
+	if drive(t, p, now, now+44e8); p.done {
+		t.Fatal("ended with an open req whose client waits")
+	}
+	if drive(t, p, now+44e8, now+46e8); !p.done {
+		t.Fatal("waits for longer than its client")
+	}
+	p = standing(t, nil)
+	r = &req{taken: now, call: asks("once", "a", 3600e9)}
+	p.reqs[1] = r
+	p.awaitEnd(now)
+	if drive(t, p, now, now+31e8); !p.done {
+		t.Fatal("a client of an hour holds the end up")
+	}
+}
+
+// What was written for a client that reads slowly leaves before its connection is closed to send it away.
+func TestSentAwayAfterAnswer(t *testing.T) {
+	p := standing(t, nil)
+	c, _, _ := customer(t, p)
+	c.given.Add(10) // not taken by the kernel yet
+	now := p.now()
+	p.sendAway(now, now-10e9, func() bool { return true })
+	if c.closed {
+		t.Fatal("the answer was cut off")
+	}
+	c.took.Add(10)
+	if p.sendAway(now, now-10e9, func() bool { return true }); !c.closed {
+		t.Fatal("a client at rest is kept")
+	}
+}
+
+// Each req has its final answer before its client's time is over: 503 where it surely never ran or may run
+// again, which a req that was never sent always gets, and 502 where it may have run.
+func TestFinalAnswerInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		rules string
+		sent  bool
+		want  int
+	}{
+		"never sent, not to be repeated": {"once", false, http.StatusServiceUnavailable},
+		"never sent":                     {"again", false, http.StatusServiceUnavailable},
+		"sent, not to be repeated":       {"once", true, http.StatusBadGateway},
+		"sent":                           {"again", true, http.StatusServiceUnavailable},
+	} {
+		for _, timeout := range []int64{2e8, 8e8, 3e9} {
+			t.Run(fmt.Sprint(name, " ", timeout/1e6), func(t *testing.T) {
+				p := standing(t, nil)
+				now := p.now()
+				if c.sent { // the server never answers
+					host, _ := parked(t, p, now-1e9)
+					attach(t, p, host)
+				} else {
+					p.listed(balance.Whole, roll{Instances: []entry{}}, now)
+				}
+				cl, _, in := customer(t, p)
+				p.take(cl, sentAhead{Call: asks(c.rules, "a", timeout), at: now})
+				drive(t, p, now, now+timeout-1)
+				if cl.req != nil {
+					t.Fatal("no answer within the client's time")
+				}
+				if p.count.Sent > 0 != c.sent {
+					t.Fatalf("%d dispatches", p.count.Sent)
+				}
+				if r := said(t, in); r.StatusCode != c.want {
+					t.Errorf("got %d, want %d", r.StatusCode, c.want)
+				}
+			})
+		}
+	}
+}
+
+// A new connection is not closed on its call, however short descriptors are: it is told so.
+func TestNewConnectionIsAnswered(t *testing.T) {
+	p := standing(t, func(s *Start) { s.Sockets = spareSockets + 8 })
+	for range 8 {
+		c, _, _ := customer(t, p)
+		c.req = &req{}
+	}
+	nb, other := pair(t)
+	c := newClient(nb)
+	attach(t, p, c)
+	now := p.now()
+	p.welcome(c, now)
+	if c.closed || !c.extra {
+		t.Fatalf("closed %v, extra %v", c.closed, c.extra)
+	}
+	p.take(c, sentAhead{Call: asks("once", "a", 1e9), at: now})
+	_ = other.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if r := said(t, bufio.NewReader(other)); r.StatusCode != http.StatusServiceUnavailable || !r.Close {
+		t.Errorf("got %d, last %v", r.StatusCode, r.Close)
+	}
+	if p.count.Taken != 0 || p.count.Crowded != 1 {
+		t.Errorf("%d reqs, %d crowded", p.count.Taken, p.count.Crowded)
+	}
+	// Of those at rest, one whose call lies unread is not closed either.
+	p = standing(t, nil)
+	c, other, _ = customer(t, p)
+	_, _ = other.Write([]byte("POST"))
+	for end := time.Now().Add(10 * time.Second); c.nothing() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if p.closeResting(p.now()+10e9, 0) || c.closed {
+		t.Error("closed on its call")
+	}
+}
+
+// Nothing that is kept grows with time: what discovery tells and clients ask leaves no more behind than its
+// bound.
+func TestNothingGrows(t *testing.T) {
+	p := standing(t, nil)
+	now := p.now()
+	p.listed(balance.Whole, roll{Instances: []entry{}}, now)
+	cl, _, in := customer(t, p)
+	for i := range 3000 {
+		at := now + int64(i)*1e8
+		id := fmt.Sprint(i)
+		p.listed(balance.Whole, roll{Generation: int64(i), Instances: []entry{
+			{ID: "h" + id, Addr: "127.0.0.1:1", State: "draining"},
+			{ID: "g" + id, Addr: "127.0.0.1:1", State: "draining"}}}, at)
+		p.heard(spoken(t, p, at), at)
+		p.list.watch = nil
+		if i%10 == 0 {
+			p.take(cl, sentAhead{Call: asks("once", id, 1e9), at: at})
+			drive(t, p, at, at+99e6)
+			said(t, in)
+		}
+		p.timers = p.timers[:0]
+	}
+	drive(t, p, now+300e9, now+301e9)
+	if len(p.hosts) > 2 || len(p.reqs) != 0 || len(p.ids) != 0 || len(p.events) > 3000 {
+		t.Errorf("%d hosts, %d reqs, %d ids", len(p.hosts), len(p.reqs), len(p.ids))
+	}
+	for i := range 2 * mostSeen {
+		p.remember(fmt.Sprint("seen ", i))
+	}
+	if len(p.seen) > mostSeen || len(p.order) > mostSeen {
+		t.Errorf("%d ids remembered, %d in order", len(p.seen), len(p.order))
+	}
+}
+
+// A thread that neither waits nor ends is a crash: with a req open, a client that is silent and a watch up,
+// there is a tick between one round and the next.
+func TestLoopWaits(t *testing.T) {
+	p := standing(t, nil)
+	now := p.now()
+	p.listed(balance.Whole, roll{Instances: []entry{}}, now)
+	spoken(t, p, now)
+	cl, _, _ := customer(t, p)
+	p.await(cl, now)
+	p.drain.begun = true
+	p.after(now, comeOn, p.ending)
+	p.take(cl, sentAhead{Call: asks("once", "a", 1e9), at: now})
+	if n := drive(t, p, now, now+2e9); n > 2e9/5e6+50 {
+		t.Errorf("%d rounds in 2 s", n)
+	}
+}
+
+// The bench refuses what starts programs or moves bytes past the process: none of it is called, and the
+// program is one process, linked against the C library.
+func TestOnePlainProcess(t *testing.T) {
+	refused := regexp.MustCompile(`^(Fork.*|Clone.*|Exec|StartProcess|Splice|Tee|Vmsplice|Send[fF]ile|(?i)io_?uring.*)$`)
+	seen := 0
+	roots := []string{".", "../balance", "../terms", "../fleet", "../keys", "../conf", "../internal"}
+	for _, root := range roots {
+		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			seen++
+			f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			if err != nil {
+				return err
+			}
+			for _, x := range f.Imports {
+				if x.Path.Value == `"os/exec"` || x.Path.Value == `"plugin"` {
+					t.Errorf("%s imports %s", path, x.Path.Value)
+				}
+			}
+			ast.Inspect(f, func(n ast.Node) bool {
+				s, ok := n.(*ast.SelectorExpr)
+				if !ok {
+					return true
+				}
+				if of, ok := s.X.(*ast.Ident); ok && slices.Contains([]string{"syscall", "unix", "os"}, of.Name) &&
+					refused.MatchString(s.Sel.Name) {
+					t.Errorf("%s calls %s.%s", path, of.Name, s.Sel.Name)
+				}
+				return true
+			})
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if seen < 40 {
+		t.Fatalf("looked at %d files only", seen)
+	}
+	text, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var deploy struct{ Build, Run string }
+	if err := toml.Unmarshal(text, &deploy); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasPrefix(deploy.Run, "exec ") || strings.ContainsAny(deploy.Run, "&|;") {
+		t.Errorf("run is %q, want one process by exec", deploy.Run)
+	}
+	b := deploy.Build
+	if !strings.Contains(b, "CGO_ENABLED=1") || !strings.Contains(b, "-linkmode=external") {
+		t.Errorf("build is %q, want it linked against the C library", deploy.Build)
+	}
+}
--- a/terms/terms_test.go
+++ b/terms/terms_test.go
@@ -75,3 +75,30 @@
 		}
 	}
 }
+
+// What the operators' standing test is judged by comes with the settings: each figure reaches the module as
+// it stands.
+func TestStandingTerms(t *testing.T) {
+	v, err := Flatten([]byte(`{"Discovery":"pushed","FleetSize":300,"TickNs":5000000,
+		"Ceilings":{"MaxDispatches":3,"RetryAfter":true,"MaxRetryAfterNs":1500000000},
+		"Contract":{"AskWithinNs":4000000000,"OverloadFactor":3,"FallNs":3000000000,"StartCapacity":0.16,
+			"RampTimeNs":24000000000},
+		"RuleSets":[{"Name":"filing","Effect":"fragile","ClientTimeoutNs":3000000000,"ResponseTargetNs":800000000,
+			"BillingValue":1,"OverdueBillingValue":0}],
+		"Tenants":[{"Name":"halls","Share":0.64},{"Name":"offices","Share":0.21}]}`))
+	if err == nil {
+		err = Check(v)
+	}
+	want := balance.Terms{Seed: 5, Copies: 300, MaxDispatches: 3, MaxAdvice: 15e8, AskWithin: 4e9, Overload: 3,
+		FallTime: 3e9, StartCapacity: 0.16, RampTime: 24e9, Tick: 5e6,
+		RuleSets: []balance.RuleSet{{Name: "filing", Effect: balance.NonReplayable, Group: balance.GroupCell,
+			ResponseTarget: 8e8, BillingValue: 1}},
+		Tenants: []balance.Tenant{{Name: "halls", Share: 0.64}, {Name: "offices", Share: 0.21}}}
+	if got := Read(v, 5); err != nil || v.Err != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %+v, %v, %v, want %+v", got, err, v.Err, want)
+	}
+	v.At["Discovery"] = "on_request"
+	if !Read(v, 5).MustAsk {
+		t.Error("a list that is asked for counts as pushed")
+	}
+}
