--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -23,6 +23,7 @@
 	watchSilence = 4.5e9       // an empty line comes every 2 s: a watch silent for two of them has ended unseen
 	mostList     = 4 << 20     // bytes of one line of the list
 	mostPutOff   = int64(10e9) // the longest that discovery may put a call off
+	stale        = int64(20e6) // no dispatch leaves later than so after the watch was last read to its end
 	reopen       = 1e9         // after about so long a watch that was lost is opened again where the module doesn't ask
 )
 
@@ -250,19 +251,50 @@
 	}
 }
 
+// tell hands over what a watch has said. The owner takes it before all else that has come.
+func (p *Proxy) tell(at int64, w *watch, do func(at int64)) {
+	w.told.Add(1)
+	p.queue(&p.news, event{at, &w.wire, do})
+}
+
+// takeNews takes what watches have said.
+func (p *Proxy) takeNews() {
+	p.mu.Lock()
+	news := p.news
+	p.news = nil
+	p.mu.Unlock()
+	p.handle(news)
+}
+
+// present has all taken that discovery had written by now; what the kernel still holds of the watch is read here,
+// on the owner. Time in which the process was stopped cannot always be told from time in which nothing was to be
+// done, and after it any event may come first: so every dispatch passes here before its first byte. False where
+// that was done just before.
+func (p *Proxy) present(now int64) bool {
+	if now-p.newsAt < stale {
+		return false
+	}
+	p.newsAt = now
+	if w := p.list.watch; w != nil && w.up {
+		p.pump(w.nb, w, false) // what a poller has read and not yet handed over is waited for
+	}
+	p.takeNews()
+	return true
+}
+
 func (w *watch) read(p *Proxy, at int64, b []byte) {
 	w.answers.Feed(b)
 	for {
 		a, ok, err := w.answers.Next()
 		if err != nil || ok && a.Status != http.StatusOK {
-			p.post(at, &w.wire, func(at int64) {
+			p.tell(at, w, func(at int64) {
 				p.putOff(a.RetryAfter, at)
 				p.endWatch(w, at, true)
 			})
 			return
 		}
 		if !ok {
-			p.post(at, &w.wire, func(at int64) { p.heard(w, at) })
+			p.tell(at, w, func(at int64) { p.heard(w, at) })
 			return
 		}
 		w.line = append(w.line, a.Body...)
@@ -273,10 +305,10 @@
 				continue
 			}
 			r, err := parseRoll(text)
-			p.post(at, &w.wire, func(at int64) { p.line(w, r, err, at) })
+			p.tell(at, w, func(at int64) { p.line(w, r, err, at) })
 		}
 		if len(w.line) > mostList {
-			p.post(at, &w.wire, func(at int64) { p.endWatch(w, at, true) })
+			p.tell(at, w, func(at int64) { p.endWatch(w, at, true) })
 			return
 		}
 	}
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -59,6 +59,7 @@
 	base   time.Time // the clock: wall time at start, monotonic from there
 
 	mu     sync.Mutex
+	news   []event // what a watch on discovery has said; emptied before any event is handled, and by present
 	events []event // emptied by every round of the loop
 	bell   chan struct{}
 
@@ -88,7 +89,8 @@
 	other     atomic.Bool  // another process lives beside this one
 	transit   atomic.Int64 // bytes of each body that may be on the way through
 	portioned int64        // when that was worked out
-	rounded   int64        // when the latest round ended
+	rounded   int64        // when the latest round came to its decisions
+	newsAt    int64        // all that discovery had written by then was taken
 	count     Counters
 	done      bool
 }
@@ -148,8 +150,13 @@
 	if on != nil {
 		on.told.Add(1)
 	}
+	p.queue(&p.events, event{at, on, do})
+}
+
+// queue puts an event into one of the two queues.
+func (p *Proxy) queue(to *[]event, e event) {
 	p.mu.Lock()
-	p.events = append(p.events, event{at, on, do})
+	*to = append(*to, e)
 	p.mu.Unlock()
 	select {
 	case p.bell <- struct{}{}:
@@ -253,13 +260,8 @@
 	events := p.events
 	p.events = nil
 	p.mu.Unlock()
-	for _, e := range events {
-		record(p.count.lag, e.at, p.now())
-		p.guard(e.on, func() { e.do(e.at) })
-		if e.on != nil {
-			e.on.told.Add(-1)
-		}
-	}
+	p.takeNews()
+	p.handle(events)
 	now := p.now()
 	for len(p.timers) > 0 && p.timers[0].at <= now {
 		t := heap.Pop(&p.timers).(*timer)
@@ -268,9 +270,20 @@
 	if now-p.portioned > portionApart {
 		p.portion(now)
 	}
-	p.ran(due) // it may have been stopped on the way here
+	due = p.ran(due) // it may have been stopped on the way here
+	p.rounded = due  // not the end: a process that is stopped while it sends would seem to have run
 	p.guard(nil, func() { p.route(p.now()) })
-	p.rounded = p.now()
+}
+
+// handle calls the owner's part of events, in their order.
+func (p *Proxy) handle(events []event) {
+	for _, e := range events {
+		record(p.count.lag, e.at, p.now())
+		p.guard(e.on, func() { e.do(e.at) })
+		if e.on != nil {
+			e.on.told.Add(-1)
+		}
+	}
 }
 
 // guard keeps a panic to the event that met it, and to its connection.
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -145,18 +145,11 @@
 
 // connected puts a new connection to use.
 func (p *Proxy) connected(d *dispatch, c *hostConn, now int64) {
-	switch {
-	case !d.out:
+	if !d.out {
 		p.park(c, now)
-	case !c.host.ready: // told meanwhile that it drains: nothing new begins there
-		p.broke(d, &broken{unsent, errDrained}, now)
-		c.shut()
-	case p.unsure():
-		p.broke(d, &broken{unsent, errDrained}, now)
-		p.park(c, now)
-	default:
-		p.write(d, c)
+		return
 	}
+	p.write(d, c)
 }
 
 func (c *hostConn) read(p *Proxy, at int64, b []byte) {
--- /dev/null
+++ b/proxy/present_test.go
@@ -0,0 +1,201 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"ivybank/balance"
+	"ivybank/proxy/http1"
+)
+
+// This file owns the tests of what a process does first after a time in which it did not run. The stop is
+// built as it is found at waking: a later clock, and what discovery wrote meanwhile in the kernel.
+// No verdict may rest on how fast the machine is.
+
+// poller polls connections that tests may see written to: nbio panics within its lock on one that is not.
+var poller = sync.OnceValues(func() (*nbio.Engine, error) {
+	e := nbio.NewEngine(nbio.Config{Name: "test", NPoller: 1, EpollMod: nbio.EPOLLET})
+	e.OnRead(func(*nbio.Conn) {})
+	return e, e.Start()
+})
+
+// polled is a parked connection that may be written to.
+func polled(t *testing.T, p *Proxy) *hostConn {
+	t.Helper()
+	c, _ := parked(t, p, p.now()-1e9)
+	e, err := poller()
+	if err == nil {
+		_, err = e.AddConn(c.nb)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// watched gives a proxy a watch that is up, and discovery's side of it.
+func watched(t *testing.T, p *Proxy) (*watch, net.Conn) {
+	t.Helper()
+	nb, other := pair(t)
+	w := &watch{wire: wire{nb: nb}, answers: http1.NewChunks(mostList), up: true}
+	p.list.watch = w
+	return w, other
+}
+
+// drains has discovery write that the server drains, and waits until the kernel holds it.
+func drains(t *testing.T, w *watch, other net.Conn) {
+	t.Helper()
+	line := `{"generation":8,"instances":[{"instanceId":"s","hostPort":"127.0.0.1:1","lifecycle":"draining"}]}`
+	line += "\n"
+	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	if _, err := fmt.Fprintf(other, "%s%x\r\n%s\r\n", head, len(line), line); err != nil {
+		t.Fatal(err)
+	}
+	notice(&hostConn{wire: wire{nb: w.nb}})
+}
+
+// stopped makes it as if the process had not run for 5 s.
+func stopped(p *Proxy) {
+	p.newsAt -= 5e9
+	p.rounded -= 5e9
+}
+
+// Whichever event comes first after a stop, nothing goes to a server of which discovery has written meanwhile
+// that it drains; with what operators set on coming back and without, noticed or not.
+func TestToldWhileStopped(t *testing.T) {
+	over := func(p *Proxy) int64 { return p.now() + 3e9 }
+	for name, first := range map[string]func(p *Proxy, r *req, c *hostConn){
+		"a dispatch that was decided before": func(p *Proxy, r *req, c *hostConn) {
+			p.send(r, "s", over(p), p.now())
+		},
+		"a connection that came up": func(p *Proxy, r *req, c *hostConn) {
+			p.unpark(c)
+			d := &dispatch{req: r, host: c.host, until: over(p), out: true}
+			p.post(p.now(), nil, func(at int64) { p.connected(d, c, at) })
+			p.round()
+		},
+		"the same, handled before the stop was noticed": func(p *Proxy, r *req, c *hostConn) {
+			p.unpark(c)
+			p.connected(&dispatch{req: r, host: c.host, until: over(p), out: true}, c, p.now())
+		},
+		"a connection that had an answer just before": func(p *Proxy, r *req, c *hostConn) {
+			p.unpark(c)
+			p.settled(&dispatch{req: r, host: c.host, until: over(p), out: true}, c, p.now())
+		},
+		"a req": func(p *Proxy, r *req, c *hostConn) {
+			p.post(p.now(), nil, func(at int64) {
+				p.enter(&req{call: http1.Call{ID: "a", Timeout: 3e9}, taken: at}, 3e9, at)
+			})
+			p.round()
+		},
+	} {
+		for _, set := range []string{"plain", "return"} {
+			t.Run(name+", "+set, func(t *testing.T) {
+				p := testProxy(t)
+				if set == "return" {
+					p.comeback = newComeback(Return{}, "discovery", p.now())
+				}
+				w, other := watched(t, p)
+				c := polled(t, p)
+				stopped(p)
+				drains(t, w, other)
+				first(p, &req{outs: 1}, c)
+				p.round()
+				if c.given.Load() > 0 {
+					t.Errorf("%d bytes were written to it", c.given.Load())
+				}
+				if p.host("s").ready || p.count.Lines != 1 {
+					t.Errorf("ready %v after %d lines", p.host("s").ready, p.count.Lines)
+				}
+			})
+		}
+	}
+}
+
+// With no stop to look at, what a poller has read of a watch still goes before what else has come.
+func TestNewsFirst(t *testing.T) {
+	p := testProxy(t)
+	w, _ := watched(t, p)
+	c := polled(t, p)
+	p.unpark(c)
+	p.newsAt = p.now() + 60e9
+	d := &dispatch{req: &req{outs: 1}, host: c.host, until: p.now() + 3e9, out: true}
+	p.post(p.now(), nil, func(at int64) { p.connected(d, c, at) })
+	p.tell(p.now(), w, func(at int64) {
+		r := roll{Generation: 8, Instances: []entry{{ID: "s", Addr: "127.0.0.1:1", State: "draining"}}}
+		p.line(w, r, nil, at)
+	})
+	p.round()
+	if c.given.Load() > 0 || p.host("s").ready {
+		t.Errorf("%d bytes were written, ready %v", c.given.Load(), p.host("s").ready)
+	}
+}
+
+// A dispatch whose time ran out in a stop stays here: its server would run it for nobody.
+func TestOverWhileStopped(t *testing.T) {
+	p := testProxy(t)
+	c := polled(t, p)
+	p.unpark(c)
+	d := &dispatch{req: &req{outs: 1}, host: c.host, until: p.now(), out: true}
+	p.write(d, c)
+	p.round()
+	if c.given.Load() > 0 || c.closed || p.count.Outcomes[balance.NotSent] != 1 {
+		t.Errorf("%d bytes were written, closed %v, %v", c.given.Load(), c.closed, p.count.Outcomes)
+	}
+}
+
+// What the old watch was told counts also where the new one does not come up in time.
+func TestToldByOldWatch(t *testing.T) {
+	p := testProxy(t)
+	p.comeback = newComeback(Return{}, "discovery", p.now())
+	w, other := watched(t, p)
+	stopped(p)
+	drains(t, w, other)
+	p.ran(p.now() - 5e9)
+	if p.comeback.count.Stood != 1 || !p.unsure() || p.list.watch == w {
+		t.Fatalf("stood still %d times, unsure %v", p.comeback.count.Stood, p.unsure())
+	}
+	if p.sure(p.now()); p.unsure() || p.host("s").ready {
+		t.Errorf("unsure %v, ready %v, want what the old watch was told", p.unsure(), p.host("s").ready)
+	}
+}
+
+// A stop in the midst of sending is noticed by the next round: it falls between two looks like any other.
+func TestStoppedWhileSending(t *testing.T) {
+	p := testProxy(t)
+	p.comeback = newComeback(Return{}, "discovery", p.now())
+	w, _ := watched(t, p)
+	polled(t, p)
+	p.after(p.now(), 1e8, func(int64) {})
+	p.post(p.now(), nil, func(at int64) {
+		p.enter(&req{call: http1.Call{ID: "a", Timeout: 3e9}, taken: at}, 3e9, at)
+		p.newsAt = 0 // so that the dispatch meets what follows
+		p.tell(at, w, func(int64) { time.Sleep(time.Duration(stoodLong + 2e8)) })
+	})
+	p.round()
+	if p.round(); p.comeback.count.Stood != 1 {
+		t.Errorf("stood still %d times, want 1", p.comeback.count.Stood)
+	}
+}
+
+// The watch is looked at once in so long a time, however many dispatches go out: not once for each.
+func TestPresentOnce(t *testing.T) {
+	p := testProxy(t)
+	w, other := watched(t, p)
+	now := p.now()
+	if !p.present(now) {
+		t.Fatal("not looked at the first time")
+	}
+	drains(t, w, other)
+	if p.present(now+stale-1) || p.count.Lines != 0 {
+		t.Error("looked at again before its time")
+	}
+	if !p.present(now+stale) || p.count.Lines != 1 {
+		t.Errorf("%d lines once its time has come, want 1", p.count.Lines)
+	}
+}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -295,6 +295,7 @@
 	d := &dispatch{req: &req{outs: 1}, host: p.host("s"), out: true}
 	c := &hostConn{wire: wire{nb: nb}, host: d.host}
 	p.connected(d, c, 2)
+	p.round()
 	if p.count.Outcomes[balance.NotSent] != 1 || c.given.Load() != 0 || !c.closed {
 		t.Fatalf("got %v, %d bytes given", p.count.Outcomes, c.given.Load())
 	}
--- a/proxy/return.go
+++ b/proxy/return.go
@@ -238,6 +238,9 @@
 // dispatched, nor written that was to be.
 func (p *Proxy) ran(due int64) int64 {
 	c, now := p.comeback, p.now()
+	if now-due > stale {
+		p.present(now) // the watch that is to end may hold what was told
+	}
 	if c == nil || now-due <= stoodLong {
 		return now
 	}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -105,14 +105,23 @@
 	p.connected(d, c, now)
 }
 
-// write puts the dispatch on a connection that is up.
+// write puts the dispatch on a connection that is up. Where its host wants nothing new any more, or its time
+// is over, or the process stood still on the way here, it comes back unsent and the module decides anew.
 func (p *Proxy) write(d *dispatch, c *hostConn) {
-	d.conn, c.carries, d.wrote = c, d, p.now()
-	wait := d.until - d.wrote
+	p.present(p.now())
+	now := p.now()
+	wait := d.until - now
 	if f := d.req.flow; f != nil && !f.whole {
 		wait = d.req.call.Timeout // counted from its last byte
 	}
-	c.write(http1.AppendCall(nil, d.req.call, d.host.addr, max(1, wait)))
+	call := http1.AppendCall(nil, d.req.call, d.host.addr, wait)
+	if p.present(p.now()) || !d.host.ready || p.unsure() || wait <= 0 { // behind this nothing may take time
+		p.post(now, nil, func(at int64) { p.broke(d, &broken{unsent, errDrained}, at) })
+		p.park(c, now)
+		return
+	}
+	d.conn, c.carries, d.wrote = c, d, now
+	c.write(call)
 	if d.req.flow != nil {
 		p.pour(d)
 		p.stuck(d, c.acked(), d.wrote)
