--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -25,6 +25,7 @@
 	silenceTold  = int64(6e9)  // so long after its last byte what a silent watch misses counts as told
 	mostList     = 4 << 20     // bytes of one list
 	mostPutOff   = int64(10e9) // the longest that discovery may put a call off
+	stale        = int64(20e6) // no dispatch leaves later than so after the watch was last read to its end
 	reopen       = 1e9         // after about so long a lost watch is opened again where the module doesn't ask,
 	firstReopen  = 1e8         // and sooner, doubling, where the list comes unasked
 )
@@ -262,16 +263,47 @@
 	p.endWatch(w, now, true)
 }
 
+// tell hands over what a watch has said. The owner takes it before all else that has come.
+func (p *Proxy) tell(at int64, w *watch, do func(at int64)) {
+	w.told.Add(1)
+	p.queue(&p.news, event{at, &w.wire, do})
+}
+
+// takeNews takes what watches have said.
+func (p *Proxy) takeNews() {
+	p.mu.Lock()
+	news := p.news
+	p.news = nil
+	p.mu.Unlock()
+	p.handle(news)
+}
+
+// present has all taken that discovery had written by now; what the kernel still holds of the watch is read here,
+// on the owner. Time in which the process was stopped cannot always be told from time in which nothing was to be
+// done, and after it any event may come first: so every dispatch passes here before its first byte. False where
+// that was done just before.
+func (p *Proxy) present(now int64) bool {
+	if now-p.newsAt < stale {
+		return false
+	}
+	p.newsAt = now
+	if w := p.list.watch; w != nil && w.up {
+		p.pump(w.nb, w, false) // what a poller has read and not yet handed over is waited for
+	}
+	p.takeNews()
+	return true
+}
+
 func (w *watch) read(p *Proxy, at int64, b []byte) {
 	w.answers.Feed(b)
 	for {
 		a, ok, err := w.answers.Next()
 		if err != nil || ok && a.Status != http.StatusOK {
-			p.post(at, &w.wire, func(at int64) { p.turned(w, a.RetryAfter, at) })
+			p.tell(at, w, func(at int64) { p.turned(w, a.RetryAfter, at) })
 			return
 		}
 		if w.good = w.good || ok || w.answers.HeadIn(); w.good {
-			p.post(at, &w.wire, func(at int64) { p.heard(w, at) })
+			p.tell(at, w, func(at int64) { p.heard(w, at) })
 		}
 		if !ok {
 			return
@@ -282,10 +314,10 @@
 			if !whole {
 				break
 			}
-			p.post(at, &w.wire, func(at int64) { p.line(w, r, err, at) })
+			p.tell(at, w, func(at int64) { p.line(w, r, err, at) })
 		}
 		if len(w.text.held) > mostList || !w.answers.HeadIn() { // its answer is over
-			p.post(at, &w.wire, func(at int64) { p.endWatch(w, at, true) })
+			p.tell(at, w, func(at int64) { p.endWatch(w, at, true) })
 			return
 		}
 	}
