--- a/cmd/ivybank/lab.go
+++ b/cmd/ivybank/lab.go
@@ -5,15 +5,18 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime/debug"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"ivybank/conf"
+	"ivybank/fleet/charter"
 	"ivybank/rehearse/lab"
 )
 
@@ -34,38 +37,72 @@
 	one := &cobra.Command{Use: "serve", Short: "Serve by the configuration that GW_CONFIG names", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return serve(operator) }}
 	one.Flags().StringVar(&operator, "operator", "", "an operator file to put in force, see deploy/operator.toml")
-	check := &cobra.Command{Use: "check FILE", Short: "Check an operator file, an experiment or a configuration",
-		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
-			kind, err := checked(args[0])
-			if err == nil {
-				fmt.Fprintf(c.OutOrStdout(), "%s: a sound %s\n", args[0], kind)
+	check := &cobra.Command{Use: "check FILE...",
+		Short: "Check an operator file, an experiment, a configuration, or a charter's files together",
+		Args:  cobra.MinimumNArgs(1), RunE: func(c *cobra.Command, args []string) error {
+			var files []*charter.File
+			for _, path := range args {
+				kind, file, err := checked(path)
+				if err != nil {
+					return err
+				}
+				if file != nil {
+					files = append(files, file)
+					continue
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: a sound %s\n", path, kind)
 			}
-			return err
+			return checkCharter(c.OutOrStdout(), files, time.Now().UnixNano())
 		}}
 	root.AddCommand(one, check, labCommands(), ledgerCommand(), stateCommands(), planCommands())
 	return root
 }
 
-// checked loads a file as what it says it is.
-func checked(path string) (string, error) {
+// checked loads a file as what it says it is; one of a charter is for the caller to merge.
+func checked(path string) (string, *charter.File, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return "", err
+		return "", nil, err
 	}
 	if strings.HasSuffix(path, ".json") {
 		_, _, err := load(path)
-		return "configuration", err
+		return "configuration", nil, err
 	}
 	switch format := conf.Format(text); format {
 	case lab.Format:
 		_, err = lab.Load(path)
-		return "experiment", err
+		return "experiment", nil, err
+	case charter.Format:
+		f, err := charter.Read(path, text)
+		return "charter", f, err
 	case conf.OperatorFormat, "":
 		_, err = conf.LoadOperator(path)
-		return "operator file", err
+		return "operator file", nil, err
 	default:
-		return "", fmt.Errorf("%s: format %q is not known: expected %q or %q", path, format, conf.OperatorFormat, lab.Format)
+		return "", nil, fmt.Errorf("%s: format %q is not known: expected %q, %q or %q",
+			path, format, conf.OperatorFormat, lab.Format, charter.Format)
+	}
+}
+
+// checkCharter merges files and prints what contradicts, what is in force now and where each value comes from.
+func checkCharter(w io.Writer, files []*charter.File, now int64) error {
+	if len(files) == 0 {
+		return nil
 	}
+	at := map[string]charter.Place{}
+	for _, f := range files {
+		if had, ok := at[f.Namespace]; ok {
+			return fmt.Errorf("%s: namespace: %s is that of %s", f.At, f.Namespace, had)
+		}
+		at[f.Namespace] = f.At
+	}
+	c := charter.Merge(files, now, nil)
+	c.Tell(w, now)
+	if n := len(c.Refused()); n > 0 {
+		return fmt.Errorf("the charter is refused: %d conflicts", n)
+	}
+	fmt.Fprintf(w, "a sound charter of %d namespaces\n", len(files))
+	return nil
 }
 
 func labCommands() *cobra.Command {
--- a/cmd/ivybank/lab_test.go
+++ b/cmd/ivybank/lab_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// A charter's files are checked together: what contradicts and where each value comes from is printed.
+func TestCheckCharter(t *testing.T) {
+	out, errs, code := ivybank(t, "../../deploy/charter", "check", "fleet.toml", "filing.toml")
+	lost := "    lost   fleet.toml:22 fleet/all: 1000, above filing/acme at filing.toml:18\n"
+	if code != 0 || !strings.Contains(out, lost) ||
+		!strings.HasSuffix(out, "a sound charter of 2 namespaces\n") {
+		t.Errorf("got %d, %q, %q", code, out, errs)
+	}
+	out, errs, code = ivybank(t, "../../deploy/charter", "check", "filing.toml")
+	refused := "refused: no such name: filing.toml:3, filing.toml:3: namespace fleet; at "
+	if code != 2 || !strings.HasPrefix(out, refused) ||
+		errs != "ivybank: the charter is refused: 1 conflicts\n" {
+		t.Errorf("without its parent: got %d, %q, %q", code, out, errs)
+	}
+	if _, errs, code = ivybank(t, "../../deploy/charter", "check", "filing.toml", "filing.toml"); code != 2 ||
+		errs != "ivybank: filing.toml:3: namespace: filing is that of filing.toml:3\n" {
+		t.Errorf("the same twice: got %d, %q", code, errs)
+	}
+}
+
 // The experiments that come along are sound.
 func TestExperiments(t *testing.T) {
 	files, err := filepath.Glob("../../rehearse/lab/experiments/*.toml")
--- a/fleet/charter/algebra.go
+++ b/fleet/charter/algebra.go
@@ -1,6 +1,7 @@
 package charter
 
-// This file owns the algebra by which what several rules say becomes one value (docs/charter.md). It must never know where a rule came from.
+// This file owns the algebra by which what several rules say becomes one value (docs/charter.md). It must
+// never know where a rule came from.
 
 import (
 	"cmp"
@@ -34,6 +35,9 @@
 	return t[0]&^s[0]|t[1]&^s[1]|t[2]&^s[2]|t[3]&^s[3] == 0
 }
 
+// Meets says whether both have a place in common.
+func (s Set) Meets(t Set) bool { return !s.and(t).empty() }
+
 func (s Set) and(t Set) Set   { return Set{s[0] & t[0], s[1] & t[1], s[2] & t[2], s[3] & t[3]} }
 func (s Set) or(t Set) Set    { return Set{s[0] | t[0], s[1] | t[1], s[2] | t[2], s[3] | t[3]} }
 func (s Set) not() Set        { return Set{^s[0], ^s[1], ^s[2], ^s[3]} }
@@ -66,8 +70,9 @@
 	return v
 }
 
-// Merge is what both say together. Bounds meet, guarantees add (a rule told twice counts once, at its lower amount), ranks meet within each
-// tier of the tree, places intersect, freezes unite. Commutative, associative and idempotent; None changes nothing.
+// Merge is what both say together. Bounds meet, guarantees add (a rule told twice counts once, at its lower
+// amount), ranks meet within each tier of the tree, places intersect, freezes unite. Commutative, associative
+// and idempotent; None changes nothing.
 func (v Value) Merge(w Value) Value {
 	for i, x := range w.Bound {
 		v.Bound[i] = min(v.Bound[i], x)
@@ -114,7 +119,8 @@
 	return e
 }
 
-// Meet is what holds where two editions both bind: the tighter of each, guarantees too, so that nobody is promised what either lacks.
+// Meet is what holds where two editions both bind: the tighter of each, guarantees too, so that nobody is
+// promised what either lacks.
 func (e *Effective) Meet(o *Effective) {
 	for i, x := range o.Bound {
 		if x < e.Bound[i] {
--- a/fleet/charter/algebra_test.go
+++ b/fleet/charter/algebra_test.go
@@ -18,7 +18,8 @@
 			v.Bound[rapid.IntRange(0, bounds-1).Draw(t, "slot")] = float64(rapid.IntRange(0, 5).Draw(t, "bound"))
 		case 1:
 			rule := rapid.SampledFrom([]string{"a/1", "a/2", "b/1"}).Draw(t, "rule")
-			v = v.Merge(Value{None().Bound, []Part{{rule, rapid.IntRange(0, 2).Draw(t, "unit"), float64(rapid.IntRange(0, 5).Draw(t, "sure"))}},
+			v = v.Merge(Value{None().Bound, []Part{{rule, rapid.IntRange(0, 2).Draw(t, "unit"),
+				float64(rapid.IntRange(0, 5).Draw(t, "sure"))}},
 				tops, Set{}.not(), Set{}})
 		case 2:
 			v.Rank = rapid.Uint64().Draw(t, "rank")
@@ -34,7 +35,8 @@
 // laws checks that a merge is commutative, associative and idempotent, and that None changes nothing.
 func algebraLaws(merge func(Value, Value) Value, a, b, c Value) string {
 	same := func(x, y Value) bool {
-		return x.Bound == y.Bound && slices.Equal(x.Sure, y.Sure) && x.Rank == y.Rank && x.Allowed == y.Allowed && x.Frozen == y.Frozen
+		return x.Bound == y.Bound && slices.Equal(x.Sure, y.Sure) && x.Rank == y.Rank && x.Allowed == y.Allowed &&
+			x.Frozen == y.Frozen
 	}
 	switch {
 	case !same(merge(a, b), merge(b, a)):
@@ -57,7 +59,8 @@
 	})
 }
 
-// The meet of editions is commutative, associative and idempotent, and below both: no proxy under it passes either.
+// The meet of editions is commutative, associative and idempotent, and below both: no proxy under it passes
+// either.
 func TestMeet(t *testing.T) {
 	meet := func(x, y Effective) Effective { x.Meet(&y); return x }
 	rapid.Check(t, func(t *rapid.T) {
@@ -100,8 +103,8 @@
 	return m
 }
 
-// picture compares what a picture says of each req with what the rules that the judge finds in force say together, merged in any order and
-// some of them twice.
+// picture compares what a picture says of each req with what the rules that the judge finds in force say
+// together, merged in any order and some of them twice.
 func pictured(t *rapid.T, merge func(Value, Value) Value) string {
 	files := world(t)
 	c, j := Merge(files, begin, nil), newJudge(files)
--- a/fleet/charter/bench_test.go
+++ b/fleet/charter/bench_test.go
@@ -13,22 +13,25 @@
 	perTeam = 40
 )
 
-// large writes the files of 500 teams with 40 rules each: 20,000. Each team has three tenants and a rule set, lives below one of 20
-// divisions, and uses a rule set of its neighbour by grant.
+// large writes the files of 500 teams with 40 rules each: 20,000. Each team has three tenants and a rule set,
+// lives below one of 20 divisions, and uses a rule set of its neighbour by grant.
 func large() (texts map[string]string) {
 	texts = map[string]string{}
 	var head strings.Builder
-	head.WriteString("format = \"ivybank/fleet/charter/1\"\nnamespace = \"fleet\"\nteam = \"fleet\"\n[claims]\nzones = [\"z0\", \"z1\", \"z2\", \"z3\"]\ncells = [1, 2, 3, 4, 5, 6, 7, 8]\n")
+	head.WriteString("format = \"ivybank/fleet/charter/1\"\nnamespace = \"fleet\"\nteam = " +
+		"\"fleet\"\n[claims]\nzones = [\"z0\", \"z1\", \"z2\", \"z3\"]\ncells = [1, 2, 3, 4, 5, 6, 7, 8]\n")
 	for i := range 10 {
 		fmt.Fprintf(&head, "[[window]]\nname = \"w%d\"\nfrom = \"%02d:00\"\nuntil = \"%02d:30\"\n", i, 2*i, 2*i+3)
 	}
 	for i := range 20 {
 		fmt.Fprintf(&head, "[[delegate]]\nto = \"division%d\"\n", i)
 	}
-	texts["fleet"] = head.String() + "[[rule]]\nid = \"all\"\nkind = \"limit\"\nunit = \"reqs\"\nper = \"second\"\nnumber = 1e9\n"
+	texts["fleet"] = head.String() + "[[rule]]\nid = \"all\"\nkind = \"limit\"\nunit = \"reqs\"\nper = " +
+		"\"second\"\nnumber = 1e9\n"
 	for i := range 20 {
 		var b strings.Builder
-		fmt.Fprintf(&b, "format = \"ivybank/fleet/charter/1\"\nnamespace = \"division%d\"\nteam = \"d\"\nparent = \"fleet\"\n", i)
+		fmt.Fprintf(&b, "format = \"ivybank/fleet/charter/1\"\nnamespace = \"division%d\"\nteam = \"d\"\nparent "+
+			"= \"fleet\"\n", i)
 		for j := i; j < teams; j += 20 {
 			fmt.Fprintf(&b, "[[delegate]]\nto = \"team%d\"\n", j)
 		}
@@ -37,8 +40,10 @@
 			tenants = append(tenants, fmt.Sprintf("\"t%d-0\", \"t%d-1\", \"t%d-2\"", j, j, j))
 			sets = append(sets, fmt.Sprintf("\"s%d\"", j))
 		}
-		fmt.Fprintf(&b, "[claims]\ntenants = [%s]\nrulesets = [%s]\n", strings.Join(tenants, ","), strings.Join(sets, ","))
-		fmt.Fprintf(&b, "[[rule]]\nid = \"top\"\nkind = \"limit\"\nunit = \"reqs\"\nper = \"second\"\nnumber = 1e8\n")
+		fmt.Fprintf(&b, "[claims]\ntenants = [%s]\nrulesets = [%s]\n", strings.Join(tenants, ","),
+			strings.Join(sets, ","))
+		fmt.Fprintf(&b, "[[rule]]\nid = \"top\"\nkind = \"limit\"\nunit = \"reqs\"\nper = \"second\"\nnumber = "+
+			"1e8\n")
 		texts[fmt.Sprint("division", i)] = b.String()
 	}
 	for i := range teams {
@@ -49,7 +54,8 @@
 
 func team(i, more int) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "format = \"ivybank/fleet/charter/1\"\nnamespace = \"team%d\"\nteam = \"t\"\nparent = \"division%d\"\n", i, i%20)
+	fmt.Fprintf(&b, "format = \"ivybank/fleet/charter/1\"\nnamespace = \"team%d\"\nteam = \"t\"\nparent = "+
+		"\"division%d\"\n", i, i%20)
 	fmt.Fprintf(&b, "[claims]\ntenants = [\"t%d-0\", \"t%d-1\", \"t%d-2\"]\nrulesets = [\"s%d\"]\n", i, i, i, i)
 	fmt.Fprintf(&b, "[[grant]]\nid = \"g\"\nto = \"team%d\"\nrulesets = [\"s%d\"]\n", (i+1)%teams, i)
 	for k := range perTeam {
@@ -90,7 +96,8 @@
 	return files, texts
 }
 
-// spent is the processor time that this process has taken, ms: on a machine that others use the clock on the wall says little.
+// spent is the processor time that this process has taken, ms: on a machine that others use the clock on the
+// wall says little.
 func spent() float64 {
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
@@ -99,7 +106,8 @@
 	return float64(u.Utime.Nano()+u.Stime.Nano()) / 1e6
 }
 
-// The whole charter, from the files' bytes. MB is all that the process has taken from the system: files, charter, picture and garbage.
+// The whole charter, from the files' bytes. MB is all that the process has taken from the system: files,
+// charter, picture and garbage.
 func BenchmarkWhole(b *testing.B) {
 	texts := large()
 	b.ReportAllocs()
@@ -176,7 +184,8 @@
 
 // What the req path reads costs no allocation.
 func TestNoAllocation(t *testing.T) {
-	c := Merge([]*File{read(t, "r.toml", root), read(t, "a.toml", tenantLimit(3)), read(t, "b.toml", child("b", ""))}, now, nil)
+	c := Merge([]*File{read(t, "r.toml", root), read(t, "a.toml", tenantLimit(3)), read(t, "b.toml", child("b",
+		""))}, now, nil)
 	p := Draw(now, c, c)
 	var e Effective
 	if n := testing.AllocsPerRun(100, func() { p.Of("t1", "s1", &e) }); n != 0 || e.Bound[Limit(0, 0)] != 3 {
--- a/fleet/charter/conflict.go
+++ b/fleet/charter/conflict.go
@@ -1,7 +1,7 @@
 package charter
 
-// This file owns what contradicts in a charter: classes, places, witnesses. Each conflict that there is has one, and none has one that is not.
-// It must never settle a conflict by itself.
+// This file owns what contradicts in a charter: classes, places, witnesses. Each conflict that there is has
+// one, and none has one that is not. It must never settle a conflict by itself.
 
 import (
 	"cmp"
@@ -32,8 +32,10 @@
 )
 
 func (c Class) String() string {
-	return [...]string{"claimed twice", "not owned", "no such name", "circle of delegation", "used past its end", "can never apply",
-		"guaranteed above the limit", "required and forbidden", "nowhere to run", "overlap with other values", "freeze against a running plan",
+	return [...]string{"claimed twice", "not owned", "no such name", "circle of delegation", "used past its end",
+		"can never apply", "guaranteed above the limit", "required and forbidden", "nowhere to run",
+		"overlap with other values",
+		"freeze against a running plan",
 		"base no longer the newest", "too many places"}[c]
 }
 
@@ -49,9 +51,10 @@
 
 func (w Witness) String() string {
 	s := "at " + time.Unix(0, w.At).UTC().Format(time.RFC3339)
-	for _, x := range []struct{ what, name string }{{" a req of tenant ", w.Tenant}, {" of rule set ", w.RuleSet}, {" by the name ", w.Name}} {
-		if x.name != "" {
-			s += x.what + x.name
+	words := []string{" a req of tenant ", " of rule set ", " by the name "}
+	for i, name := range []string{w.Tenant, w.RuleSet, w.Name} {
+		if name != "" {
+			s += words[i] + name
 		}
 	}
 	if w.Amount != w.Against {
@@ -93,11 +96,10 @@
 	bySet    map[int32][]*rule // those that name rule sets alone
 }
 
-func newIndex(rules []*rule, in func(*rule) bool) *index {
+func newIndex(rules []*rule) *index {
 	x := &index{byTenant: map[int32][]*rule{}, bySet: map[int32][]*rule{}}
 	for _, r := range rules {
 		switch {
-		case !in(r):
 		case r.tenants != nil:
 			for _, t := range r.tenants {
 				x.byTenant[t] = append(x.byTenant[t], r)
@@ -114,14 +116,20 @@
 }
 
 // meeting calls once with each rule that is about a req of a box.
-func (c *Charter) meeting(x *index, b box, f func(*rule)) {
-	c.searches++
+func (x *index) meeting(b box, f func(*rule)) {
+	seen := map[*rule]bool{} // only those that stand under several names
 	take := func(all []*rule) {
 		for _, r := range all {
-			if r.marked != c.searches && r.meets(b) {
-				r.marked = c.searches
-				f(r)
+			if !r.meets(b) {
+				continue
+			}
+			if len(r.tenants) > 1 || r.tenants == nil && len(r.sets) > 1 {
+				if seen[r] {
+					continue
+				}
+				seen[r] = true
 			}
+			f(r)
 		}
 	}
 	pick := func(m map[int32][]*rule, ids []int32) {
@@ -144,23 +152,40 @@
 
 // check looks for all contradictions of rules.
 func (c *Charter) check(plans []Running) {
-	sound := slices.DeleteFunc(slices.Clone(c.rules), func(r *rule) bool { return !r.sound })
-	for _, r := range sound {
-		c.ends(r)
-		if r.Kind == "freeze" {
-			c.freeze(r, plans)
+	c.by = [kinds][]*rule{}
+	for _, r := range c.rules {
+		if r.sound {
+			c.by[r.kind] = append(c.by[r.kind], r)
+			c.ends(r)
 		}
 	}
-	c.over(sound)
-	c.torn(sound)
-	c.nowhere(sound)
-	c.overlap(sound)
+	for _, r := range c.by[freezes] {
+		c.freeze(r, plans)
+	}
+	c.over()
+	c.placement()
+	c.overlap()
+}
+
+func (c *Charter) placement() {
+	placed := slices.Concat(c.by[only], c.by[never])
+	x := newIndex(placed)
+	c.torn(x)
+	c.nowhere(placed, x)
+}
+
+func (c *Charter) freshOf(rules []*rule) []*rule {
+	return slices.DeleteFunc(slices.Clone(rules), func(r *rule) bool { return !c.isFresh(r) })
 }
 
 // ends looks at one rule's time.
 func (c *Charter) ends(r *rule) {
+	if r.own == (span{to: forever}) && r.span == r.own {
+		return
+	}
 	if _, ok := first(c.now, r.own); !ok {
-		c.find(Never, false, r.At, r.At, Witness{At: c.now}, "rule %s is in force at no moment from now on", r.name())
+		c.find(Never, false, r.At, r.At, Witness{At: c.now}, "rule %s is in force at no moment from now on",
+			r.name())
 	}
 	late := r.own
 	late.from = max(late.from, r.span.to)
@@ -192,7 +217,8 @@
 				}
 				if ok && (r.set.Has(s) && !s.empty() || r.set == Set{}.not()) {
 					ok = false
-					c.find(FrozenPlan, true, r.At, Place{"plan " + p.Plan, 0}, Witness{At: at, Name: name}, "rule %s forbids work at %s %s, plan %s runs there", r.name(), d, name, p.Plan)
+					c.find(FrozenPlan, true, r.At, Place{"plan " + p.Plan, 0}, Witness{At: at, Name: name},
+						"rule %s forbids work at %s %s, plan %s runs there", r.name(), d, name, p.Plan)
 				}
 			}
 		}
@@ -200,18 +226,19 @@
 }
 
 // over looks for limits below what is guaranteed within them.
-func (c *Charter) over(rules []*rule) {
-	sure := newIndex(rules, func(r *rule) bool { return r.Kind == "guarantee" })
+func (c *Charter) over() {
+	sure, fresh := newIndex(c.by[guarantees]), c.freshOf(c.by[guarantees])
 	var within []*rule
 	var spans []span
-	for _, l := range rules {
-		if l.Kind != "limit" || l.Per != limitPer[0] || l.places() {
+	for _, l := range c.by[limits] {
+		touched := func(g *rule) bool { return g.unit == l.unit && g.within(l.box) }
+		if l.bound != Limit(l.unit, 0) || l.places() || !c.isFresh(l) && !slices.ContainsFunc(fresh, touched) {
 			continue
 		}
 		within, spans = within[:0], append(spans[:0], l.span)
 		total := 0.0
-		c.meeting(sure, l.box, func(g *rule) {
-			if g.Unit == l.Unit && g.within(l.box) {
+		sure.meeting(l.box, func(g *rule) {
+			if g.unit == l.unit && g.within(l.box) {
 				within, spans, total = append(within, g), append(spans, g.span), total+g.Number
 			}
 		})
@@ -227,7 +254,8 @@
 	return cmp.Or(cmp.Compare(x.At.File, y.At.File), cmp.Compare(x.At.Line, y.At.Line))
 }
 
-// overAt looks for the first moment at which guarantees are above a limit. Those with the same span are added up before.
+// overAt looks for the first moment at which guarantees are above a limit. Those with the same span are added
+// up before.
 func (c *Charter) overAt(l *rule, within []*rule, spans []span) {
 	sums := map[span]float64{}
 	for _, g := range within {
@@ -259,7 +287,8 @@
 			where = append(where[:8], fmt.Sprintf("and %d more", more))
 		}
 		t, s := c.req(open[0].box)
-		c.find(Over, true, l.At, open[0].At, Witness{at, t, s, "", total, l.Number}, "limit %s, guarantees of %s", l.name(), strings.Join(where, ", "))
+		c.find(Over, true, l.At, open[0].At, Witness{at, t, s, "", total, l.Number}, "limit %s, guarantees of %s",
+			l.name(), strings.Join(where, ", "))
 		return
 	}
 }
@@ -287,19 +316,16 @@
 }
 
 // torn looks for places that one rule requires and another forbids.
-func (c *Charter) torn(rules []*rule) {
-	placed := newIndex(rules, func(r *rule) bool { return r.Kind == "only" || r.Kind == "never" })
-	for _, q := range rules {
-		if q.Kind != "require" {
-			continue
-		}
-		c.meeting(placed, q.box, func(f *rule) {
-			if f.set.Has(q.set) {
+func (c *Charter) torn(placed *index) {
+	for _, q := range c.by[require] {
+		placed.meeting(q.box, func(f *rule) {
+			if f.set.Has(q.set) || !c.isFresh(f) && !c.isFresh(q) {
 				return
 			}
 			if at, ok := first(c.now, q.span, f.span); ok {
 				t, s := c.req(common(q.box, f.box))
-				c.find(Torn, true, q.At, f.At, Witness{At: at, Tenant: t, RuleSet: s, Name: c.placeOf(q.set.and(f.set.not()))}, "%s requires what %s forbids", q.name(), f.name())
+				c.find(Torn, true, q.At, f.At, Witness{At: at, Tenant: t, RuleSet: s,
+					Name: c.placeOf(q.set.and(f.set.not()))}, "%s requires what %s forbids", q.name(), f.name())
 			}
 		})
 	}
@@ -328,9 +354,13 @@
 	return false
 }
 
-// nowhere looks for rule sets that some tenant's reqs may run nowhere of, at some moment. Whoever is no tenant is looked at as well: -1.
-func (c *Charter) nowhere(rules []*rule) {
-	all := newIndex(rules, func(r *rule) bool { return r.Kind == "only" || r.Kind == "never" })
+// nowhere looks for rule sets that some tenant's reqs may run nowhere of, at some moment. Whoever is no
+// tenant is looked at as well: -1.
+func (c *Charter) nowhere(placed []*rule, all *index) {
+	fresh := c.freshOf(placed)
+	if len(fresh) == 0 {
+		return
+	}
 	meet := func(rules []*rule) Set {
 		s := Set{}.not()
 		for _, r := range rules {
@@ -363,7 +393,8 @@
 		}
 		for _, i := range look {
 			t := tenants[i]
-			if !c.bare(here.and(byTenant[i])) { // not even if all were in force at once
+			if !c.bare(here.and(byTenant[i])) || // not even if all were in force at once
+				!slices.ContainsFunc(fresh, func(r *rule) bool { return r.of(t, set) }) {
 				continue
 			}
 			var hit []*rule
@@ -382,7 +413,8 @@
 				for _, r := range hit {
 					where = append(where, r.name())
 				}
-				c.find(Nowhere, true, hit[0].At, hit[len(hit)-1].At, Witness{At: at, Tenant: name, RuleSet: c.words[RuleSet][id]}, "nothing is left by %s", strings.Join(where, ", "))
+				c.find(Nowhere, true, hit[0].At, hit[len(hit)-1].At, Witness{At: at, Tenant: name,
+					RuleSet: c.words[RuleSet][id]}, "nothing is left by %s", strings.Join(where, ", "))
 				break
 			}
 		}
@@ -408,43 +440,51 @@
 	return 0, false
 }
 
-// overlap looks for windows of one bound that are open at once and say different things: of one namespace, or of any two where it is what
-// a req is worth.
-func (c *Charter) overlap(rules []*rule) {
-	slot := func(r *rule) int {
-		if r.Kind == "deny" {
-			return bounds
-		}
-		return r.slot()
-	}
-	timed := func(r *rule) bool { return r.span.window != nil && slot(r) >= 0 }
+// overlap looks for windows of one bound that are open at once and say different things: of one namespace, or
+// of any two where it is what a req is worth.
+func (c *Charter) overlap() {
+	var values []*rule
+	timed := func(r *rule) bool { return r.sound && r.span.window != nil && (r.bound >= 0 || r.Kind == "deny") }
 	pair := func(a, b *rule) {
-		if byPlace(a, b) >= 0 || slot(a) != slot(b) || a.Number == b.Number || a.span.window == b.span.window || !samePlaces(a, b) || !a.meets(b.box) {
+		if a.Kind != b.Kind || a.bound != b.bound || a.Number == b.Number || byPlace(a, b) >= 0 ||
+			a.span.window == b.span.window || !samePlaces(a, b) || !a.meets(b.box) {
 			return
 		}
 		if at, ok := first(c.now, a.span, b.span); ok {
 			t, s := c.req(common(a.box, b.box))
-			c.find(Overlap, false, a.At, b.At, Witness{at, t, s, "", b.Number, a.Number}, "%s and %s: the lower counts", a.name(), b.name())
+			c.find(Overlap, false, a.At, b.At, Witness{at, t, s, "", b.Number, a.Number},
+				"%s and %s: the lower counts", a.name(), b.name())
 		}
 	}
-	byNode := map[*node][]*rule{}
-	for _, r := range rules {
-		if timed(r) && r.Kind != "value" {
-			byNode[r.node] = append(byNode[r.node], r)
+	for i := 0; i < len(c.rules); { // those of a namespace stand together
+		n, until, some := c.rules[i].node, i, false
+		for ; until < len(c.rules) && c.rules[until].node == n; until++ {
+			r := c.rules[until]
+			if some = some || c.isFresh(r); r.Kind == "value" && timed(r) {
+				values = append(values, r)
+			}
 		}
-	}
-	for _, all := range byNode {
-		for _, a := range all {
-			for _, b := range all {
-				pair(a, b)
+		for j, a := range c.rules[i:until] {
+			if !some || !timed(a) || a.Kind == "value" {
+				continue
+			}
+			for _, b := range c.rules[i+j+1 : until] {
+				if timed(b) {
+					pair(a, b)
+				}
 			}
 		}
+		i = until
 	}
-	values := newIndex(rules, func(r *rule) bool { return timed(r) && r.Kind == "value" })
-	for _, a := range rules {
-		if timed(a) && a.Kind == "value" {
-			c.meeting(values, a.box, func(b *rule) { pair(a, b) })
-		}
+	x := newIndex(values)
+	for _, a := range c.freshOf(values) {
+		x.meeting(a.box, func(b *rule) {
+			if byPlace(a, b) < 0 {
+				pair(a, b)
+			} else if !c.isFresh(b) {
+				pair(b, a)
+			}
+		})
 	}
 }
 
--- a/fleet/charter/file.go
+++ b/fleet/charter/file.go
@@ -1,7 +1,8 @@
-// Package charter is who may set what in a fleet: teams own namespaces in a tree, each by a file that claims names, sets rules on them and
-// grants their use to others; all files together are one charter. It owns the files' schema, how rules of many files become one picture, what
-// in them contradicts, and how one edition follows another. Free of I/O: bytes are handed in. It must never limit, place or deny a req itself,
-// nor look at a clock.
+// Package charter is who may set what in a fleet: teams own namespaces in a tree, each by a file that claims
+// names, sets rules on them and grants their use to others; all files together are one charter. It owns the
+// files' schema, how rules of many files become one picture, what in them contradicts, and how one edition
+// follows another. Free of I/O: bytes are handed in. It must never limit, place or deny a req itself, nor
+// look at a clock.
 //
 // This file owns one file's schema and its reading.
 package charter
@@ -79,7 +80,8 @@
 	week  []part
 }
 
-// Rule is one thing that a namespace sets. Where it names no tenants or no rule sets it is about all that the namespace has.
+// Rule is one thing that a namespace sets. Where it names no tenants or no rule sets it is about all that the
+// namespace has.
 type Rule struct {
 	ID     string  `toml:"id"`
 	Kind   string  `toml:"kind"` // limit, guarantee, quota, value, further, only, never, require, deny or freeze
@@ -155,7 +157,8 @@
 	x.Listed = Names{}
 	rules := []conf.Rule{
 		{Bad: x.Format != Format, Field: "format", Want: fmt.Sprintf("expected %q", Format)},
-		{Bad: !sound(x.Namespace), Field: "namespace", Want: fmt.Sprintf("expected a name, %d bytes at the most", mostName)},
+		{Bad: !sound(x.Namespace), Field: "namespace", Want: fmt.Sprintf("expected a name, %d bytes at the most",
+			mostName)},
 		{Bad: x.Team == "", Field: "team", Want: "expected who owns it"},
 		{Bad: x.Parent == x.Namespace, Field: "parent", Want: "expected another namespace"},
 	}
@@ -175,42 +178,61 @@
 		w.At = at(p + "name")
 		var bad string
 		w.week, bad = week(w)
-		rules = append(rules, conf.Rule{Bad: !own("window", w.Name), Field: p + "name", Want: "expected a name of its own"},
-			conf.Rule{Bad: bad != "", Field: p + bad, Want: "expected days as \"mon\", and other times of the day as \"22:00\""})
+		rules = append(rules, conf.Rule{Bad: !own("window", w.Name), Field: p + "name",
+			Want: "expected a name of its own"},
+			conf.Rule{Bad: bad != "", Field: p + bad, Want: "expected days as \"mon\", and other times of the day " +
+				"as \"22:00\""})
 	}
 	for i := range x.Rules {
 		r, p := &x.Rules[i], fmt.Sprintf("rule.%d.", i)
 		r.At = at(p + "id")
 		field, want := r.check()
-		rules = append(rules, conf.Rule{Bad: !own("rule", r.ID), Field: p + "id", Want: "expected an id of its own"},
+		rules = append(rules, conf.Rule{Bad: !own("rule", r.ID), Field: p + "id",
+			Want: "expected an id of its own"},
+			offset(p+"since", r.Since), offset(p+"until", r.Until),
 			conf.Rule{Bad: want != "", Field: p + field, Want: want})
 	}
 	for i := range x.Grants {
 		g, p := &x.Grants[i], fmt.Sprintf("grant.%d.", i)
 		g.At = at(p + "id")
-		rules = append(rules, conf.Rule{Bad: !own("grant", g.ID), Field: p + "id", Want: "expected an id of its own"},
+		rules = append(rules, conf.Rule{Bad: !own("grant", g.ID), Field: p + "id",
+			Want: "expected an id of its own"},
+			offset(p+"until", g.Until), offset(p+"revoked", g.Revoked),
 			conf.Rule{Bad: !sound(g.To) || g.To == x.Namespace, Field: p + "to", Want: "expected another namespace"})
 	}
 	for i := range x.Delegates {
 		d, p := &x.Delegates[i], fmt.Sprintf("delegate.%d.", i)
 		d.At = at(p + "to")
 		rules = append(rules, conf.Rule{Bad: !own("delegate", d.To) || d.To == x.Namespace, Field: p + "to",
-			Want: "expected another namespace, once"})
+			Want: "expected another namespace, once"}, offset(p+"until", d.Until), offset(p+"revoked", d.Revoked))
 	}
 	return x, f.Keep("", rules)
 }
 
+// offset is the fault of a moment without an offset: what it is would hang on where it is read.
+func offset(field string, t time.Time) conf.Rule {
+	return conf.Rule{Bad: t.Location() == time.Local, Field: field,
+		Want: "expected an offset, as 2027-01-01T00:00:00Z"}
+}
+
 func sound(name string) bool { return name != "" && len(name) <= mostName }
 
 var units = []string{"reqs", "cost", "worth"}
 var limitPer = []string{"second", "in_flight"}
 var quotaPer = []string{"minute", "hour", "day", "month"}
-var ruleKinds = []string{"limit", "guarantee", "quota", "value", "further", "only", "never", "require", "deny", "freeze"}
+var placedKinds = []string{"only", "never", "require"}
+var ruleKinds = []string{"limit", "guarantee", "quota", "value", "further", "only", "never", "require",
+	"deny", "freeze"}
+
+// Places in ruleKinds of those that are looked up by.
+const (
+	limits, guarantees, only, never, require, freezes, kinds = 0, 1, 5, 6, 7, 9, 10
+)
 
 // check names the field of a rule that is wrong and what was expected there.
 func (r *Rule) check() (field, want string) {
 	counted := slices.Contains([]string{"limit", "guarantee", "quota"}, r.Kind)
-	placed := slices.Contains([]string{"only", "never", "require"}, r.Kind)
+	placed := slices.Contains(placedKinds, r.Kind)
 	per := map[string][]string{"limit": limitPer, "quota": quotaPer}[r.Kind]
 	most := map[string]float64{"further": 1, "deny": 254, "only": 0, "never": 0, "require": 0, "freeze": 0}
 	top, bounded := most[r.Kind]
@@ -221,7 +243,8 @@
 	case counted != slices.Contains(units, r.Unit) || !counted && r.Unit != "":
 		return "unit", "expected reqs, cost or worth at a limit, a guarantee or a quota, and nowhere else"
 	case per != nil && !slices.Contains(per, r.Per) || per == nil && r.Per != "":
-		return "per", "expected second or in_flight at a limit, minute, hour, day or month at a quota, and nowhere else"
+		return "per", "expected second or in_flight at a limit, minute, hour, day or month at a quota, and " +
+			"nowhere else"
 	case !(r.Number >= 0) || math.IsInf(r.Number, 0) || bounded && r.Number > top:
 		return "number", "expected 0 or more; further: up to 1; deny: up to 254; none at placement and freezes"
 	case r.Kind == "deny" && r.Number != math.Trunc(r.Number):
--- a/fleet/charter/history.go
+++ b/fleet/charter/history.go
@@ -1,7 +1,8 @@
 package charter
 
-// This file owns how one edition follows another in the agreed history, as all members see it the same, and what one member holds by it.
-// Commands come agreed on, one after another. It must never let a new edition bind alone before the old has been met by all that are reached.
+// This file owns how one edition follows another in the agreed history, as all members see it the same, and
+// what one member holds by it. Commands come agreed on, one after another. It must never let a new edition
+// bind alone before the old has been met by all that are reached.
 
 import (
 	"errors"
@@ -90,15 +91,17 @@
 	return s.Editions[i]
 }
 
-// Apply takes a command that was agreed on, in the term in which it was, beside plans that run by the same history. It says what came of it;
-// a command that does not fit changes nothing. The same commands give the same state at all members.
+// Apply takes a command that was agreed on, in the term in which it was, beside plans that run by the same
+// history. It says what came of it; a command that does not fit changes nothing. The same commands give the
+// same state at all members.
 func (s *State) Apply(index, term uint64, c *Command, plans []Running) error {
 	s.Index = index
 	switch {
 	case c.Kind == Settle && c.Term != term:
 		return fmt.Errorf("of term %d, agreed on in %d: its leader is no more", c.Term, term)
 	case c.Kind == Settle && (c.Edition != s.Newest() || s.Binding < 2):
-		return fmt.Errorf("edition %d is not one to settle: %d is the newest, %d bind", c.Edition, s.Newest(), s.Binding)
+		return fmt.Errorf("edition %d is not one to settle: %d is the newest, %d bind", c.Edition, s.Newest(),
+			s.Binding)
 	case c.Kind == Settle:
 		s.Binding = 1
 		return nil
@@ -169,7 +172,8 @@
 		}
 		f, collisions := three(was[x.Namespace], next, files[x.Namespace])
 		for _, p := range collisions {
-			found = append(found, Conflict{StaleBase, true, p[0], p[1], Witness{At: c.At, Name: x.Namespace, Amount: float64(c.Base),
+			found = append(found, Conflict{StaleBase, true, p[0], p[1], Witness{At: c.At, Name: x.Namespace,
+				Amount:  float64(c.Base),
 				Against: float64(s.Newest())}, "both changed it since the base"})
 		}
 		if files[x.Namespace] = f; f == nil {
@@ -185,11 +189,12 @@
 func (s *State) stale(c *Command, format string, a ...any) error {
 	at := Place{fmt.Sprintf("edition %d", s.Newest()), 0}
 	w := Witness{At: c.At, Amount: float64(c.Base), Against: float64(s.Newest())}
-	return &Refusal{[]Conflict{{StaleBase, true, at, Place{fmt.Sprintf("edition %d", c.Base), 0}, w, fmt.Sprintf(format, a...)}}}
+	return &Refusal{[]Conflict{{StaleBase, true, at, Place{fmt.Sprintf("edition %d", c.Base), 0}, w,
+		fmt.Sprintf(format, a...)}}}
 }
 
-// three merges one namespace's file by what it consists of: was is the base, mine what is proposed, now what is in force; nil: none.
-// Where both changed the same and not alike it gives the places of both.
+// three merges one namespace's file by what it consists of: was is the base, mine what is proposed, now what
+// is in force; nil: none. Where both changed the same and not alike it gives the places of both.
 func three(was, mine, now *File) (*File, [][2]Place) {
 	switch {
 	case same(was, now), same(mine, now):
@@ -219,8 +224,9 @@
 	if x == nil || y == nil {
 		return x == y
 	}
-	return x.Namespace == y.Namespace && x.Team == y.Team && x.Parent == y.Parent && sameItems(x.Claims, y.Claims) &&
-		sameItems(x.Windows, y.Windows) && sameItems(x.Rules, y.Rules) && sameItems(x.Grants, y.Grants) && sameItems(x.Delegates, y.Delegates)
+	return x.Namespace == y.Namespace && x.Team == y.Team && x.Parent == y.Parent &&
+		sameItems(x.Claims, y.Claims) && sameItems(x.Windows, y.Windows) && sameItems(x.Rules, y.Rules) &&
+		sameItems(x.Grants, y.Grants) && sameItems(x.Delegates, y.Delegates)
 }
 
 func (f *File) place() Place {
@@ -299,39 +305,45 @@
 	return all
 }
 
-// joint are the conflicts of an edition and those that still bind, where each alone has none: a way that leads from one to the other has
-// to be taken in two steps. Guarantees need no look, for they meet as bounds do.
+// joint are the conflicts of an edition and those that still bind, where each alone has none: a way that
+// leads from one to the other has to be taken in two steps. Guarantees need no look, for they meet as bounds
+// do.
 func (c *Charter) joint(binding []*Edition) []Conflict {
-	both := &Charter{now: c.now, words: c.words, names: c.names, mask: c.mask}
-	p, placed := picturePlaces(c), func(r *rule) bool { return r.sound && (r.Kind == "only" || r.Kind == "never" || r.Kind == "require") }
-	at := map[*Rule]*rule{}
-	for _, r := range c.rules {
-		if placed(r) {
-			both.rules = append(both.rules, r)
+	charters := []*Charter{c}
+	for _, e := range binding {
+		charters = append(charters, e.Charter)
+	}
+	if n := placesOf(charters...); n > mostPlaces {
+		at := c.nodes[0].At
+		w := Witness{At: c.now, Amount: float64(n), Against: float64(mostPlaces)}
+		return []Conflict{{TooMany, true, at, at, w, "with the editions that still bind"}}
+	}
+	both := &Charter{now: c.now, words: c.words, names: c.names, mask: c.mask, by: c.by, fresh: map[*rule]bool{}}
+	p, at := picturePlaces(c), map[*Rule]*rule{}
+	for _, kind := range []int{only, never, require} {
+		both.by[kind] = slices.Clone(c.by[kind])
+		for _, r := range c.by[kind] {
 			at[r.Rule] = r
 		}
 	}
-	own := len(both.rules)
 	for _, e := range binding {
-		for _, r := range e.Charter.rules {
-			if !placed(r) {
-				continue
-			}
-			x := e.Charter.restate(r, c)
-			if x == nil {
-				continue
-			}
-			x.set = p.renumber(e.Charter, r.set)
-			if y := at[r.Rule]; y == nil || y.span != x.span || y.set != x.set || !slices.Equal(y.tenants, x.tenants) || !slices.Equal(y.sets, x.sets) {
-				both.rules = append(both.rules, x)
+		alike := slices.EqualFunc(e.Charter.words[:], c.words[:], slices.Equal[[]string])
+		for _, kind := range []int{only, never, require} {
+			for _, r := range e.Charter.by[kind] {
+				if y := at[r.Rule]; alike && (y == r || y != nil && y.span == r.span && y.set == r.set &&
+					slices.Equal(y.tenants, r.tenants) && slices.Equal(y.sets, r.sets)) {
+					continue
+				}
+				if x := e.Charter.restate(r, c); x != nil {
+					x.set = p.renumber(e.Charter, r.set)
+					both.by[kind], both.fresh[x] = append(both.by[kind], x), true
+				}
 			}
 		}
 	}
-	if len(both.rules) == own {
-		return nil // the same: it has been looked at
+	if len(both.fresh) > 0 { // else it is the same, and was looked at
+		both.placement()
 	}
-	both.torn(both.rules)
-	both.nowhere(both.rules)
 	return both.Conflicts
 }
 
@@ -363,8 +375,9 @@
 	Silent  int64  // ns since it was heard
 }
 
-// Next is what a leader proposes: that the newest edition binds alone, once each member has applied it or was silent for the grace. The grace
-// is longer than a member's Bound and the longest way of a leader's word together, by the slowest clock. Nil: nothing.
+// Next is what a leader proposes: that the newest edition binds alone, once each member has applied it or was
+// silent for the grace. The grace is longer than a member's Bound and the longest way of a leader's word
+// together, by the slowest clock. Nil: nothing.
 func (s *State) Next(term uint64, at int64, members []Report, grace int64) *Command {
 	if s.Binding < 2 {
 		return nil
@@ -378,8 +391,9 @@
 	return &Command{Kind: Settle, Edition: newest.Number, Term: term, At: at}
 }
 
-// Member is what one proxy holds: the agreed history as far as it has applied it, and proposals that it has only heard of. One that begins
-// takes itself for cut off until it has applied what a leader says is agreed on.
+// Member is what one proxy holds: the agreed history as far as it has applied it, and proposals that it has
+// only heard of. One that begins takes itself for cut off until it has applied what a leader says is agreed
+// on.
 type Member struct {
 	State
 	Bound int64 // ns without knowing that nothing was missed, after which it takes itself for cut off
@@ -389,8 +403,8 @@
 	heard []*Edition // at most mostHeard; emptied by what is applied
 }
 
-// Touch takes the word of a leader, whom a majority has answered since, that so much is agreed on. To be reached is not enough: a member that
-// was cut off is so until it has applied what it missed.
+// Touch takes the word of a leader, whom a majority has answered since, that so much is agreed on. To be
+// reached is not enough: a member that was cut off is so until it has applied what it missed.
 func (m *Member) Touch(at int64, agreed uint64) {
 	switch {
 	case m.Index >= agreed:
@@ -421,11 +435,19 @@
 	if c.Kind != Propose || would.Apply(m.Index+1, 0, c, plans) != nil {
 		return
 	}
-	m.heard = append(m.heard, would.Editions[len(would.Editions)-1])
-	m.heard = m.heard[max(0, len(m.heard)-mostHeard):]
+	next := would.Editions[len(would.Editions)-1]
+	all := []*Charter{next.Charter}
+	for _, e := range slices.Concat(m.Bind(), m.heard) {
+		all = append(all, e.Charter)
+	}
+	if placesOf(all...) <= mostPlaces {
+		m.heard = append(m.heard, next)
+		m.heard = m.heard[max(0, len(m.heard)-mostHeard):]
+	}
 }
 
-// Holds are the editions whose meet is in force here: all that bind and, where it is cut off, those too that it heard of.
+// Holds are the editions whose meet is in force here: all that bind and, where it is cut off, those too that
+// it heard of.
 func (m *Member) Holds(at int64) []*Edition {
 	if m.Cut(at) {
 		return slices.Concat(m.Bind(), m.heard)
--- a/fleet/charter/history_test.go
+++ b/fleet/charter/history_test.go
@@ -50,7 +50,8 @@
 }
 
 func tenantLimit(n int) string {
-	return child("a", ownsT1+kindOf("l", "limit", fmt.Sprintf("unit = \"reqs\"\nper = \"second\"\nnumber = %d", n)))
+	return child("a", ownsT1+kindOf("l", "limit", fmt.Sprintf("unit = \"reqs\"\nper = \"second\"\nnumber = %d",
+		n)))
 }
 
 func TestEditions(t *testing.T) {
@@ -65,16 +66,19 @@
 	if s.Newest() != 2 || limitOf(s, "t1") != 50 {
 		t.Errorf("edition %d: %v, want the tighter of 50 and 80", s.Newest(), limitOf(s, "t1"))
 	}
-	for what, c := range map[string]*Command{"of another term": {Kind: Settle, Edition: 2, Term: 1}, "of an old edition": {Kind: Settle, Edition: 1, Term: 2}} {
+	for what, c := range map[string]*Command{"of another term": {Kind: Settle, Edition: 2, Term: 1},
+		"of an old edition": {Kind: Settle, Edition: 1, Term: 2}} {
 		if s.Apply(3, 2, c, nil) == nil || s.Binding != 2 {
 			t.Errorf("settled by a command %s", what)
 		}
 	}
-	if err := s.Apply(4, 2, &Command{Kind: Settle, Edition: 2, Term: 2}, nil); err != nil || limitOf(s, "t1") != 80 {
+	if err := s.Apply(4, 2, &Command{Kind: Settle, Edition: 2, Term: 2}, nil); err != nil || limitOf(s,
+		"t1") != 80 {
 		t.Errorf("got %v, %v, want 80 alone", err, limitOf(s, "t1"))
 	}
 	// Going back is a proposal like another.
-	if err := s.Apply(5, 2, &Command{Kind: Propose, Base: 2, Back: 1, At: now}, nil); err != nil || s.Newest() != 3 || limitOf(s, "t1") != 50 {
+	if err := s.Apply(5, 2, &Command{Kind: Propose, Base: 2, Back: 1, At: now}, nil); err != nil ||
+		s.Newest() != 3 || limitOf(s, "t1") != 50 {
 		t.Errorf("got %v, edition %d, %v", err, s.Newest(), limitOf(s, "t1"))
 	}
 	if s.Apply(6, 2, &Command{Kind: Propose, Base: 2, Back: 1, At: now}, nil) == nil {
@@ -85,12 +89,14 @@
 	if err := s.Apply(7, 2, propose(3, Change{Namespace: "a"}), nil); err == nil || s.Newest() != before {
 		t.Errorf("%v: what is delegated to nobody is refused", err)
 	}
-	if err := s.Apply(8, 2, propose(3, Change{Namespace: "a"}, change("r.toml", strings.Replace(root, "[[delegate]]\nto = \"a\"\n", "", 1))), nil); err != nil || limitOf(s, "t2") != 100 {
+	if err := s.Apply(8, 2, propose(3, Change{Namespace: "a"}, change("r.toml", strings.Replace(root,
+		"[[delegate]]\nto = \"a\"\n", "", 1))), nil); err != nil || limitOf(s, "t2") != 100 {
 		t.Errorf("got %v, %v", err, limitOf(s, "t2"))
 	}
 }
 
-// Two proposals in one instant: the second's base is old. It is merged by rule where the first touched others, else refused with both places.
+// Two proposals in one instant: the second's base is old. It is merged by rule where the first touched
+// others, else refused with both places.
 func TestTwoAtOnce(t *testing.T) {
 	value := func(id string, n int) string { return kindOf(id, "value", fmt.Sprintf("number = %d", n)) }
 	file := func(x, y int) string { return child("a", ownsT1+value("x", x)+value("y", y)) }
@@ -99,11 +105,13 @@
 		want          string
 		x, y          float64
 	}{
-		"other rules":      {file(2, 1), file(1, 3), "", 2, 3},
-		"the same rule":    {file(2, 1), file(3, 1), "refused: base no longer the newest: second.toml:8, first.toml:8", 2, 1},
+		"other rules": {file(2, 1), file(1, 3), "", 2, 3},
+		"the same rule": {file(2, 1), file(3, 1), "refused: base no longer the newest: second.toml:8, " +
+			"first.toml:8", 2, 1},
 		"the same, alike":  {file(2, 1), file(2, 3), "", 2, 3},
 		"one takes it out": {child("a", ownsT1+value("y", 1)), file(3, 1), "second.toml:8, gone:0", math.Inf(1), 1},
-		"another's claims": {child("a", ownsT1+"zones = [\"z1\"]\n"+value("x", 1)+value("y", 1)), file(3, 1), "", 3, 1},
+		"another's claims": {child("a", ownsT1+"zones = [\"z1\"]\n"+value("x", 1)+value("y", 1)), file(3, 1), "", 3,
+			1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := started(t, file(1, 1))
@@ -131,7 +139,8 @@
 		}
 	}
 	var r *Refusal
-	if err := s.Apply(99, 1, propose(1, change("b.toml", child("b", "")+"\n[claims]\ntenants = [\"t2\"]\n")), nil); !errors.As(err, &r) || r.Conflicts[0].Class != StaleBase {
+	if err := s.Apply(99, 1, propose(1, change("b.toml", child("b", "")+"\n[claims]\ntenants = [\"t2\"]\n")),
+		nil); !errors.As(err, &r) || r.Conflicts[0].Class != StaleBase {
 		t.Errorf("got %v, want a base that is no longer remembered", err)
 	}
 }
@@ -151,15 +160,37 @@
 	if s.Apply(4, 1, propose(2, change("a.toml", at("z2"))), nil) == nil {
 		t.Error("the edition before still binds")
 	}
-	if err := errors.Join(s.Apply(5, 1, &Command{Kind: Settle, Edition: 2, Term: 1}, nil), s.Apply(6, 1, propose(2, change("a.toml", at("z2"))), nil)); err != nil {
+	if err := errors.Join(s.Apply(5, 1, &Command{Kind: Settle, Edition: 2, Term: 1}, nil), s.Apply(6, 1,
+		propose(2, change("a.toml", at("z2"))), nil)); err != nil {
 		t.Errorf("in two steps: %v", err)
 	}
 	s = started(t, child("a", ownsT1+kindOf("o", "never", "zones = [\"z1\"]")))
-	if err := s.Apply(2, 1, propose(1, change("a.toml", child("a", ownsT1+kindOf("o", "require", "zones = [\"z1\"]")))), nil); !errors.As(err, &r) || r.Conflicts[0].Class != Torn {
+	if err := s.Apply(2, 1, propose(1, change("a.toml", child("a", ownsT1+kindOf("o", "require",
+		"zones = [\"z1\"]")))), nil); !errors.As(err, &r) || r.Conflicts[0].Class != Torn {
 		t.Errorf("got %v, want required and forbidden", err)
 	}
 }
 
+// Editions that bind together name no more places than a picture holds.
+func TestJointTooMany(t *testing.T) {
+	claims := func(from int) string {
+		var names []string
+		for i := range 200 {
+			names = append(names, fmt.Sprintf("%q", fmt.Sprint("k", from+i)))
+		}
+		return child("a", "[claims]\nkinds = ["+strings.Join(names, ",")+"]\n")
+	}
+	s := started(t, claims(0))
+	var r *Refusal
+	err := s.Apply(2, 1, propose(1, change("a.toml", claims(100))), nil)
+	if !errors.As(err, &r) || r.Conflicts[0].Class != TooMany {
+		t.Errorf("got %v, want too many places", err)
+	}
+	if err := s.Apply(3, 1, propose(1, change("a.toml", claims(20))), nil); err != nil {
+		t.Error(err)
+	}
+}
+
 // The moment of being applied counts: a plan that runs by then.
 func TestCheckedWhenApplied(t *testing.T) {
 	s := started(t)
@@ -172,8 +203,9 @@
 	}
 }
 
-// fleet is a few members that apply one history, each as far as it has heard it. Time goes in whole steps; a member that has heard nothing
-// for bound steps takes itself for cut off, the leader takes it for gone after grace.
+// fleet is a few members that apply one history, each as far as it has heard it. Time goes in whole steps; a
+// member that has heard nothing for bound steps takes itself for cut off, the leader takes it for gone after
+// grace.
 type fleet struct {
 	agreed  []*Command
 	members []*Member
@@ -222,8 +254,8 @@
 	}
 }
 
-// wrong says what no fleet may come to: two members, neither of which knows that it may be cut off, with nothing that binds both; or one that
-// is cut off and passes what it knows.
+// wrong says what no fleet may come to: two members, neither of which knows that it may be cut off, with
+// nothing that binds both; or one that is cut off and passes what it knows.
 func (f *fleet) wrong() string {
 	at := now + int64(f.now)
 	held := func(m *Member) (all []uint64) {
@@ -241,7 +273,8 @@
 			}
 		}
 		for j, n := range f.members[:i] {
-			if !m.Cut(at) && !n.Cut(at) && !slices.ContainsFunc(held(m), func(x uint64) bool { return slices.Contains(held(n), x) }) {
+			if !m.Cut(at) && !n.Cut(at) && !slices.ContainsFunc(held(m),
+				func(x uint64) bool { return slices.Contains(held(n), x) }) {
 				return fmt.Sprintf("member %d holds %v, member %d %v", i, held(m), j, held(n))
 			}
 		}
@@ -310,7 +343,8 @@
 	}
 }
 
-// A proxy that is cut off keeps what it heard of, if that is tighter, until the history tells what came of it.
+// A proxy that is cut off keeps what it heard of, if that is tighter, until the history tells what came of
+// it.
 func TestCutOff(t *testing.T) {
 	m := &Member{State: *started(t, tenantLimit(50)), Bound: 10}
 	if !m.Cut(now) {
@@ -325,7 +359,9 @@
 	}
 	c := propose(1, change("a.toml", tenantLimit(20)))
 	m.Hear(c, nil)
-	m.Hear(propose(1, change("a.toml", strings.Replace(tenantLimit(1), "\"t1\"", "\"t9\", \"t1\"", 1)+"[[rule]]\nid = \"z\"\nkind = \"never\"\nzones = [\"z9\"]\n")), nil) // would be refused
+	// would be refused
+	m.Hear(propose(1, change("a.toml", strings.Replace(tenantLimit(1), "\"t1\"", "\"t9\", \"t1\"",
+		1)+"[[rule]]\nid = \"z\"\nkind = \"never\"\nzones = [\"z9\"]\n")), nil)
 	if limit() != 50 || len(m.Holds(at)) != 1 {
 		t.Errorf("reached: %v of %d editions", limit(), len(m.Holds(at)))
 	}
@@ -350,7 +386,8 @@
 // A proxy that comes back with an older edition applies what it missed and holds what all do.
 func TestBackWithOlder(t *testing.T) {
 	one, late := started(t, tenantLimit(50)), started(t, tenantLimit(50))
-	for i, c := range []*Command{propose(1, change("a.toml", tenantLimit(70))), {Kind: Settle, Edition: 2, Term: 1}, propose(2, change("a.toml", tenantLimit(60)))} {
+	for i, c := range []*Command{propose(1, change("a.toml", tenantLimit(70))), {Kind: Settle, Edition: 2,
+		Term: 1}, propose(2, change("a.toml", tenantLimit(60)))} {
 		for _, s := range []*State{one, late} {
 			if err := s.Apply(uint64(i+2), 1, c, nil); err != nil {
 				t.Fatal(err)
@@ -360,7 +397,8 @@
 			}
 		}
 	}
-	if limitOf(one, "t1") != limitOf(late, "t1") || !maps.EqualFunc(one.Editions[2].Files, late.Editions[2].Files, same) {
+	if limitOf(one, "t1") != limitOf(late, "t1") || !maps.EqualFunc(one.Editions[2].Files,
+		late.Editions[2].Files, same) {
 		t.Error("two states of one history")
 	}
 }
--- a/fleet/charter/judge_test.go
+++ b/fleet/charter/judge_test.go
@@ -1,6 +1,7 @@
 package charter
 
-// A judge that looks at every req, every place and every moment of small universes, by the definitions of docs/charter.md alone.
+// A judge that looks at every req, every place and every moment of small universes, by the definitions of
+// docs/charter.md alone.
 
 import (
 	"fmt"
@@ -19,9 +20,11 @@
 	steps = 5 * weekly / step // past the last beginning all comes back each week
 )
 
-var universe = [dims][]string{{"t1", "t2", "t3"}, {"s1", "s2"}, {"z1", "z2"}, {"1", "2"}, {"k1"}, {"w1", "w2", "w3"}}
+var universe = [dims][]string{{"t1", "t2", "t3"}, {"s1", "s2"}, {"z1", "z2"}, {"1", "2"}, {"k1"}, {"w1", "w2",
+	"w3"}}
 
-// world draws the files of a few namespaces. Most hang together, so that rules come to be looked at; some do not.
+// world draws the files of a few namespaces. Most hang together, so that rules come to be looked at; some do
+// not.
 func world(t *rapid.T) []*File {
 	names := []string{"r", "a", "b", "c"}[:rapid.IntRange(1, 4).Draw(t, "namespaces")]
 	line := 0
@@ -40,7 +43,8 @@
 		}
 		return rapid.SliceOfNDistinct(rapid.SampledFrom(universe[d]), 0, most, rapid.ID[string]).Draw(t, d.String())
 	}
-	kinds := slices.Concat(ruleKinds, []string{"limit", "guarantee", "limit", "guarantee", "never", "require", "value"})
+	kinds := slices.Concat(ruleKinds, []string{"limit", "guarantee", "limit", "guarantee", "never", "require",
+		"value"})
 	number := rapid.SampledFrom([]float64{0, 1, 2, 3, 5})
 	cells := func(names []string) (all []int64) {
 		for _, n := range names {
@@ -81,7 +85,8 @@
 		}
 		for j, x := range universe[Hours] {
 			if i == 0 && j != 2 || i == 1 && j == 2 || odd("window") {
-				w := Window{Name: x, At: at(n), Days: rapid.SampledFrom([][]string{nil, {"mon"}, {"sun", "wed"}}).Draw(t, "days"),
+				w := Window{Name: x, At: at(n), Days: rapid.SampledFrom([][]string{nil, {"mon"}, {"sun", "wed"}}).Draw(t,
+					"days"),
 					From:  rapid.SampledFrom([]string{"00:00", "08:00", "20:00"}).Draw(t, "from"),
 					Until: rapid.SampledFrom([]string{"04:00", "12:00"}).Draw(t, "until")}
 				w.week, _ = week(&w)
@@ -89,7 +94,8 @@
 			}
 		}
 		for j := range rapid.IntRange(0, 5).Draw(t, "rules") {
-			r := Rule{ID: fmt.Sprint(j), Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), At: at(n), Since: day("since")}
+			r := Rule{ID: fmt.Sprint(j), Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), At: at(n),
+				Since: day("since")}
 			if u := day("until"); r.Since.IsZero() || u.IsZero() || r.Since.Before(u) {
 				r.Until = u
 			}
@@ -124,7 +130,8 @@
 			if placed || r.Kind == "freeze" {
 				r.Zones, r.Kinds = some(Zone, 1), some(Kind, 1)
 				if !slices.Contains(r.Zones, "x") {
-					r.Cells = cells(rapid.SliceOfNDistinct(rapid.SampledFrom(universe[Cell]), 0, 1, rapid.ID[string]).Draw(t, "cells"))
+					r.Cells = cells(rapid.SliceOfNDistinct(rapid.SampledFrom(universe[Cell]), 0, 1, rapid.ID[string]).Draw(t,
+						"cells"))
 				}
 			}
 			if _, want := r.check(); want == "" {
@@ -132,8 +139,10 @@
 			}
 		}
 		for j := range rapid.IntRange(0, 2).Draw(t, "grants") {
-			g := Grant{ID: fmt.Sprint(j), To: rapid.SampledFrom([]string{"r", "a", "b", "c"}).Draw(t, "to"), At: at(n), Until: day("end"), Revoked: day("revoked")}
-			g.Tenants, g.RuleSets, g.Zones, g.Windows = some(Tenant, 2), some(RuleSet, 2), some(Zone, 2), some(Hours, 1)
+			g := Grant{ID: fmt.Sprint(j), To: rapid.SampledFrom([]string{"r", "a", "b", "c"}).Draw(t, "to"), At: at(n),
+				Until: day("end"), Revoked: day("revoked")}
+			g.Tenants, g.RuleSets, g.Zones, g.Windows = some(Tenant, 2), some(RuleSet, 2), some(Zone, 2), some(Hours,
+				1)
 			if g.To != n {
 				f.Grants = append(f.Grants, g)
 			}
@@ -337,7 +346,8 @@
 		return time.Date(day.Year(), day.Month(), day.Day(), c.Hour(), c.Minute(), 0, 0, time.UTC)
 	}
 	for _, day := range []time.Time{t.AddDate(0, 0, -1), t} {
-		if len(w.Days) > 0 && !slices.Contains(w.Days, []string{"sun", "mon", "tue", "wed", "thu", "fri", "sat"}[day.Weekday()]) {
+		if len(w.Days) > 0 && !slices.Contains(w.Days, []string{"sun", "mon", "tue", "wed", "thu", "fri",
+			"sat"}[day.Weekday()]) {
 			continue
 		}
 		from, until := in(day, w.From), in(day, w.Until)
@@ -385,7 +395,8 @@
 			own := func(from, to Dim) bool {
 				return slices.ContainsFunc(j.files[n].Claims, func(c Claim) bool { return c.Dim >= from && c.Dim <= to })
 			}
-			if ofPlaces := r.Kind == "freeze" || r.Kind == "limit" && r.places(); n != j.root() && (ofPlaces && !r.places() && !own(Zone, Kind) ||
+			if ofPlaces := r.Kind == "freeze" || r.Kind == "limit" && r.places(); n != j.root() && (ofPlaces &&
+				!r.places() && !own(Zone, Kind) ||
 				!ofPlaces && len(r.Tenants)+len(r.RuleSets) == 0 && !own(Tenant, RuleSet)) {
 				j.say(NotOwned, "%v ", r.At)
 				sound = false
@@ -443,7 +454,8 @@
 // bars says whether a placement rule forbids a place.
 func bars(x *law, d Dim, name string) bool {
 	listed := x.lists()[d]
-	return x.Kind == "only" && len(listed) > 0 && !slices.Contains(listed, name) || x.Kind == "never" && slices.Contains(listed, name)
+	return x.Kind == "only" && len(listed) > 0 && !slices.Contains(listed, name) || x.Kind == "never" &&
+		slices.Contains(listed, name)
 }
 
 // nowhere says whether a req may run nowhere at a moment, by the places that are claimed.
@@ -455,7 +467,10 @@
 				continue
 			}
 			claimed++
-			if !slices.ContainsFunc(laws, func(x *law) bool { return x.open[at] && j.covers(x, tenant, set) && bars(x, d, name) }) {
+			if !slices.ContainsFunc(laws, func(x *law) bool {
+				return x.open[at] && j.covers(x, tenant, set) && bars(x,
+					d, name)
+			}) {
 				left++
 			}
 		}
@@ -470,7 +485,10 @@
 	if lists := x.lists(); x.places() {
 		return slices.Contains(lists[d], name)
 	}
-	return x.n == j.root() || slices.ContainsFunc(j.files[x.n].Claims, func(c Claim) bool { return c.Dim == d && c.Name == name })
+	return x.n == j.root() || slices.ContainsFunc(j.files[x.n].Claims, func(c Claim) bool {
+		return c.Dim == d &&
+			c.Name == name
+	})
 }
 
 // judged are all conflicts that there are.
@@ -562,7 +580,8 @@
 			for _, p := range plans {
 				for d, all := range p.lists() {
 					for _, name := range all {
-						if (p.Until == 0 || at < p.Until) && j.frozen(x, Dim(d), name) && (len(j.claimants(Dim(d), name)) > 0 || !x.places()) {
+						if (p.Until == 0 || at < p.Until) && j.frozen(x, Dim(d), name) && (len(j.claimants(Dim(d), name)) > 0 ||
+							!x.places()) {
 							j.say(FrozenPlan, "%v", x.At)
 						}
 					}
@@ -593,8 +612,10 @@
 					}
 				}
 			}
-			alike := x.Kind == y.Kind && x.Unit == y.Unit && x.Per == y.Per && slices.Contains([]string{"limit", "quota", "value", "further", "deny"}, x.Kind)
-			if alike && (x.n == y.n || x.Kind == "value") && x.Number != y.Number && x.Window != "" && y.Window != "" && x.Window != y.Window &&
+			alike := x.Kind == y.Kind && x.Unit == y.Unit && x.Per == y.Per && slices.Contains([]string{"limit",
+				"quota", "value", "further", "deny"}, x.Kind)
+			if alike && (x.n == y.n || x.Kind == "value") && x.Number != y.Number && x.Window != "" &&
+				y.Window != "" && x.Window != y.Window &&
 				(x.At.File < y.At.File || x.At.File == y.At.File && x.At.Line < y.At.Line) {
 				j.say(Overlap, "%v %v", x.At, y.At)
 			}
@@ -653,7 +674,8 @@
 	a, b := by(c.A), by(c.B)
 	covered := func(x *law) bool { return x.open[w.At] && j.covers(x, w.Tenant, w.RuleSet) }
 	named := func(x *law, name string) bool {
-		return slices.ContainsFunc(slices.Collect(maps.Values(map[int][]string{0: x.lists()[Zone], 1: x.lists()[Cell], 2: x.lists()[Kind]})),
+		return slices.ContainsFunc(slices.Collect(maps.Values(map[int][]string{0: x.lists()[Zone],
+			1: x.lists()[Cell], 2: x.lists()[Kind]})),
 			func(all []string) bool { return slices.Contains(all, name) })
 	}
 	switch c.Class {
@@ -661,9 +683,11 @@
 		return a.own[w.At] && w.At >= a.end && c.Refused == (a.end <= j.now)
 	case Over:
 		sum, places := j.sum(laws, a, w.At)
-		return a.open[w.At] && sum == w.Amount && a.Number == w.Against && sum > a.Number && slices.Contains(places, c.B) && covered(b)
+		return a.open[w.At] && sum == w.Amount && a.Number == w.Against && sum > a.Number && slices.Contains(places,
+			c.B) && covered(b)
 	case Torn:
-		return covered(a) && covered(b) && named(a, w.Name) && (bars(b, Zone, w.Name) || bars(b, Cell, w.Name) || bars(b, Kind, w.Name))
+		return covered(a) && covered(b) && named(a, w.Name) && (bars(b, Zone, w.Name) || bars(b, Cell, w.Name) ||
+			bars(b, Kind, w.Name))
 	case Nowhere:
 		return j.nowhere(laws, w.Tenant, w.RuleSet, w.At) && covered(a) && covered(b)
 	case Overlap:
@@ -719,7 +743,8 @@
 			if f.Rules[0].Number > 0 {
 				f.Rules[0].Number = rapid.SampledFrom([]float64{0, 1, 4}).Draw(t, "new") / 4
 			}
-			if f.Rules = append(f.Rules, Rule{ID: "new", Kind: "value", At: Place{f.Namespace, 999}}); rapid.Bool().Draw(t, "out") {
+			if f.Rules = append(f.Rules, Rule{ID: "new", Kind: "value", At: Place{f.Namespace,
+				999}}); rapid.Bool().Draw(t, "out") {
 				f.Rules = f.Rules[1:]
 			}
 		}
@@ -729,7 +754,8 @@
 		if taken++; len(c.Refused()) == 0 {
 			same++
 		}
-		if !reflect.DeepEqual(got.Conflicts, want.Conflicts) || !reflect.DeepEqual(got.Effects(at), want.Effects(at)) {
+		if !reflect.DeepEqual(got.Conflicts, want.Conflicts) || !reflect.DeepEqual(got.Effects(at),
+			want.Effects(at)) {
 			return fmt.Sprintf("got %v, want %v", got.Conflicts, want.Conflicts)
 		}
 		return ""
--- a/fleet/charter/merge.go
+++ b/fleet/charter/merge.go
@@ -1,7 +1,8 @@
 package charter
 
-// This file owns how the files of all teams become one charter: the tree, what each namespace holds, which rules are in force for which reqs.
-// Its tables live as long as the charter that they are of. It must never depend on the order in which files come.
+// This file owns how the files of all teams become one charter: the tree, what each namespace holds, which
+// rules are in force for which reqs. Its tables live as long as the charter that they are of. It must never
+// depend on the order in which files come.
 
 import (
 	"cmp"
@@ -12,7 +13,8 @@
 	"time"
 )
 
-// Running is a plan by which machines are out or go out, as a freeze sees it: every zone, cell and kind that its servers are of.
+// Running is a plan by which machines are out or go out, as a freeze sees it: every zone, cell and kind that
+// its servers are of.
 type Running struct {
 	Plan string
 	Names
@@ -31,7 +33,8 @@
 	own    [dims]bool    // it claims some itself
 }
 
-// above says whether a namespace is another one or one of those above it. Only for those that stand, which no circle holds.
+// above says whether a namespace is another one or one of those above it. Only for those that stand, which no
+// circle holds.
 func (n *node) above(m *node) bool {
 	for ; m != nil && m != n; m = m.parent {
 	}
@@ -70,21 +73,25 @@
 	return all == nil || ok
 }
 
-func (b box) meets(c box) bool          { return dimMeets(b.tenants, c.tenants) && dimMeets(b.sets, c.sets) }
-func (b box) within(c box) bool         { return dimWithin(b.tenants, c.tenants) && dimWithin(b.sets, c.sets) }
+func (b box) meets(c box) bool { return dimMeets(b.tenants, c.tenants) && dimMeets(b.sets, c.sets) }
+func (b box) within(c box) bool {
+	return dimWithin(b.tenants, c.tenants) && dimWithin(b.sets, c.sets)
+}
 func (b box) of(tenant, set int32) bool { return has(b.tenants, tenant) && has(b.sets, set) }
 
-// rule is a rule with its names resolved.
+// rule is a rule with its names resolved. It never changes: charters that follow one another share it.
 type rule struct {
 	*Rule
 	box
-	node   *node
-	own    span // as written
-	span   span // cut by the ends of what it stands on
-	set    Set  // places named, or, of only and never, those allowed
-	sound  bool
-	ender  Place // where what it stands on ends
-	marked int   // by the search that found it last
+	node  *node
+	own   span // as written
+	span  span // cut by the ends of what it stands on
+	set   Set  // places named, or, of only and never, those allowed
+	sound bool
+	ender Place // where what it stands on ends
+	bound int   // the slot that it is about, -1: none
+	kind  int   // its place in ruleKinds
+	unit  int   // its place in units
 }
 
 // Charter is one edition, all files together.
@@ -98,12 +105,15 @@
 	claimed   [dims][][]*node
 	windows   map[string]*Window
 	defined   map[string]*node // the namespace of each window
-	rules     []*rule
+	rules     []*rule          // in the order of namespaces
+	by        [kinds][]*rule   // those that are sound, by their places in ruleKinds
 	granted   map[grantKey][]stand
-	mask      [dims]Set // all places of a kind
-	searches  int
+	mask      [dims]Set      // all places of a kind
+	fresh     map[*rule]bool // those that may contradict what they did not before; nil: all
 }
 
+func (c *Charter) isFresh(r *rule) bool { return c.fresh == nil || c.fresh[r] }
+
 type grantKey struct {
 	to   *node
 	dim  Dim
@@ -127,10 +137,11 @@
 	return min(unixOr(until, forever), unixOr(revoked, forever))
 }
 
-// Merge makes one charter of files, by what is known at a moment, beside plans that run. Two files of one namespace are a fault of who
-// calls: the first by its file's name is taken.
+// Merge makes one charter of files, by what is known at a moment, beside plans that run. Two files of one
+// namespace are a fault of who calls: the first by its file's name is taken.
 func Merge(files []*File, now int64, plans []Running) *Charter {
-	c := &Charter{now: now, at: map[string]*node{}, windows: map[string]*Window{}, defined: map[string]*node{}, granted: map[grantKey][]stand{}}
+	c := &Charter{now: now, at: map[string]*node{}, windows: map[string]*Window{}, defined: map[string]*node{},
+		granted: map[grantKey][]stand{}}
 	files = slices.Clone(files)
 	slices.SortFunc(files, func(x, y *File) int {
 		return cmp.Or(cmp.Compare(x.Namespace, y.Namespace), cmp.Compare(x.At.File, y.At.File))
@@ -157,8 +168,9 @@
 	return c
 }
 
-// Change is Merge where files differ from those of a charter without refused conflicts. Where they differ in rules alone, what the others come
-// to is taken over.
+// Change is Merge where files differ from those of a charter without refused conflicts, of an earlier moment.
+// Where they differ in rules alone, what the others come to is taken over: among themselves they contradict
+// in nothing that they did not before.
 func (c *Charter) Change(files []*File, now int64, plans []Running) *Charter {
 	changed := map[string]*File{}
 	for _, f := range files {
@@ -170,38 +182,43 @@
 			changed[f.Namespace] = f
 		}
 	}
-	if len(files) != len(c.nodes) || len(c.Refused()) > 0 {
+	if len(files) != len(c.nodes) || len(c.Refused()) > 0 || now < c.now {
 		return Merge(files, now, plans)
 	}
 	next := *c
-	next.Conflicts, next.now, next.searches = nil, now, 0
-	next.nodes, next.at = make([]*node, len(c.nodes)), make(map[string]*node, len(c.nodes))
+	next.Conflicts, next.now, next.fresh = nil, now, map[*rule]bool{}
+	next.nodes, next.at = slices.Clone(c.nodes), maps.Clone(c.at)
 	next.rules = make([]*rule, 0, len(c.rules))
-	kept, at := make([]rule, len(c.rules)), 0
+	warned := map[Place]bool{}
+	for _, x := range c.Conflicts {
+		warned[x.A], warned[x.B] = true, true
+	}
+	at := 0
 	for i, n := range c.nodes {
-		f := changed[n.Namespace]
-		if f != nil { // the ground is the same: who is above whom is asked of the node that was
-			m := *n
-			m.File = f
-			next.nodes[i] = &m
-		} else {
-			next.nodes[i] = n
+		until := at
+		for until < len(c.rules) && c.rules[until].node == n {
+			until++
 		}
-		next.at[n.Namespace] = next.nodes[i]
-		for at < len(c.rules) && c.rules[at].node.Namespace == n.Namespace {
-			if f == nil {
-				kept[at] = *c.rules[at]
-				kept[at].marked = 0
-				next.rules = append(next.rules, &kept[at])
+		old := c.rules[at:until]
+		at = until
+		f := changed[n.Namespace]
+		if f == nil {
+			next.rules = append(next.rules, old...)
+			for _, r := range old {
+				if len(warned) > 0 && warned[r.At] {
+					next.fresh[r] = true
+				}
 			}
-			at++
+			continue
 		}
-		if f != nil {
-			for j := range f.Rules {
-				x := next.resolve(c.at[n.Namespace], &f.Rules[j])
-				next.rules = append(next.rules, x)
-			}
+		for j := range f.Rules {
+			x := next.resolve(n, &f.Rules[j]) // the node that was: the ground is the same, and others know it
+			next.fresh[x] = true
+			next.rules = append(next.rules, x)
 		}
+		m := *n
+		m.File = f
+		next.nodes[i], next.at[n.Namespace] = &m, &m
 	}
 	next.check(plans)
 	next.sort()
@@ -220,7 +237,8 @@
 
 func (c *Charter) sort() {
 	slices.SortFunc(c.Conflicts, func(x, y Conflict) int {
-		return cmp.Or(cmp.Compare(x.Class, y.Class), cmp.Compare(x.A.File, y.A.File), cmp.Compare(x.A.Line, y.A.Line),
+		return cmp.Or(cmp.Compare(x.Class, y.Class), cmp.Compare(x.A.File, y.A.File),
+			cmp.Compare(x.A.Line, y.A.Line),
 			cmp.Compare(x.B.File, y.B.File), cmp.Compare(x.B.Line, y.B.Line), cmp.Compare(x.What, y.What))
 	})
 }
@@ -234,7 +252,8 @@
 		case n.Parent == "" && root == nil:
 			root = n
 		case n.Parent == "":
-			c.find(ClaimedTwice, true, root.At, n.At, Witness{At: c.now}, "the root: %s and %s", root.Namespace, n.Namespace)
+			c.find(ClaimedTwice, true, root.At, n.At, Witness{At: c.now}, "the root: %s and %s", root.Namespace,
+				n.Namespace)
 		case n.parent == nil:
 			c.find(NoName, true, n.At, n.At, Witness{At: c.now}, "namespace %s", n.Parent)
 		}
@@ -310,7 +329,8 @@
 		}
 	}
 	if count > mostPlaces {
-		c.find(TooMany, true, c.nodes[0].At, c.nodes[0].At, Witness{At: c.now}, "%d zones, cells and kinds, %d at the most",
+		c.find(TooMany, true, c.nodes[0].At, c.nodes[0].At, Witness{At: c.now},
+			"%d zones, cells and kinds, %d at the most",
 			count-3, mostPlaces-3)
 	}
 	for _, n := range c.nodes {
@@ -319,7 +339,8 @@
 			switch had := c.defined[w.Name]; {
 			case !n.stands:
 			case had != nil:
-				c.find(ClaimedTwice, true, c.windows[w.Name].At, w.At, Witness{At: c.now, Name: w.Name}, "window %s: %s and %s", w.Name, had.Namespace, n.Namespace)
+				c.find(ClaimedTwice, true, c.windows[w.Name].At, w.At, Witness{At: c.now, Name: w.Name},
+					"window %s: %s and %s", w.Name, had.Namespace, n.Namespace)
 			default:
 				c.windows[w.Name], c.defined[w.Name] = w, n
 			}
@@ -327,7 +348,8 @@
 	}
 }
 
-// bit is the place of a zone, a cell or a kind among all places. After those of each comes one for all that nobody claims.
+// bit is the place of a zone, a cell or a kind among all places. After those of each comes one for all that
+// nobody claims.
 func (c *Charter) bit(d Dim, number int32) int32 {
 	for x := Zone; x < d; x++ {
 		number += int32(len(c.words[x])) + 1
@@ -335,7 +357,8 @@
 	return min(number, int32(mostPlaces)-1)
 }
 
-// hold says what each namespace holds: the root all; any other what it claims, or where it claims nothing of a kind what its parent holds.
+// hold says what each namespace holds: the root all; any other what it claims, or where it claims nothing of
+// a kind what its parent holds.
 func (c *Charter) hold() {
 	nodes := slices.DeleteFunc(slices.Clone(c.nodes), func(n *node) bool { return !n.stands })
 	slices.SortStableFunc(nodes, func(x, y *node) int { return cmp.Compare(x.depth, y.depth) })
@@ -350,7 +373,8 @@
 			n.own[x.Dim] = true
 			id := c.names[x.Dim][x.Name]
 			if !has(above[x.Dim], id) {
-				c.find(NotOwned, true, x.At, n.parent.At, Witness{At: c.now, Name: x.Name}, "%s claims %s %s, which %s does not hold", n.Namespace, x.Dim, x.Name, n.Parent)
+				c.find(NotOwned, true, x.At, n.parent.At, Witness{At: c.now, Name: x.Name},
+					"%s claims %s %s, which %s does not hold", n.Namespace, x.Dim, x.Name, n.Parent)
 			}
 			own[x.Dim] = append(own[x.Dim], id)
 		}
@@ -366,7 +390,8 @@
 				for _, m := range all[i+1:] {
 					if !n.above(m) && !m.above(n) {
 						name := c.words[d][id]
-						c.find(ClaimedTwice, true, n.claim(d, name), m.claim(d, name), Witness{At: c.now, Name: name}, "%s %s: %s and %s", d, name, n.Namespace, m.Namespace)
+						c.find(ClaimedTwice, true, n.claim(d, name), m.claim(d, name), Witness{At: c.now, Name: name},
+							"%s %s: %s and %s", d, name, n.Namespace, m.Namespace)
 					}
 				}
 			}
@@ -379,13 +404,15 @@
 	return n.Claims[i].At
 }
 
-// owns says whether a namespace may name something of its own right: it holds it, and nobody claims it who is neither above nor below.
+// owns says whether a namespace may name something of its own right: it holds it, and nobody claims it who is
+// neither above nor below.
 func (c *Charter) owns(n *node, d Dim, name string) bool {
 	if d == Hours {
 		return c.defined[name].above(n)
 	}
 	id := c.names[d][name]
-	return has(n.holds[d], id) && !slices.ContainsFunc(c.claimed[d][id], func(m *node) bool { return !m.above(n) && !n.above(m) })
+	return has(n.holds[d], id) && !slices.ContainsFunc(c.claimed[d][id],
+		func(m *node) bool { return !m.above(n) && !n.above(m) })
 }
 
 func (c *Charter) known(d Dim, name string) bool {
@@ -416,7 +443,8 @@
 					case !c.known(d, name):
 						c.find(NoName, true, g.At, g.At, Witness{At: c.now, Name: name}, "%s %s", d, name)
 					case !c.owns(n, d, name):
-						c.find(NotOwned, true, g.At, n.At, Witness{At: c.now, Name: name}, "%s grants %s %s, which it does not own", n.Namespace, d, name)
+						c.find(NotOwned, true, g.At, n.At, Witness{At: c.now, Name: name},
+							"%s grants %s %s, which it does not own", n.Namespace, d, name)
 					case to != nil:
 						k := grantKey{to, d, name}
 						c.granted[k] = append(c.granted[k], stand{min(endOf(g.Until, g.Revoked), n.end), g.At})
@@ -445,7 +473,9 @@
 
 // resolve finds what a rule names, and what that rests on.
 func (c *Charter) resolve(n *node, r *Rule) *rule {
-	x := &rule{Rule: r, node: n, sound: true, own: span{from: unixOr(r.Since, 0), to: unixOr(r.Until, forever)}}
+	x := &rule{Rule: r, node: n, sound: true, bound: r.slot(), kind: slices.Index(ruleKinds, r.Kind),
+		unit: slices.Index(units, r.Unit),
+		own:  span{from: unixOr(r.Since, 0), to: unixOr(r.Until, forever)}}
 	end := stand{n.end, n.ender}
 	lists := r.lists()
 	if r.Window != "" {
@@ -463,7 +493,8 @@
 			case !c.known(d, name):
 				c.find(NoName, true, r.At, r.At, Witness{At: c.now, Name: name}, "%s %s of rule %s", d, name, r.ID)
 			case !ok:
-				c.find(NotOwned, true, r.At, c.owner(d, name), Witness{At: c.now, Name: name}, "rule %s names %s %s, which %s neither owns nor was granted", r.ID, d, name, n.Namespace)
+				c.find(NotOwned, true, r.At, c.owner(d, name), Witness{At: c.now, Name: name},
+					"rule %s names %s %s, which %s neither owns nor was granted", r.ID, d, name, n.Namespace)
 			case s.end < end.end:
 				end = s
 			}
@@ -481,7 +512,8 @@
 		some = n.parent == nil || n.own[Zone] || n.own[Cell] || n.own[Kind] || r.places()
 	}
 	if !some {
-		c.find(NotOwned, true, r.At, n.At, Witness{At: c.now}, "rule %s names nothing, and %s claims nothing that it could be about", r.ID, n.Namespace)
+		c.find(NotOwned, true, r.At, n.At, Witness{At: c.now},
+			"rule %s names nothing, and %s claims nothing that it could be about", r.ID, n.Namespace)
 		x.sound = false
 	}
 	for d := range Zone {
@@ -558,10 +590,10 @@
 func (x *rule) value() Value {
 	v := None()
 	switch {
-	case x.slot() >= 0:
-		v.Bound[x.slot()] = x.Number
+	case x.bound >= 0:
+		v.Bound[x.bound] = x.Number
 	case x.Kind == "guarantee":
-		v.Sure = []Part{{x.name(), slices.Index(units, x.Unit), x.Number}}
+		v.Sure = []Part{{x.name(), x.unit, x.Number}}
 	case x.Kind == "deny":
 		shift := 8 * (mostTier - 1 - min(x.node.depth, mostTier-1))
 		v.Rank = v.Rank&^(0xff<<shift) | uint64(x.Number)<<shift
--- a/fleet/charter/picture.go
+++ b/fleet/charter/picture.go
@@ -1,12 +1,12 @@
 package charter
 
-// This file owns what holds at a moment: the picture that the req path reads, and where each value comes from. A picture never changes; who
-// holds one takes another at its end. It must never look at rules when a req comes.
+// This file owns what holds at a moment: the picture that the req path reads, and where each value comes
+// from. A picture never changes; who holds one takes another at its end. It must never look at rules when a
+// req comes.
 
 import (
 	"fmt"
 	"io"
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -48,51 +48,48 @@
 // picturePlaces numbers the places of editions.
 func picturePlaces(all ...*Charter) *Picture {
 	p := &Picture{}
-	next := int32(0)
+	next := 0
 	for d := Zone; d < Hours; d++ { // editions that name other places have one numbering here
-		names := map[string]bool{}
-		for _, c := range all {
-			for _, name := range c.words[d] {
-				names[name] = true
-			}
-		}
-		p.places[d] = make(map[string]int32, len(names))
-		for _, name := range slices.Sorted(maps.Keys(names)) {
-			p.places[d][name] = min(next, int32(mostPlaces)-1)
+		p.places[d] = map[string]int32{}
+		for _, name := range wordsOf(d, all) {
+			p.places[d][name] = int32(min(next, mostPlaces-1))
 			next++
 		}
-		p.others[d] = min(next, int32(mostPlaces)-1)
+		p.others[d] = int32(min(next, mostPlaces-1))
 		next++
 	}
 	return p
 }
 
-func (c *Charter) page(at int64, p *Picture) page {
-	g := page{tenants: map[string]int32{}, sets: map[string]int32{}, pairs: map[[2]int32]int32{}, rows: []Effective{None().Flat()}}
-	row := func(known int32, ok bool) (int32, bool) {
-		if !ok {
-			known = int32(len(g.rows))
-			g.rows = append(g.rows, g.rows[0])
-		}
-		return known, ok
+// wordsOf are the names that any of several editions has, sorted.
+func wordsOf(d Dim, all []*Charter) []string {
+	var names []string
+	for _, c := range all {
+		names = append(names, c.words[d]...)
 	}
-	var any []*rule
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// placesOf is how many bits the places of several editions take; whoever draws them together sees to it that
+// they are mostPlaces at the most.
+func placesOf(all ...*Charter) (n int) {
+	for d := Zone; d < Hours; d++ {
+		n += len(wordsOf(d, all)) + 1
+	}
+	return n
+}
+
+func (c *Charter) page(at int64, p *Picture) page {
+	g := page{tenants: map[string]int32{}, sets: map[string]int32{}, pairs: map[[2]int32]int32{},
+		rows: []Effective{None().Flat()}}
+	var wide []*rule
 	add := func(r *rule, i int32) {
 		e := r.value().Flat()
 		g.rows[i].join(&e)
 	}
-	tenant := func(t int32) int32 {
-		had, ok := g.tenants[c.words[Tenant][t]]
-		i, _ := row(had, ok)
-		g.tenants[c.words[Tenant][t]] = i
-		return i
-	}
-	set := func(s int32) int32 {
-		had, ok := g.sets[c.words[RuleSet][s]]
-		i, _ := row(had, ok)
-		g.sets[c.words[RuleSet][s]] = i
-		return i
-	}
+	tenant := func(t int32) int32 { return row(&g, g.tenants, c.words[Tenant][t]) }
+	set := func(s int32) int32 { return row(&g, g.sets, c.words[RuleSet][s]) }
 	windows := map[*Window]bool{}
 	for _, r := range c.rules {
 		if !r.sound {
@@ -117,7 +114,7 @@
 		case r.places() && r.Kind == "limit":
 			g.limit(p.renumber(c, r.set), r)
 		case r.tenants == nil && r.sets == nil:
-			any = append(any, r)
+			wide = append(wide, r)
 		case r.sets == nil:
 			for _, t := range r.tenants {
 				add(r, tenant(t))
@@ -130,15 +127,12 @@
 			for _, t := range r.tenants {
 				for _, s := range r.sets {
 					k := [2]int32{tenant(t), set(s)}
-					had, ok := g.pairs[k]
-					i, _ := row(had, ok)
-					g.pairs[k] = i
-					add(r, i)
+					add(r, row(&g, g.pairs, k))
 				}
 			}
 		}
 	}
-	for _, r := range any { // last: new rows begin as row 0, empty
+	for _, r := range wide { // last: new rows begin as row 0, empty
 		add(r, 0)
 	}
 	for _, i := range g.tenants {
@@ -154,7 +148,19 @@
 	return g
 }
 
-// renumber turns a set of an edition's places into one of the picture's. What the edition does not name is as all that nobody claims.
+// row is the row of a key, a new one where it has none.
+func row[K comparable](g *page, at map[K]int32, key K) int32 {
+	i, ok := at[key]
+	if !ok {
+		i = int32(len(g.rows))
+		at[key] = i
+		g.rows = append(g.rows, None().Flat())
+	}
+	return i
+}
+
+// renumber turns a set of an edition's places into one of the picture's. What the edition does not name is as
+// all that nobody claims.
 func (p *Picture) renumber(c *Charter, s Set) Set {
 	if p.alone || s == (Set{}).not() {
 		return s
@@ -233,8 +239,9 @@
 	}
 }
 
-// Mask is a server's place, by its zone, its cell and its kind. A req may go there where its Allowed has the mask; a machine there may go out
-// where Frozen meets none of it. Masks are of one picture: another numbers anew.
+// Mask is a server's place, by its zone, its cell and its kind. A req may go there where its Allowed has the
+// mask; a machine there may go out unless Frozen meets it. Masks are of one picture: another numbers
+// anew.
 func (p *Picture) Mask(zone, cell, kind string) (s Set) {
 	for d, name := range []string{zone, cell, kind} {
 		bit, ok := p.places[Zone+Dim(d)][name]
@@ -274,8 +281,8 @@
 	Lost   []Loss
 }
 
-// Effects tells every value at a moment, in order, with the rules that make it and those that do not. Within a scope count the rules
-// that are about all of it, those of wider ones too.
+// Effects tells every value at a moment, in order, with the rules that make it and those that do not. Within
+// a scope count the rules that are about all of it, those of wider ones too.
 func (c *Charter) Effects(at int64) (all []Effect) {
 	type scope struct{ t, s int32 }
 	seen := map[scope]bool{}
--- a/fleet/charter/span.go
+++ b/fleet/charter/span.go
@@ -1,6 +1,7 @@
 package charter
 
-// This file owns moments: windows that come back each week, beginnings and ends, and when several are open at once. Times are Unix ns, UTC.
+// This file owns moments: windows that come back each week, beginnings and ends, and when several are open at
+// once. Times are Unix ns, UTC.
 
 import (
 	"math"
@@ -89,8 +90,8 @@
 	}
 }
 
-// first is the earliest moment from now on at which all are open. Windows come back each week, so that a week from the latest beginning
-// shows all there is, and something opens at the earliest moment.
+// first is the earliest moment from now on at which all are open. Windows come back each week, so that a week
+// from the latest beginning shows all there is, and something opens at the earliest moment.
 func first(now int64, all ...span) (int64, bool) {
 	at, end := now, int64(forever)
 	for _, s := range all {
@@ -109,8 +110,8 @@
 	return best, best < forever
 }
 
-// moments are moments such that whatever can be open together from now on is open together at one of them: each beginning, and the first
-// opening of each window after it.
+// moments are moments such that whatever can be open together from now on is open together at one of them:
+// each beginning, and the first opening of each window after it.
 func moments(now int64, all []span) (found []int64) {
 	starts, windows := []int64{now}, map[*Window]bool{}
 	for _, s := range all {
