--- /dev/null
+++ b/fleet/lease/lease_test.go
@@ -0,0 +1,222 @@
+package lease
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"ivybank/rehearse/timeline"
+)
+
+// act is one thing that befalls a run, after some ms.
+type act struct {
+	after int
+	place int
+	verb  string
+	arg   string
+}
+
+// script draws faults for some members.
+func script(members int) *rapid.Generator[[]act] {
+	names := "abcdefghijkl"[:members]
+	group := rapid.Custom(func(t *rapid.T) string {
+		var sides [2]string
+		for _, c := range names {
+			i := rapid.IntRange(0, 1).Draw(t, "side")
+			sides[i] += string(c)
+		}
+		if sides[0] == "" || sides[1] == "" {
+			return names[:1] + "|" + names[1:]
+		}
+		return sides[0] + "|" + sides[1]
+	})
+	one := rapid.Custom(func(t *rapid.T) act {
+		a := act{after: rapid.IntRange(0, 2500).Draw(t, "after")}
+		a.place = rapid.IntRange(0, members-1).Draw(t, "place")
+		verbs := []string{"kill", "back", "back", "stop", "stop", "wake", "wake", "clock", "cut", "cut",
+			"heal", "heal", "loss", "double", "late", "ask", "one-way", "flap", "steady"}
+		switch a.verb = rapid.SampledFrom(verbs).Draw(t, "verb"); a.verb {
+		case "cut":
+			a.place, a.arg = -1, group.Draw(t, "groups")
+		case "one-way":
+			x := strconv.QuoteRune(rune(names[a.place]))[1:2]
+			y := string(names[(a.place+rapid.IntRange(1, members-1).Draw(t, "to"))%members])
+			a.place, a.verb = -1, x+"-x->"+y
+		case "heal":
+			a.place = -1
+		case "loss", "double", "late":
+			a.place, a.arg = -1, fmt.Sprintf("%.1f", rapid.Float64Range(0, 0.6).Draw(t, "part"))
+		case "clock":
+			a.arg = fmt.Sprintf("%ds", rapid.SampledFrom([]int{-120, -90, -1, 1, 2, 90}).Draw(t, "jump"))
+		case "stop":
+			if n := rapid.IntRange(0, 6).Draw(t, "fuse"); n > 0 {
+				a.arg = strconv.Itoa(n)
+			}
+		case "ask":
+			a.arg = strconv.Itoa(rapid.IntRange(0, 9).Draw(t, "units"))
+		case "flap":
+			a.arg = "1s"
+		}
+		return a
+	})
+	return rapid.SliceOfN(one, 5, 25)
+}
+
+// play has a script befall a fleet; the judges' error.
+func play(acts []act, members int, x Limit, f flaw, seed uint64) error {
+	text := "at  rig"
+	row := "0s  ."
+	for _, c := range "abcdefghijkl"[:members] {
+		text, row = text+"  "+string(c), row+"  ask 9"
+	}
+	var w *world
+	var tw *timeline.World
+	text += "\n" + row + "\n4s  ." + row[len("0s  ."):] + "\n"
+	r := timeline.Play(text, seed, func(v *timeline.World) timeline.Cluster {
+		tw, w = v, newWorld(v, x, 100, f)
+		return w
+	})
+	if r.Err != nil {
+		return r.Err
+	}
+	for _, a := range acts {
+		if err := tw.Run(tw.Now + int64(a.after)*ms); err != nil {
+			return err
+		}
+		var args []string
+		if a.arg != "" {
+			args = []string{a.arg}
+		}
+		if a.verb == "ask" {
+			_ = w.Do(a.place, a.verb, args)
+		} else if err := tw.Befall(a.place, a.verb, args...); err != nil {
+			return err
+		}
+	}
+	return tw.Run(tw.Now + 3*sec)
+}
+
+var strict = Limit{Name: "one", Units: 7, Per: 250 * ms, Lease: 2 * sec, Strict: true, Linger: sec}
+
+func flight() Limit {
+	x := strict
+	x.Kind, x.Per = Flight, 0
+	return x
+}
+
+// Whatever befalls, what may be in use never passes a strict limit, of a rate and of work in flight, nor a
+// bounded one its bound.
+func TestNeverOver(t *testing.T) {
+	bounded := strict
+	bounded.Strict, bounded.Floor = false, 2
+	for name, x := range map[string]Limit{"rate": strict, "in flight": flight(), "bounded": bounded} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				members := rapid.IntRange(3, 5).Draw(t, "members")
+				acts := script(members).Draw(t, "script")
+				if err := play(acts, members, x, sound, rapid.Uint64().Draw(t, "seed")); err != nil {
+					t.Fatal(err)
+				}
+			})
+		})
+	}
+}
+
+// Each flawed build is caught by the same judges and scripts.
+func TestFlawsAreCaught(t *testing.T) {
+	for f, name := range map[flaw]string{unfenced: "no fencing", fromReceipt: "lease counted from receipt",
+		fresh: "fresh allowance on restart"} {
+		t.Run(name, func(t *testing.T) {
+			for i := range 2000 {
+				if err := play(script(4).Example(i), 4, strict, f, uint64(i)); err != nil {
+					t.Logf("script %d: %v", i, err)
+					return
+				}
+			}
+			t.Error("not caught")
+		})
+	}
+}
+
+// An owner stopped for 10 s at each point of its grants, and woken, is never over, and the others have the
+// limit by then.
+func TestStoppedAtEachPoint(t *testing.T) {
+	for point := range 40 {
+		text := fmt.Sprintf("at  rig  a  b  c  d\n0s  .  ask 9  ask 3  ask 9  ask 3\n"+
+			"5s  .  ask 0  ask 9  stop %d  ask 9\n"+
+			"12s  sum?  .  .  .  .\n15s  .  .  .  wake  .\n20s  sum?  owns?  owns?  owns?  owns?\n", point+1)
+		r := timeline.Play(text, uint64(point), func(w *timeline.World) timeline.Cluster {
+			return newWorld(w, strict, 100, sound)
+		})
+		if r.Err != nil {
+			t.Errorf("stopped after %d datagrams: %v\n%s", point+1, r.Err, r.Drawn)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	d := Datagram{From: 1, Life: 5, Items: []Item{{Kind: Ask, Limit: 3, Term: 9, Want: 4, Use: 2}}}
+	b, err := Encode(fleetName, &d)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := Decode(fleetName, b)
+		m := New(Terms{Me: 0, Of: 3, Voters: 3, Life: 1, Limits: []Limit{strict}}, 1)
+		if err != nil {
+			return
+		}
+		m.Heard(&d, 2)
+		if again, err := Encode(fleetName, &d); err == nil && len(again) > Most {
+			t.Errorf("%d bytes", len(again))
+		}
+	})
+}
+
+// The longest items that there may be fit into a datagram, as many as are put into one.
+func TestLongestFits(t *testing.T) {
+	it := Item{Kind: Ask, Limit: 1<<32 - 1, Term: 1<<64 - 1, Epoch: 1<<64 - 1, Count: 1<<64 - 1,
+		Want: mostUnits, Use: mostUnits, Settled: true}
+	d := Datagram{From: 1 << 16, Life: 1<<64 - 1}
+	for range mostItems {
+		d.Items = append(d.Items, it)
+	}
+	b, err := Encode(fleetName, &d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if back, err := Decode(fleetName, b); err != nil || len(back.Items) != mostItems || back.Items[0] != it {
+		t.Errorf("%v: %+v", err, back)
+	}
+	for i := range b {
+		b[i] ^= 4
+		if _, err := Decode(fleetName, b); err == nil {
+			t.Errorf("byte %d garbled, and read", i)
+		}
+		b[i] ^= 4
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	x := Limit{Name: "x", RuleSet: "web", Units: 1 << 29, Per: ms, Lease: sec, Strict: true}
+	m := New(Terms{Me: 0, Of: 1, Voters: 1, Life: 1, Limits: []Limit{x}}, 1)
+	now := int64(1)
+	for range 400 {
+		now += TickEvery
+		m.Tick(now)
+	}
+	m.limits[0].hold.line.left.Store(1 << 60)
+	m.limits[0].hold.line.until.Store(1 << 62)
+	book, s := m.Book(), Scope{"web", "acme"}
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			if ok, _ := book.Admit(s, now); !ok {
+				b.Error("denied")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/fleet/lease/timeline_test.go
@@ -0,0 +1,327 @@
+package lease
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"ivybank/rehearse/timeline"
+)
+
+const fleetName = 7
+
+// process is one member in a run: its datagrams as bytes, and what a flawed build or a liar makes of them.
+type process struct {
+	*Member
+	claim int // what it wants, and says that it holds, is multiplied; 0: it is honest
+	flaw  flaw
+	asks  float64 // units of demand
+	due   float64
+	let   int
+	tried int
+}
+
+// flaw is a faulty build, made for the judges to catch.
+type flaw int
+
+const (
+	sound       flaw = iota
+	unfenced         // the owner does not look whether it still is one, nor whom an ask was for
+	fromReceipt      // a lease counts from when its grant came
+	fresh            // what an earlier life holds is forgotten
+)
+
+func (p *process) Heard(from int, body []byte, now int64) {
+	d, err := Decode(fleetName, body)
+	if err != nil || d.From != from {
+		return
+	}
+	for i := range d.Items {
+		it := &d.Items[i]
+		l := p.limits[0]
+		switch {
+		case p.flaw == unfenced && it.Kind == Ask && l.own != nil:
+			it.Term, it.Epoch = l.own.term, p.t.Life
+			p.clock(now)
+			for j := range l.bid.oks {
+				l.bid.oks[j] = now
+			}
+		case p.flaw == fromReceipt && it.Kind == Grant:
+			l.hold.sent = now
+		case p.flaw == fresh && it.Kind == Ask && l.own != nil && l.own.who[from].life < d.Life:
+			l.own.who[from] = holding{}
+		}
+	}
+	p.Member.Heard(&d, now)
+}
+
+func (p *process) Next() (to int, body []byte, ok bool) {
+	to, d, ok := p.Member.Next()
+	for i := range d.Items {
+		if it := &d.Items[i]; it.Kind == Ask && p.claim > 0 {
+			it.Want, it.Use = it.Want*p.claim, it.Use*p.claim
+		}
+	}
+	if ok {
+		body, _ = Encode(fleetName, &d)
+	}
+	return to, body, ok
+}
+
+// world is a fleet with one limit, and the judges: what may be in use at each moment, and what the stand-ins
+// count.
+type world struct {
+	*timeline.World
+	limit Limit
+	flaw  flaw
+	drift int64
+	procs []*process
+	runs  [][]run // Flight, by place: reqs at servers, emptied as they end
+
+	runFor   int64
+	level    float64 // of a bucket with the limit's rate and size: below 0 the stand-ins saw too much
+	seen     int64
+	lowered  int64 // until then leases of a higher limit may be out
+	was      int
+	most     int // units in force, and by how many the bound was passed
+	over     int
+	admitted int
+}
+
+type run struct {
+	p    *process
+	end  int64
+	done bool // at the server; its proxy does not know yet
+}
+
+func newWorld(w *timeline.World, limit Limit, drift int64, f flaw) *world {
+	n := len(w.Names)
+	return &world{World: w, limit: limit, drift: drift, flaw: f, procs: make([]*process, n),
+		runs: make([][]run, n), level: float64(limit.Units), runFor: 300 * ms}
+}
+
+func (w *world) Start(place int, life uint64, now int64) timeline.Node {
+	p := &process{flaw: w.flaw}
+	if old := w.procs[place]; old != nil {
+		p.asks, p.claim, p.let, p.tried = old.asks, old.claim, old.let, old.tried
+	}
+	of := len(w.Names)
+	p.Member = New(Terms{Me: place, Of: of, Voters: min(3, of), Life: life, Seed: 1, Drift: w.drift,
+		Limits: []Limit{w.limit}}, now)
+	w.procs[place] = p
+	return p
+}
+
+func (w *world) Do(place int, verb string, args []string) error {
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	if verb == "runs" { // ms
+		w.runFor = int64(n) * ms
+		return nil
+	}
+	for i, p := range w.procs {
+		if place >= 0 && i != place {
+			continue
+		}
+		switch verb {
+		case "ask":
+			p.asks = float64(n)
+		case "claim":
+			p.claim = n
+		case "limit":
+			if p.Member.limits[0].Units > n {
+				w.was, w.lowered = w.limit.Units, w.Now+p.lasts(w.limit.Lease)
+			}
+			x := w.limit
+			x.Units = n
+			p.Member.Limits([]Limit{x}, w.Clock(i))
+		default:
+			return errors.New("no such verb")
+		}
+	}
+	if verb == "limit" {
+		w.limit.Units = n
+	}
+	return nil
+}
+
+// force is what may be in use in a place now.
+func (w *world) force(place int) int {
+	p, now := w.procs[place], w.Clock(place)
+	l := p.limits[0]
+	x := l.hold.line
+	fresh := now - p.tick.Load()
+	n := 0
+	if w.Node(place) != nil && fresh >= 0 && fresh <= stale && now < x.until.Load() {
+		n = int(x.units.Load())
+	}
+	if l.Kind == Flight {
+		at := 0
+		for _, r := range w.runs[place] {
+			if !r.done {
+				at++
+			}
+		}
+		n = max(n, at)
+	}
+	return n
+}
+
+func (w *world) sum() (n int) {
+	for i := range w.procs {
+		n += w.force(i)
+	}
+	return n
+}
+
+// bound is how much may be in force now.
+func (w *world) bound() int {
+	n := w.limit.Units
+	if w.Now < w.lowered {
+		n = max(n, w.was)
+	}
+	return n + w.limit.Over(len(w.Names))
+}
+
+// Live has clients ask, and judges.
+func (w *world) Live() error {
+	rate := float64(w.limit.Units) / float64(max(1, w.limit.Per))
+	w.level = min(float64(w.limit.Units), w.level+rate*float64(w.Now-w.seen))
+	for i, p := range w.procs {
+		for j := range w.runs[i] {
+			r := &w.runs[i][j]
+			if r.done = w.Now >= r.end; r.done && !(w.Stopped(i) && r.p == p) {
+				r.p.Book().Done(Scope{})
+				r.p = nil
+			}
+		}
+		w.runs[i] = slices.DeleteFunc(w.runs[i], func(r run) bool { return r.p == nil })
+		if w.Node(i) == nil || w.Stopped(i) {
+			continue
+		}
+		if w.limit.Kind == Flight {
+			if n := p.asks - float64(len(w.runs[i])); n > 0 && w.Now/ms%10 == 0 {
+				p.due = n
+			}
+		} else {
+			p.due += p.asks * float64(w.Now-w.seen) / float64(w.limit.Per)
+		}
+		for ; p.due >= 1; p.due-- {
+			p.tried++
+			if ok, _ := p.Book().Admit(Scope{}, w.Clock(i)); ok {
+				p.let++
+				w.admitted++
+				w.level--
+				if w.limit.Kind == Flight {
+					w.runs[i] = append(w.runs[i], run{p: p, end: w.Now + w.runFor})
+				}
+			}
+		}
+	}
+	w.seen = w.Now
+	sum := w.sum()
+	w.most = max(w.most, sum)
+	if over := sum - w.bound(); over > 0 {
+		w.over = max(w.over, over)
+		return fmt.Errorf("%d in force of %d", sum, w.bound())
+	}
+	// The stand-ins' own count; a limit that was just lowered and one that is bounded have more in force by
+	// their word.
+	if w.limit.Kind == Rate && w.limit.Strict && w.Now >= w.lowered && w.lowered == 0 && w.level < -1e-6 {
+		return fmt.Errorf("%.2f reqs too many at the servers", -w.level)
+	}
+	return nil
+}
+
+func (w *world) See(place int, what string) (string, error) {
+	if place < 0 {
+		switch what {
+		case "sum":
+			return fmt.Sprintf("sum %d of %d", w.sum(), w.limit.Units), nil
+		case "most":
+			return fmt.Sprintf("most %d, bound %d", w.most, w.bound()), nil
+		case "let":
+			n := w.admitted
+			w.admitted = 0
+			return fmt.Sprintf("let %d", n), nil
+		}
+		return "", errors.New("nothing to be seen")
+	}
+	p, l := w.procs[place], w.procs[place].limits[0]
+	switch what {
+	case "has":
+		return fmt.Sprintf("has %d", w.force(place)), nil
+	case "owner":
+		if l.hold.owner < 0 {
+			return "owner none", nil
+		}
+		return "owner " + w.Names[l.hold.owner], nil
+	case "owns":
+		return fmt.Sprintf("owns %v", p.owns(l, w.Clock(place))), nil
+	case "served":
+		let, tried := p.let, p.tried
+		p.let, p.tried = 0, 0
+		switch {
+		case tried == 0:
+			return "nothing asked", nil
+		case let == 0:
+			return "denied", nil
+		case let == tried:
+			return "served", nil
+		}
+		return "served in part", nil
+	}
+	return "", errors.New("nothing to be seen")
+}
+
+// A line in a file names the limit: play units=9 strict; or floor=1; kind=flight; per=250 (ms); lease=2000
+// (ms); drift=100; seed=1.
+func TestTimelines(t *testing.T) {
+	datadriven.Walk(t, "testdata/timelines", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			x, drift, seed := terms(t, d)
+			r := timeline.Play(d.Input, seed, func(w *timeline.World) timeline.Cluster {
+				return newWorld(w, x, drift, sound)
+			})
+			if r.Err != nil && !strings.Contains(r.Drawn, "! ") {
+				t.Fatal(r.Err)
+			}
+			if r.Err != nil {
+				t.Errorf("%s: %v\n%s", d.Pos, r.Err, r.Drawn)
+			}
+			if r.Drawn != d.Expected && !d.Rewrite {
+				t.Errorf("%s\n%s", d.Pos, timeline.Beside(r.Drawn, d.Expected))
+			}
+			return r.Drawn
+		})
+	})
+}
+
+func terms(t *testing.T, d *datadriven.TestData) (x Limit, drift int64, seed uint64) {
+	num := func(key string, or int64) int64 {
+		for _, a := range d.CmdArgs {
+			if a.Key == key && len(a.Vals) == 1 {
+				n, err := strconv.ParseInt(a.Vals[0], 10, 64)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return n
+			}
+		}
+		return or
+	}
+	x = Limit{Name: "one", Units: int(num("units", 9)), Per: num("per", 250) * ms, Strict: d.HasArg("strict"),
+		Lease: num("lease", 2000) * ms,
+		Floor: int(num("floor", 0)), Linger: num("linger", 1000) * ms}
+	if d.HasArg("flight") {
+		x.Kind, x.Per = Flight, 0
+	}
+	return x, num("drift", 100), uint64(num("seed", 1))
+}
--- /dev/null
+++ b/rehearse/timeline/timeline_test.go
@@ -0,0 +1,157 @@
+package timeline
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// gossip is a core that tells its number to all, each tick, and keeps the highest that it has heard of each.
+type gossip struct {
+	me, of int
+	ticks  int
+	heard  []int
+	todo   []int
+}
+
+func (g *gossip) Tick(int64) {
+	g.ticks++
+	for i := range g.of {
+		g.todo = append(g.todo, i)
+	}
+}
+
+func (g *gossip) Heard(from int, _ []byte, _ int64) { g.heard[from]++ }
+
+func (g *gossip) Next() (int, []byte, bool) {
+	if len(g.todo) == 0 {
+		return 0, nil, false
+	}
+	to := g.todo[0]
+	g.todo = g.todo[1:]
+	return to, []byte{1, 2, 3}, true
+}
+
+type chat struct {
+	*World
+	most int // ticks after which it does not hold
+}
+
+func (c *chat) Start(place int, _ uint64, _ int64) Node {
+	return &gossip{me: place, of: len(c.Names), heard: make([]int, len(c.Names))}
+}
+
+func (c *chat) Do(int, string, []string) error { return errors.New("no such verb") }
+
+func (c *chat) Live() error {
+	for i := range c.Names {
+		if g, ok := c.Node(i).(*gossip); ok && c.most > 0 && g.ticks > c.most {
+			return fmt.Errorf("%s ticked %d times", c.Names[i], g.ticks)
+		}
+	}
+	return nil
+}
+
+func (c *chat) See(place int, what string) (string, error) {
+	if place < 0 || what != "heard" {
+		return "", errors.New("nothing to be seen")
+	}
+	g, ok := c.Node(place).(*gossip)
+	if !ok {
+		return "dead", nil
+	}
+	said := "heard"
+	for i, n := range g.heard {
+		if n > 0 {
+			said += " " + c.Names[i]
+		}
+	}
+	clear(g.heard)
+	return said, nil
+}
+
+func play(text string, most int) Report {
+	return Play(text, 1, func(w *World) Cluster { return &chat{w, most} })
+}
+
+// Ways are cut as they are drawn, the dead and the stopped say nothing, and the run comes back as it was.
+func TestPlay(t *testing.T) {
+	got := play(`
+at    rig       a         b       c
+100ms  .         heard?    heard?  heard?
+100ms  cut a|bc  .         .       .
+150ms  .         heard?    heard?  heard?
+300ms  heal      heard?    heard?  heard?
+300ms  a-x->c    .         .       .
+350ms  .         heard?    heard?  heard?
+400ms  .         heard?    kill    heard?
+450ms  .         heard?    heard?  heard?
+600ms  .         heard?; stop  back  heard?
+650ms  .         heard?    heard?  heard?
+900ms  .         wake; heard?   heard?  heard?
+`, 0)
+	want := `at     rig       a                    b          c
+100ms  .         heard b c            heard a c  heard a b
+100ms  cut a|bc  .                    .          .
+150ms  .         heard                heard c    heard b
+300ms  heal      heard                heard c    heard b
+300ms  a-x->c    .                    .          .
+350ms  .         heard b c            heard a c  heard b
+400ms  .         heard b c            kill       heard b
+450ms  .         heard c              dead       heard
+600ms  .         heard c; stop        back       heard
+650ms  .         heard                heard c    heard b
+900ms  .         wake; heard b c      heard c    heard b
+`
+	if got.Err != nil || cmp.Diff(squeeze(want), squeeze(got.Drawn)) != "" {
+		t.Errorf("%v\n%s", got.Err, Beside(got.Drawn, want))
+	}
+}
+
+func squeeze(s string) []string {
+	var all []string
+	for _, l := range strings.Split(strings.TrimSpace(s), "\n") {
+		all = append(all, strings.Join(strings.Fields(l), " "))
+	}
+	return all
+}
+
+// What does not hold is drawn as the run's last row; what is no run is told with its line.
+func TestFaultsAreTold(t *testing.T) {
+	for text, want := range map[string]string{
+		"":                               "an empty run",
+		"at  a  b":                       "line 1: expected at, rig and the nodes' names",
+		"at  rig  a\n1s  .":              "line 2: 2 cells, expected 3",
+		"at  rig  a\nsoon  .  .":         `line 2: "soon": no time`,
+		"at  rig  a\n2s  .  .\n1s  .  .": `line 3: "1s": no time, or earlier`,
+		"at  rig  a\n1s  .  dance":       `line 2: "dance": no such verb`,
+		"at  rig  a\n1s  cut a|x  .":     "no node a or x",
+		"at  rig  a\n3s  .  .":           "a ticked 101 times",
+	} {
+		r := play(text, 100)
+		if r.Err == nil || !strings.Contains(r.Err.Error(), want) {
+			t.Errorf("%q: %v, want %s", text, r.Err, want)
+		}
+	}
+	r := play("at  rig  a\n3s  .  .", 100)
+	if !strings.Contains(r.Drawn, "! a ticked 101 times") {
+		t.Errorf("not drawn:\n%s", r.Drawn)
+	}
+	s := Beside("x  1\nsame", "x  2\nsame")
+	if !strings.Contains(s, "*  x  1") || strings.Count(s, "*") != 1 {
+		t.Errorf("not marked:\n%s", s)
+	}
+}
+
+// Datagrams are lost, doubled and late as drawn, and the same run is the same again.
+func TestSameAgain(t *testing.T) {
+	text := "at  rig  a  b\n" +
+		"0s  loss 0.5; double 0.5; late 0.5; garble 0.2  rate 100  clock 90s\n3s  .  heard?  heard?\n"
+	one := play(text, 0)
+	if two := play(text, 0); one.Err != nil || one.Drawn != two.Drawn {
+		t.Errorf("%v\n%s", one.Err, Beside(one.Drawn, two.Drawn))
+	}
+}
