--- a/cmd/ivybank/lab.go
+++ b/cmd/ivybank/lab.go
@@ -61,8 +61,14 @@
 		_, err = lab.Load(path)
 		return "experiment", err
 	case conf.OperatorFormat, "":
-		_, err = conf.LoadOperator(path)
-		return "operator file", err
+		o, err := conf.LoadOperator(path)
+		kind := "operator file"
+		if err == nil && o.Fleet != nil && o.Fleet.Limits != nil {
+			for _, l := range o.Fleet.Limits.Each {
+				kind += "\n" + l.Bound(len(o.Fleet.Peers))
+			}
+		}
+		return kind, err
 	default:
 		return "", fmt.Errorf("%s: format %q is not known: expected %q or %q", path, format, conf.OperatorFormat, lab.Format)
 	}
--- /dev/null
+++ b/cmd/ivybank/limits_test.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"ivybank/conf"
+	"ivybank/fleet/lease"
+	"ivybank/rehearse/lab"
+)
+
+// limiting is what proxies are set to that keep one limit together.
+const limiting = `format = "ivybank/operator/1"
+[fleet]
+name = "rehearsal"
+datagrams_per_second = 24.0
+ack_wait = "300ms"
+quiet = "2300ms"
+`
+
+const oneLimit = `[fleet.limits]
+voters = 3
+drift = 200
+[[fleet.limits.limit]]
+name = "filings"
+ruleset = "filing"
+kind = "rate"
+amount = 24.0
+burst = "250ms"
+mode = "MODE"
+floor = FLOOR
+lease = "2s"
+`
+
+func limitOf(t *testing.T, text string) (path string, l conf.Limit) {
+	t.Helper()
+	path = write(t, t.TempDir(), "o.toml", text)
+	o, err := conf.LoadOperator(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path, o.Fleet.Limits.Each[0]
+}
+
+// limitsAt is what a proxy tells of the fleet's limits at its door.
+func limitsAt(r *lab.Rehearsal, proxy int) []lease.Status {
+	var v struct{ Limits []lease.Status }
+	text, err := knockAt(http.MethodGet, r.Door(proxy), "/fleet", nil)
+	if err != nil || json.Unmarshal(text, &v) != nil {
+		return nil
+	}
+	return v.Limits
+}
+
+// A file's bound is printed beforehand, and a limit that nobody could keep is refused.
+func TestLimitCheck(t *testing.T) {
+	path, _ := limitOf(t, limiting+strings.NewReplacer("MODE", "bounded", "FLOOR", "4.0").Replace(oneLimit))
+	out, err := exec.Command(binary, "check", path).CombinedOutput()
+	want := "limit filings: 24 a second, 6 at once, over by 4 at most for each member but one"
+	if err != nil || !strings.Contains(string(out), want) {
+		t.Errorf("%v: %s", err, out)
+	}
+	one, d := newHost(t, saying(text(200, "", "one"), true)), newRegistry(t)
+	p := prepare(t, d.addr, 1024, entry("s-1", one.Addr().String(), "ready"))
+	p.args = []string{"serve", "--operator", path}
+	if out, code := p.fails(t); code != 2 || !strings.Contains(out, "fleet.limits: no peers are named") {
+		t.Errorf("exit %d: %s", code, out)
+	}
+}
+
+// leased waits until all of some proxies hold a unit.
+func leased(t *testing.T, r *lab.Rehearsal, proxies ...int) {
+	t.Helper()
+	for _, i := range proxies {
+		eventually(t, "a proxy holds a lease", func() bool {
+			l := limitsAt(r, i)
+			return len(l) == 1 && l[0].Holds > 0
+		})
+	}
+}
+
+// apart has one of three cut off from the third second to the ninth.
+const apart = "[[fault]]\nkind = \"split\"\nat = \"3s\"\nfor = \"6s\"\nproxies = [0]\n"
+
+// Three processes keep a limit together that is asked for twice over, while one is cut off from the others:
+// the stand-ins never see more than it, what is cut off denies or falls to its floor once its lease is over,
+// and the others use the rest. Without the limit the same judge finds it passed.
+func TestLimit(t *testing.T) {
+	for _, c := range []struct {
+		name, mode, floor string
+		check             func(t *testing.T, r *lab.Rehearsal, l conf.Limit, o lab.OverLimit)
+	}{
+		{"strict", "strict", "0.0", func(t *testing.T, r *lab.Rehearsal, l conf.Limit, o lab.OverLimit) {
+			if o.Over > 0 {
+				t.Errorf("over by %.1f reqs: let in by seconds %v", o.Over, o.Seconds)
+			}
+			if n := r.Arrivals(0, "filing", 5500*time.Millisecond, 9*time.Second); n > 0 {
+				t.Errorf("the one cut off let in %d after its lease", n)
+			}
+		}},
+		{"bounded", "bounded", "4.0", func(t *testing.T, r *lab.Rehearsal, l conf.Limit, o lab.OverLimit) {
+			if o.Breach > 0 {
+				t.Errorf("over by %.1f reqs more than its floors: let in by seconds %v", o.Breach, o.Seconds)
+			}
+			if n := r.Arrivals(0, "filing", 5500*time.Millisecond, 9*time.Second); n < 6 || n > 17 {
+				t.Errorf("the one cut off let in %d in 3.5 s by a floor of 4 a second", n)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			path, l := limitOf(t, limiting+strings.NewReplacer("MODE", c.mode, "FLOOR", c.floor).Replace(oneLimit))
+			r := rehearseWith(t, 3, "14s", path, 90, "", apart)
+			together(t, r, 3, 0, 1, 2)
+			leased(t, r, 0, 1, 2)
+			f, err := r.Play()
+			if err != nil {
+				t.Fatal(err)
+			}
+			o := r.Limit(l)
+			t.Logf("over by %.1f reqs, bound %.1f a second; let in by seconds %v", o.Over, o.Bound, o.Seconds)
+			c.check(t, r, l, o)
+			if f.Breaches != [5]int{} || f.Crashes > 0 {
+				t.Errorf("breaches %v, %d crashes: %v", f.Breaches, f.Crashes, f.Notes)
+			}
+			others := r.Arrivals(1, "filing", 5*time.Second, 9*time.Second) +
+				r.Arrivals(2, "filing", 5*time.Second, 9*time.Second)
+			if others < 20 {
+				t.Errorf("those not cut off let in %d in 4 s of %.0f a second", others, l.Amount)
+			}
+		})
+	}
+	t.Run("without", func(t *testing.T) {
+		t.Parallel()
+		_, l := limitOf(t, limiting+strings.NewReplacer("MODE", "strict", "FLOOR", "0.0").Replace(oneLimit))
+		r := rehearseWith(t, 3, "5s", write(t, t.TempDir(), "o.toml", limiting), 90, "", "")
+		together(t, r, 3, 0, 1, 2)
+		if _, err := r.Play(); err != nil {
+			t.Fatal(err)
+		}
+		if o := r.Limit(l); o.Over < 10 {
+			t.Errorf("over by %.1f with no limit: the judge sees nothing", o.Over)
+		}
+	})
+}
--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return o, s, err
 	}
-	if s.Fleet, err = fleetOf(op, o); err != nil {
+	if s.Fleet, err = fleetOf(op, o, s.LongestTimeout); err != nil {
 		return o, s, fmt.Errorf("%s: %w", path, err)
 	}
 	if o.operator = op; op != nil {
@@ -215,8 +215,9 @@
 }
 
 // fleetOf is what an operator file sets on peers, at the addresses that it or the platform's configuration names; nil where neither
-// does, or the settings let proxies not tell one another anything.
-func fleetOf(op *conf.Operator, o orders) (*proxy.Fleet, error) {
+// does, or the settings let proxies not tell one another anything. A limit of the fleet is an error then: nobody
+// would keep it. A req may run for longest ns.
+func fleetOf(op *conf.Operator, o orders, longest int64) (*proxy.Fleet, error) {
 	if op == nil || op.Fleet == nil {
 		return nil, nil
 	}
@@ -229,6 +230,9 @@
 	addrs, me := x.Peers, x.Me
 	if len(addrs) == 0 {
 		if len(o.Peers) == 0 || o.Peer == "" || v.At["Ceilings.MayTell"] != "" && !v.Bool("Ceilings.MayTell") {
+			if x.Limits != nil {
+				return nil, errors.New("fleet.limits: no peers are named, or they may not be told anything")
+			}
 			return nil, nil
 		}
 		f.Listen, addrs, me = o.Peer, o.Peers, int(v.Int("Me"))
@@ -245,6 +249,12 @@
 	}
 	f.Terms = x.Terms(me, len(addrs), v.At["Ceilings.Probes"] == "" || v.Bool("Ceilings.Probes"))
 	f.Terms.Learn = op.Learning()
+	if l := x.Limits; l != nil {
+		if l.Voters > len(addrs) {
+			return nil, fmt.Errorf("fleet.limits.voters: %d of %d peers", l.Voters, len(addrs))
+		}
+		f.Limits, f.Voters, f.Drift = l.Terms(longest), l.Voters, l.Drift
+	}
 	if s := x.Probes; s != nil {
 		f.ProbePath, f.ProbeTimeout = s.Path, int64(s.Timeout)
 	}
--- a/conf/fleet.go
+++ b/conf/fleet.go
@@ -31,6 +31,7 @@
 		Timeout Duration `toml:"timeout"`
 		Path    string   `toml:"path"`
 	} `toml:"probes"`
+	Limits *Limits `toml:"limits"`
 }
 
 // Terms is what it says to the member at a place among so many; probes where the settings allow them.
--- a/conf/operator.go
+++ b/conf/operator.go
@@ -66,7 +66,13 @@
 	if err := o.checkMaintenance(f); err != nil {
 		return nil, err
 	}
-	return o, o.checkFleet(f)
+	if err := o.checkFleet(f); err != nil {
+		return nil, err
+	}
+	if err := o.checkLimits(f); err != nil {
+		return nil, err
+	}
+	return o, nil
 }
 
 func (o *Operator) checkKeys(f *File) error {
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"ivybank/balance"
+	"ivybank/fleet/lease"
 	"ivybank/keys/once"
 	"ivybank/proxy/http1"
 )
@@ -24,11 +25,12 @@
 	dispatches []*dispatch
 	outs       int
 	ended      bool
-	flow       *flow     // its body, where that comes in pieces
-	relay      *hostConn // whose answer is being passed on
-	key        *once.Key // of a keyed req, which has no client of its own
-	luck       float64   // what stays the same over a client's retries, as a number; 0 where no peers are heard
-	shed       bool      // the fleet denies it
+	flow       *flow       // its body, where that comes in pieces
+	relay      *hostConn   // whose answer is being passed on
+	key        *once.Key   // of a keyed req, which has no client of its own
+	luck       float64     // what stays the same over a client's retries, as a number; 0 where no peers are heard
+	shed       bool        // the fleet denies it
+	book       *lease.Book // by which it was let in; nil where there are no limits of the fleet
 }
 
 // admit is the second stage. What no host could use goes no further: a host that turns it away, or closes on
@@ -74,7 +76,9 @@
 	p.reqs[r.id] = r
 	p.count.Taken++
 	var back int64
-	r.shed, back = p.sheds(r, now)
+	if r.shed, back = p.sheds(r, now); !r.shed {
+		r.shed, back = p.limited(r)
+	}
 	p.module.Req(balance.Arrival{ID: r.id, RuleSet: r.call.RuleSet, Tenant: r.call.Tenant, Key: r.call.Key,
 		Budget: max(1, budget), Work: r.call.Work, Open: r.flow != nil && !r.flow.whole, Shed: r.shed, Back: back}, now)
 }
@@ -104,6 +108,7 @@
 
 func (p *Proxy) forget(r *req) {
 	if r.ended && r.outs == 0 {
+		r.unlimit()
 		delete(p.reqs, r.id)
 		delete(p.ids, r.call.ID)
 	}
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -77,6 +77,7 @@
 		}
 	}
 	if now-p.drain.quietFrom >= linger || now >= latest {
+		p.leaveLimits(now)
 		p.done = true
 		return
 	}
--- a/proxy/loop.go
+++ b/proxy/loop.go
@@ -77,6 +77,7 @@
 	peers     *peers          // nil: none are heard
 	comeback  *comeback       // nil: it is not set
 	works     *works          // nil: no plans are taken part in
+	limits    *limits         // nil: none hold for the fleet
 	deaf      bool            // they are to be, but their address is taken
 	terms     *balance.Terms  // replaced whole, never changed
 	sockets   int             // descriptors that this process may hold now
@@ -209,6 +210,7 @@
 	if p.start.Holds != nil {
 		go p.follow()
 	}
+	p.relimit(p.start.Fleet, p.now())
 	p.openPeers(p.lifeBefore(), p.now())
 	p.subscribe(p.now())
 	if p.comeback != nil {
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -19,6 +19,7 @@
 
 	"ivybank/balance"
 	"ivybank/fleet"
+	"ivybank/fleet/lease"
 	"ivybank/fleet/peer"
 	"ivybank/fleet/swim"
 	"ivybank/proxy/door"
@@ -38,6 +39,9 @@
 	Terms        fleet.Terms      // its rule sets, tenants and start are filled in here
 	ProbePath    string
 	ProbeTimeout int64
+	Limits       []lease.Limit // of the whole fleet
+	Voters       int           // the first so many places settle who owns a limit
+	Drift        int64         // millionths by which a clock may run too fast or too slow
 }
 
 // peers is the owner's side of them.
@@ -102,9 +106,11 @@
 
 // refleet takes new terms of the fleet's part. Where they differ, or what a cut goes by does, it begins anew.
 func (p *Proxy) refleet(x *Fleet, now int64) {
+	p.relimit(x, now)
 	least := uint64(0)
 	if q := p.peers; q != nil {
-		if x != nil && reflect.DeepEqual(q.Fleet, *x) && q.fleet.Same(p.terms.RuleSets, p.terms.Tenants, p.terms.MaxAdvice) {
+		if x != nil && reflect.DeepEqual(q.Fleet.but(x), *x) &&
+			q.fleet.Same(p.terms.RuleSets, p.terms.Tenants, p.terms.MaxAdvice) {
 			return
 		}
 		if x == nil {
@@ -136,8 +142,13 @@
 			if err != nil || !ok {
 				break
 			}
+			place := slices.Index(q.Peers, netip.AddrPortFrom(netip.AddrFrom4(at.Addr), uint16(at.Port)))
+			if n > 0 && b[0] == lease.Version && place >= 0 {
+				p.hearLimits(q, place, b[:n], now)
+				continue
+			}
 			d, err := peer.Decode(q.name, b[:n])
-			switch place := slices.Index(q.Peers, netip.AddrPortFrom(netip.AddrFrom4(at.Addr), uint16(at.Port))); {
+			switch {
 			case place < 0, err == nil && d.From != place:
 				q.drops.Address++
 			case err != nil:
@@ -310,7 +321,9 @@
 	d := &q.drops
 	return asJSON(struct {
 		fleet.Status
+		Limits  []lease.Status   `json:"limits,omitempty"`
 		Dropped map[string]int64 `json:"dropped"`
-	}{q.fleet.Status(now), map[string]int64{"address": d.Address, "short": d.Short, "garbled": d.Garbled, "version": d.Version,
+	}{q.fleet.Status(now), p.limitsStatus(now), map[string]int64{
+		"address": d.Address, "short": d.Short, "garbled": d.Garbled, "version": d.Version,
 		"fleet": d.Fleet, "form": d.Form, "unsent": d.Unsent}})
 }
--- a/rehearse/lab/run.go
+++ b/rehearse/lab/run.go
@@ -306,6 +306,9 @@
 	if o.Fleet == nil {
 		return nil, nil
 	}
+	if o.Fleet.Limits != nil {
+		return nil, fmt.Errorf("%s: fleet.limits: played in mode processes alone", v.Operator)
+	}
 	return s.Meet(seed, func(me, of int) fleet.Terms {
 		t := o.Fleet.Terms(me, of, true)
 		t.Learn = o.Learning()
--- a/rehearse/lab/sockets.go
+++ b/rehearse/lab/sockets.go
@@ -59,6 +59,7 @@
 type met struct {
 	sends  int             // dispatches
 	reqs   map[string]bool // ids that came; emptied with the run
+	firsts []Arrival       // the first dispatch of each of them
 	probes map[string]int  // by server
 	to     []arrivals      // dispatches by proxy, and server
 	calls  arrivals        // at discovery, all in one
--- a/rehearse/lab/standins.go
+++ b/rehearse/lab/standins.go
@@ -138,6 +138,10 @@
 			r.fleet.Judge.Sent(proxy, s.ID, id)
 			r.met.sends++
 			r.met.to[proxy][s.ID] = append(r.met.to[proxy][s.ID], sent)
+			if !r.met.reqs[id] {
+				r.met.firsts = append(r.met.firsts,
+					Arrival{sent, proxy, q.Header.Get("Request-Class"), q.Header.Get("Tenant")})
+			}
 			r.met.reqs[id] = true
 			if _, arrives := r.fleet.Way(r.e.zone(proxy), s); arrives {
 				s.Offer(job)
