--- a/cmd/ivybank/main.go
+++ b/cmd/ivybank/main.go
@@ -254,6 +254,11 @@
 			return nil, fmt.Errorf("fleet.limits.voters: %d of %d peers", l.Voters, len(addrs))
 		}
 		f.Limits, f.Voters, f.Drift = l.Terms(longest), l.Voters, l.Drift
+		for _, one := range f.Limits {
+			if !one.Fits(len(addrs)) {
+				return nil, fmt.Errorf("fleet.limits: %s: the lease is too short for %d members", one.Name, len(addrs))
+			}
+		}
 	}
 	if s := x.Probes; s != nil {
 		f.ProbePath, f.ProbeTimeout = s.Path, int64(s.Timeout)
--- a/fleet/lease/holder.go
+++ b/fleet/lease/holder.go
@@ -5,10 +5,11 @@
 // less than it may use.
 
 const (
-	renewals = 8   // asks in a lease's time
-	hurry    = 20  // the same while what is wanted changes
-	patient  = 2   // asks without an answer after which others are asked who owns
-	room     = 1.2 // what is wanted beyond what was asked for
+	renewals = 8      // asks in a lease's time
+	hurry    = 20     // the same while what is wanted changes
+	apart    = 5 * ms // for each member, between the asks of one: an owner answers 200 a second at the most, in calm
+	patient  = 2      // asks without an answer after which others are asked who owns
+	room     = 1.2    // what is wanted beyond what was asked for
 )
 
 // holder is one limit's here.
@@ -41,9 +42,9 @@
 	if h.gone {
 		return
 	}
-	every := l.Lease / renewals
+	every := max(l.Lease/renewals, int64(m.t.Of)*apart)
 	if h.want > h.asked || h.asked > 2*h.want || h.silent >= patient {
-		every = l.Lease / hurry
+		every = max(l.Lease/hurry, int64(m.t.Of)*apart/3)
 	}
 	if h.soon || m.sure-h.at >= every {
 		m.ask(l, now)
--- a/fleet/lease/lease.go
+++ b/fleet/lease/lease.go
@@ -66,6 +66,9 @@
 	return (members - 1) * l.Floor
 }
 
+// Fits says whether a lease is long enough to be renewed in time in a fleet of so many members.
+func (l *Limit) Fits(members int) bool { return l.Lease >= 3*int64(members)*apart }
+
 // authority is how long a majority's promises last.
 func (l *Limit) authority() int64 { return l.Lease / 3 }
 
@@ -100,6 +103,7 @@
 type limit struct {
 	Limit
 	id   uint32
+	rank []int64 // by voter; the lowest stands first, so that limits spread over the voters
 	vote vote
 	bid  bid
 	own  *owner // nil: another owns, or none
@@ -131,8 +135,9 @@
 			l.Limit = x
 		} else {
 			l.vote.mute = m.sure + m.lasts(l.authority())
-			l.bid.next = l.vote.mute + m.rank(l)*standApart
-			l.hold = holder{owner: -1, line: newLine(&x)}
+			l.rank = ranks(x.Name, m.t.Voters)
+			l.bid.next = l.vote.mute + m.late(l)
+			l.hold = holder{owner: -1, end: never, line: newLine(&x)}
 		}
 		m.limits = append(m.limits, l)
 	}
@@ -143,16 +148,26 @@
 // this one's; with room for one jump that is taken for time.
 func (m *Member) lasts(d int64) int64 { return d + d*m.t.Drift*3/1e6 + stall }
 
-// rank is this member's place among those that would own a limit; the lowest stands first, so that limits
-// spread over the voters.
-func (m *Member) rank(l *limit) (n int64) {
-	mine := draw.Hash(strconv.Itoa(m.t.Me), l.Name)
-	for i := range m.t.Voters {
-		if x := draw.Hash(strconv.Itoa(i), l.Name); x < mine || x == mine && i < m.t.Me {
-			n++
+// ranks orders the voters by a hash of theirs and the limit's.
+func ranks(name string, voters int) []int64 {
+	all := make([]int64, voters)
+	for i := range all {
+		mine := draw.Hash(strconv.Itoa(i), name)
+		for j := range voters {
+			if x := draw.Hash(strconv.Itoa(j), name); x < mine || x == mine && j < i {
+				all[i]++
+			}
 		}
 	}
-	return n
+	return all
+}
+
+// late is by how much this member waits for those that stand before it.
+func (m *Member) late(l *limit) int64 {
+	if m.t.Me >= m.t.Voters {
+		return 0
+	}
+	return l.rank[m.t.Me] * standApart
 }
 
 // clock lets time pass. A clock that was set back voids all that is held here by it.
@@ -166,7 +181,7 @@
 	for _, l := range m.limits {
 		l.hold.paused = true
 		if d < 0 {
-			l.hold.end = 0
+			l.hold.end = never
 			m.resign(l)
 		}
 	}
--- a/fleet/lease/owner.go
+++ b/fleet/lease/owner.go
@@ -7,8 +7,9 @@
 import "slices"
 
 const (
-	criesMost = 16 // members that are told at once who owns
-	turns     = 4  // reqs of one unit in a turn at least: one is lost as it begins with none
+	criesMost = 16          // members that are told at once who owns
+	workApart = int64(50e3) // ns for each member, between times that their parts are worked out
+	turns     = 4           // reqs of one unit in a turn at least: one is lost as it begins with none
 )
 
 // owner is one ownership's. Its tables have a place for each member and go with it.
@@ -18,7 +19,9 @@
 	pool  int   // units that were told of as held: before ready no others may be granted
 	told  int   // members that have said all that their place may hold
 	who   []holding
-	cried int // members that were told who owns
+	cried int   // members that were told who owns
+	parts []int // by member, as they were worked out
+	at    int64 // by sure: then
 }
 
 // holding is one member's.
@@ -95,6 +98,7 @@
 	}
 	out := o.out(m.sure)
 	if life != h.life {
+		o.parts = nil
 		if h.use > 0 { // it died, or so it says: what it held counts to its end
 			h.ghosts = append(h.ghosts, ghost{h.use, h.end})
 		}
@@ -118,15 +122,18 @@
 		all = min(all, o.pool)
 	}
 	h.count, h.want, h.heard = it.Count, min(it.Want, l.Units), m.sure
-	n := min(m.share(l, from), kept+max(0, all-out))
+	if o.parts == nil || m.sure-o.at >= int64(m.t.Of)*workApart {
+		o.parts, o.at = m.shares(l), m.sure
+	}
+	n := min(o.parts[from], kept+max(0, all-out))
 	h.use, h.end = max(kept, n), m.sure+m.lasts(l.Lease)+m.linger(l)
 	m.post(from, l, Item{Kind: Grant, Term: o.term, Epoch: m.t.Life, Count: it.Count, Use: n})
 }
 
-// share is a member's part: max-min fair by weight in whole units. What is left over goes round by turns, one
+// shares are the members' parts: max-min fair by weight in whole units. What is left over goes round by turns, one
 // lease each; what nobody wants goes one unit each to those that want nothing now, so that their next req
 // finds one.
-func (m *Member) share(l *limit, who int) int {
+func (m *Member) shares(l *limit) []int {
 	type part struct{ who, want, weight, got int }
 	var wants []part
 	o, left := l.own, l.Units
@@ -174,10 +181,9 @@
 			}
 		}
 	}
+	parts := make([]int, len(o.who))
 	for _, p := range wants {
-		if p.who == who {
-			return p.got
-		}
+		parts[p.who] = p.got
 	}
-	return 0
+	return parts
 }
--- a/fleet/lease/vote.go
+++ b/fleet/lease/vote.go
@@ -50,6 +50,13 @@
 		return
 	}
 	if it.Count == 0 {
+		if l.bid.on && from != m.t.Me { // both would: the one of lower rank goes on
+			if l.rank[from] > l.rank[m.t.Me] {
+				m.post(from, l, Item{Kind: Refuse, Term: v.seen})
+				return
+			}
+			m.resign(l)
+		}
 		m.post(from, l, Item{Kind: Vote, Term: it.Term, Epoch: life})
 		return
 	}
@@ -90,7 +97,7 @@
 // until is when this member's authority ends, by the clock.
 func (m *Member) until(l *limit) int64 {
 	if !l.bid.on {
-		return 0
+		return never
 	}
 	at := slices.Sorted(slices.Values(l.bid.oks))
 	if x := at[len(at)-(m.t.Voters/2+1)]; x != never {
@@ -118,7 +125,7 @@
 	case m.sure < v.mute:
 		return
 	case m.sure < v.end: // promised to another
-		b.next = v.end + m.rank(l)*standApart
+		b.next = v.end + m.late(l)
 		return
 	case m.sure < b.next:
 		return
@@ -159,6 +166,6 @@
 		return
 	}
 	l.own, b.on = nil, false
-	b.next = m.sure + (1+m.rank(l))*standApart + int64(m.dice.Next()*float64(2*standApart))
+	b.next = m.sure + standApart + m.late(l) + int64(m.dice.Next()*float64(2*standApart))
 	m.say(l, Item{Kind: Free, Term: b.term})
 }
--- a/rehearse/lab/experiment.go
+++ b/rehearse/lab/experiment.go
@@ -108,6 +108,8 @@
 
 	Maintenance *maintenance `toml:"maintenance"` // nil: nothing is done to servers
 
+	Limits string `toml:"limits"` // processes: an operator file by whose limits all variants are judged
+
 	Variants []Variant `toml:"variant"`
 
 	path string
--- a/rehearse/lab/limits.go
+++ b/rehearse/lab/limits.go
@@ -5,6 +5,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"io"
 	"slices"
 	"time"
 
@@ -21,7 +23,9 @@
 
 // OverLimit is what came of a limit of a rate.
 type OverLimit struct {
+	Name    string
 	Let     int     // reqs
+	Used    float64 // part of the amount, after the warm-up
 	Over    float64 // reqs more than the amount and the burst of any stretch of time
 	Bound   float64 // reqs more than that which the file allows a second, by its floors
 	Breach  float64 // reqs more than with all floors in force all the time
@@ -34,6 +38,7 @@
 
 // JudgeLimit holds arrivals against a limit, in a fleet of so many members; from is when the load began.
 func JudgeLimit(all []Arrival, l conf.Limit, members int, from int64) (x OverLimit) {
+	x.Name = l.Name
 	all = slices.DeleteFunc(slices.Clone(all), func(a Arrival) bool {
 		return l.RuleSet != "" && l.RuleSet != a.RuleSet || l.Tenant != "" && l.Tenant != a.Tenant
 	})
@@ -63,6 +68,60 @@
 	return over
 }
 
+func (x *OverLimit) said() string {
+	return fmt.Sprintf("limit %s: over by %.1f reqs, allowed %.0f a second (past that %.1f); used %.3f; by seconds %v", x.Name,
+		x.Over, x.Bound, x.Breach, x.Used, x.Seconds)
+}
+
+// judgeLimits holds what came to the stand-ins against the limits of the variant's file or, where it has none, of the experiment's.
+func (r *rig) judgeLimits(v Variant) (all []OverLimit, err error) {
+	if r.e.Limits == "" {
+		return nil, nil
+	}
+	o, err := conf.LoadOperator(r.e.beside(cmp.Or(v.Operator, r.e.Limits)))
+	if err == nil && (o.Fleet == nil || o.Fleet.Limits == nil) {
+		o, err = conf.LoadOperator(r.e.beside(r.e.Limits))
+	}
+	if err != nil {
+		return nil, err
+	}
+	if o.Fleet == nil || o.Fleet.Limits == nil {
+		return nil, fmt.Errorf("%s: limits: the file has no [fleet.limits]", r.e.Limits)
+	}
+	for _, l := range o.Fleet.Limits.Each {
+		if l.Kind != "rate" {
+			continue
+		}
+		var x OverLimit
+		r.clock.Do(func() { x = JudgeLimit(r.met.firsts, l, len(r.procs), r.played) })
+		warm, end := int(time.Duration(r.e.Warm).Seconds()), int(time.Duration(r.e.Length).Seconds())
+		for i := warm; i < min(end, len(x.Seconds)); i++ {
+			x.Used += float64(x.Seconds[i]) / l.Amount / float64(end-warm)
+		}
+		all = append(all, x)
+	}
+	return all, nil
+}
+
+// limitTable prints what came of limits, where there are any: the most over, the bound beside it, and what was used.
+func (r *Result) limitTable(w io.Writer) {
+	for _, v := range r.Variants {
+		var over, breach, bound float64
+		var used []float64
+		for _, f := range r.Runs {
+			for _, x := range f.Limits {
+				if f.Variant == v {
+					over, breach, bound, used = max(over, x.Over), max(breach, x.Breach), x.Bound, append(used, x.Used)
+				}
+			}
+		}
+		if len(used) > 0 {
+			fmt.Fprintf(w, "%-14s limits: over by %.1f reqs, allowed %.0f a second (past that %.1f), used %.3f (%.3f to %.3f)\n", v, over,
+				bound, breach, median(used), slices.Min(used), slices.Max(used))
+		}
+	}
+}
+
 // Limit is what the stand-ins have seen of a limit in the load that was played.
 func (x *Rehearsal) Limit(l conf.Limit) (o OverLimit) {
 	x.r.clock.Do(func() { o = JudgeLimit(x.r.met.firsts, l, len(x.r.procs), x.r.played) })
--- a/rehearse/lab/report.go
+++ b/rehearse/lab/report.go
@@ -348,6 +348,7 @@
 		fmt.Fprintln(w)
 	}
 	r.returnTable(w)
+	r.limitTable(w)
 	if r.Mode != "processes" {
 		return
 	}
--- a/rehearse/lab/run.go
+++ b/rehearse/lab/run.go
@@ -56,6 +56,7 @@
 	Worst      float64            // service of the worst 5 s after the warm-up
 	Plan       *PlanFigures       // nil: nothing was done to servers
 	Classes    map[string]float64 // service by rule set
+	Limits     []OverLimit        // of the fleet, of a rate
 }
 
 // measure gathers results into figures.
@@ -361,6 +362,9 @@
 			for _, note := range f.Notes {
 				say("  %s", note)
 			}
+			for _, x := range f.Limits {
+				say("  %s", x.said())
+			}
 			if f.Plan != nil {
 				say("%s", f.Plan.said())
 			}
--- a/rehearse/lab/sockets.go
+++ b/rehearse/lab/sockets.go
@@ -131,6 +131,9 @@
 		return nil, err
 	}
 	f.Views, f.Plan = views(), maintained()
+	if f.Limits, err = r.judgeLimits(v); err != nil {
+		return nil, err
+	}
 	f.Processor = r.cpu() - before
 	r.clock.Do(func() {
 		r.fleet.Judge.Close()
