--- a/fleet/lease/lease_test.go
+++ b/fleet/lease/lease_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -161,6 +162,45 @@
 	}
 }
 
+// Three hundred members: none but the owner sends ten datagrams a second, and the owner no more than it is bound to.
+func TestMany(t *testing.T) {
+	const members = 300
+	text, row := "at  rig", "  ."
+	for i := range members {
+		text, row = fmt.Sprintf("%s  n%d", text, i), row+"  ask 2"
+	}
+	dots := strings.Repeat("  .", members+1)
+	text += "\n0s" + row + "\n14s" + dots + "\n24s  sum?; let?" + dots[3:] + "\n"
+	x := strict
+	x.Units, x.Lease = 300, 5*sec
+	var w *world
+	r := timeline.Play(text, 1, func(v *timeline.World) timeline.Cluster {
+		w = newWorld(v, x, 100, sound)
+		return w
+	})
+	if r.Err != nil {
+		t.Fatal(r.Err)
+	}
+	before := make([]int, members)
+	for i, p := range w.procs {
+		before[i] = p.sent
+	}
+	let := w.admitted
+	if err := w.Run(w.Now + 10*sec); err != nil {
+		t.Fatal(err)
+	}
+	var rates []int
+	for i, p := range w.procs {
+		rates = append(rates, (p.sent-before[i])/10)
+	}
+	slices.Sort(rates)
+	used := float64(w.admitted-let) / (float64(x.Units) * 40)
+	t.Logf("datagrams a second: median %d, the two most %v; used %.3f", rates[members/2], rates[members-2:], used)
+	if rates[members-4] >= 10 || rates[members-1] > 500 || used < 0.95 {
+		t.Error("too many datagrams, or too little used")
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	d := Datagram{From: 1, Life: 5, Items: []Item{{Kind: Ask, Limit: 3, Term: 9, Want: 4, Use: 2}}}
 	b, err := Encode(fleetName, &d)
--- a/fleet/lease/timeline_test.go
+++ b/fleet/lease/timeline_test.go
@@ -24,6 +24,7 @@
 	due   float64
 	let   int
 	tried int
+	sent  int // datagrams
 }
 
 // flaw is a faulty build, made for the judges to catch.
@@ -76,6 +77,7 @@
 		}
 	}
 	if ok {
+		p.sent++
 		body, _ = Encode(fleetName, &d)
 	}
 	return to, body, ok
@@ -126,6 +128,13 @@
 }
 
 func (w *world) Do(place int, verb string, args []string) error {
+	if verb == "leave" && place >= 0 {
+		w.procs[place].Leave(w.Clock(place))
+		return nil
+	}
+	if len(args) != 1 {
+		return errors.New("expected one number")
+	}
 	n, err := strconv.Atoi(args[0])
 	if err != nil {
 		return err
