--- a/fleet/lease/holder.go
+++ b/fleet/lease/holder.go
@@ -9,7 +9,6 @@
 	hurry    = 20     // the same while what is wanted changes
 	apart    = 5 * ms // for each member, between the asks of one: an owner answers 200 a second at the most, in calm
 	patient  = 2      // asks without an answer after which others are asked who owns
-	room     = 1.2    // what is wanted beyond what was asked for
 )
 
 // holder is one limit's here.
@@ -51,15 +50,12 @@
 	}
 }
 
-// ask tells what is wanted and what may be in use until the answer. What is not wanted is laid down first.
+// ask tells what is wanted and what may be in use until the answer.
 func (m *Member) ask(l *limit, now int64) {
 	h := &l.hold
 	if h.open {
 		h.silent++
 	}
-	if now < h.end && h.units > max(1, h.want) {
-		h.units = max(1, h.want)
-	}
 	use := m.show(l, now)
 	h.count++
 	h.sent, h.at, h.open, h.asked, h.soon = now, m.sure, true, h.want, false
@@ -120,7 +116,7 @@
 		case open == 0:
 			h.want = 0
 		default:
-			h.want = max(h.want-1, int(float64(open)*room)+1)
+			h.want = max(h.want-1, open+open/4+1)
 		}
 		return
 	}
@@ -129,7 +125,7 @@
 		f := min(1, float64(dt)/float64(over))
 		h.demand += (float64(tries)*float64(l.Per)/float64(dt) - h.demand) * f
 	}
-	if h.want = min(l.Units, int(h.demand*room+0.95)); tries > 0 {
+	if h.want = min(l.Units, int(h.demand+0.5)); tries > 0 {
 		h.want = max(1, h.want)
 	}
 	per := l.Per + (l.Per*m.t.Drift+1e6-1)/1e6 // by the fastest clock no req too early
--- a/fleet/lease/owner.go
+++ b/fleet/lease/owner.go
@@ -130,9 +130,9 @@
 	m.post(from, l, Item{Kind: Grant, Term: o.term, Epoch: m.t.Life, Count: it.Count, Use: n})
 }
 
-// shares are the members' parts: max-min fair by weight in whole units. What is left over goes round by turns, one
-// lease each; what nobody wants goes one unit each to those that want nothing now, so that their next req
-// finds one.
+// shares are the members' parts: max-min fair by weight in whole units. What is less than one each goes round by
+// turns; what nobody wants goes one unit each to those that want nothing now, so that their next req finds one, and
+// the rest to the others by what they want, as reqs come unevenly.
 func (m *Member) shares(l *limit) []int {
 	type part struct{ who, want, weight, got int }
 	var wants []part
@@ -172,15 +172,22 @@
 		}
 	}
 	turn := int(m.sure / max(l.Lease, turns*l.Per))
-	for _, idle := range [...]bool{false, true} {
+	for _, to := range [...]func(p *part) bool{func(p *part) bool { return p.got < p.want },
+		func(p *part) bool { return p.want == 0 }} {
 		for k := 0; k < len(wants) && left > 0; k++ {
-			p := &wants[(k+turn)%len(wants)]
-			if !idle && p.got < p.want || idle && p.want == 0 {
+			if p := &wants[(k+turn)%len(wants)]; to(p) {
 				p.got++
 				left--
 			}
 		}
 	}
+	all := 0
+	for _, p := range wants {
+		all += p.want
+	}
+	for i, spare := 0, left; i < len(wants) && all > 0; i++ { // room for what comes unevenly
+		wants[i].got += spare * wants[i].want / all
+	}
 	parts := make([]int, len(o.who))
 	for _, p := range wants {
 		parts[p.who] = p.got
--- a/fleet/lease/timeline_test.go
+++ b/fleet/lease/timeline_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"ivybank/internal/draw"
 	"ivybank/rehearse/timeline"
 )
 
@@ -94,7 +95,8 @@
 	runs  [][]run // Flight, by place: reqs at servers, emptied as they end
 
 	runFor   int64
-	level    float64 // of a bucket with the limit's rate and size: below 0 the stand-ins saw too much
+	dice     *draw.Dice // nil: reqs come evenly; else by chance
+	level    float64    // of a bucket with the limit's rate and size: below 0 the stand-ins saw too much
 	seen     int64
 	lowered  int64 // until then leases of a higher limit may be out
 	was      int
@@ -227,6 +229,10 @@
 			if n := p.asks - float64(len(w.runs[i])); n > 0 && w.Now/ms%10 == 0 {
 				p.due = n
 			}
+		} else if w.dice != nil {
+			if w.dice.Next() < p.asks*float64(w.Now-w.seen)/float64(w.limit.Per) {
+				p.due = 1
+			}
 		} else {
 			p.due += p.asks * float64(w.Now-w.seen) / float64(w.limit.Per)
 		}
