--- a/cmd/ivybank/limits_test.go
+++ b/cmd/ivybank/limits_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -147,3 +149,46 @@
 		}
 	})
 }
+
+// A fleet of one keeps a limit by itself: reqs past it are denied at once with the time to stay away, a file without it lifts it, and one
+// with a fault changes nothing.
+func TestLimitReload(t *testing.T) {
+	one, d := newHost(t, saying(text(200, "", "one"), true)), newRegistry(t)
+	p := prepare(t, d.addr, 1024, entry("s-1", one.Addr().String(), "ready"))
+	mine := freeAddr(t)
+	alone := strings.Replace(limiting, "[fleet]\n", fmt.Sprintf("[fleet]\nlisten = %q\npeers = [%q]\nme = 0\n", mine, mine), 1)
+	limit := strings.NewReplacer("MODE", "strict", "FLOOR", "0.0", "filing", "once", "voters = 3", "voters = 1",
+		"24.0", "1.0", "250ms", "1s", `lease = "2s"`, `lease = "1s"`).Replace(oneLimit)
+	operator := write(t, t.TempDir(), "o.toml", alone+limit)
+	p.args = []string{"serve", "--operator", operator}
+	p.start(t)
+	n := 0
+	ask := func() *http.Response {
+		n++
+		a, _ := p.ask(t, call("POST", fmt.Sprint("r", n), "once", "x"))
+		return a
+	}
+	eventually(t, "one is let in", func() bool { return ask().StatusCode == http.StatusOK })
+	eventually(t, "one is denied, with the time to stay away", func() bool {
+		a := ask()
+		return a.StatusCode == http.StatusServiceUnavailable && a.Header.Get("Retry-After") != ""
+	})
+	if a, _ := p.ask(t, call("GET", "other", "again", "")); a.StatusCode != http.StatusOK {
+		t.Errorf("got %d for a rule set that has no limit", a.StatusCode)
+	}
+	put := func(text string) {
+		write(t, filepath.Dir(operator), "o.toml", text)
+		p.hup(t, p.text(t))
+	}
+	put(alone + strings.Replace(limit, "amount = 1.0", "amount = 1.5", 1))
+	eventually(t, "the fault is told of", func() bool { return p.out.count("expected a multiple of 1") == 1 })
+	put(alone)
+	eventually(t, "nothing is denied any more", func() bool {
+		for range 5 {
+			if ask().StatusCode != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
