--- a/cmd/ivybank/limits_test.go
+++ b/cmd/ivybank/limits_test.go
@@ -12,6 +12,7 @@
 
 	"ivybank/conf"
 	"ivybank/fleet/lease"
+	"ivybank/rehearse/emu"
 	"ivybank/rehearse/lab"
 )
 
@@ -136,6 +137,49 @@
 			}
 		})
 	}
+	for _, c := range []struct {
+		name   string
+		strike func(r *lab.Rehearsal, owner int)
+	}{
+		{"the owner killed", func(r *lab.Rehearsal, owner int) {
+			r.Strike(emu.Fault{Kind: "proxy_kill", Proxies: []int{owner}, For: 1e9})
+		}},
+		{"the owner stopped, and woken", func(r *lab.Rehearsal, owner int) {
+			undo := r.Strike(emu.Fault{Kind: "proxy_pause", Proxies: []int{owner}})
+			time.AfterFunc(5*time.Second, undo)
+		}},
+		{"all killed", func(r *lab.Rehearsal, _ int) {
+			r.Strike(emu.Fault{Kind: "proxy_kill", Proxies: []int{0, 1, 2}, For: 2e8})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			path, l := limitOf(t, limiting+strings.NewReplacer("MODE", "strict", "FLOOR", "0.0").Replace(oneLimit))
+			r := rehearseWith(t, 3, "13s", path, 90, "", "")
+			together(t, r, 3, 0, 1, 2)
+			leased(t, r, 0, 1, 2)
+			owner := -1
+			eventually(t, "one owns", func() bool {
+				for i := range 3 {
+					if x := limitsAt(r, i); len(x) == 1 && x[0].Owns {
+						owner = i
+					}
+				}
+				return owner >= 0
+			})
+			time.AfterFunc(3*time.Second, func() { c.strike(r, owner) })
+			f, err := r.Play()
+			if err != nil {
+				t.Fatal(err)
+			}
+			o := r.Limit(l)
+			t.Logf("over by %.1f reqs, bound 0; let in by seconds %v", o.Over, o.Seconds)
+			if o.Over > 0 || f.Breaches != [5]int{} || f.Crashes > 0 {
+				t.Errorf("over by %.1f reqs, breaches %v, %d crashes: %v", o.Over, f.Breaches, f.Crashes, f.Notes)
+			}
+			leased(t, r, 0, 1, 2) // all are back
+		})
+	}
 	t.Run("without", func(t *testing.T) {
 		t.Parallel()
 		_, l := limitOf(t, limiting+strings.NewReplacer("MODE", "strict", "FLOOR", "0.0").Replace(oneLimit))
