--- a/cmd/ivybank/lab.go
+++ b/cmd/ivybank/lab.go
@@ -76,8 +76,14 @@
 		f, err := charter.Read(path, text)
 		return "charter", f, err
 	case conf.OperatorFormat, "":
-		_, err = conf.LoadOperator(path)
-		return "operator file", nil, err
+		o, err := conf.LoadOperator(path)
+		kind := "operator file"
+		if err == nil && o.Fleet != nil && o.Fleet.Limits != nil {
+			for _, l := range o.Fleet.Limits.Each {
+				kind += "\n" + l.Bound(len(o.Fleet.Peers))
+			}
+		}
+		return kind, nil, err
 	default:
 		return "", nil, fmt.Errorf("%s: format %q is not known: expected %q, %q or %q",
 			path, format, conf.OperatorFormat, lab.Format, charter.Format)
--- a/rehearse/lab/sockets.go
+++ b/rehearse/lab/sockets.go
@@ -59,6 +59,7 @@
 type met struct {
 	sends  int             // dispatches
 	reqs   map[string]bool // ids that came; emptied with the run
+	firsts []Arrival       // the first dispatch of each of them
 	probes map[string]int  // by server
 	to     []arrivals      // dispatches by proxy, and server
 	calls  arrivals        // at discovery, all in one
@@ -130,6 +131,9 @@
 		return nil, err
 	}
 	f.Views, f.Plan = views(), maintained()
+	if f.Limits, err = r.judgeLimits(v); err != nil {
+		return nil, err
+	}
 	f.Processor = r.cpu() - before
 	r.clock.Do(func() {
 		r.fleet.Judge.Close()
