--- a/balance/balance.go
+++ b/balance/balance.go
@@ -118,6 +118,7 @@
 	late              [5]fade.Count   // part of dispatches that time out, by how long connections rested
 	jam, total, unit  float64         // times over response targets; all servers' ready; mean time for each place
 	mean, ease        float64         // of all servers
+	turned            float64         // part of dispatches that were turned away of late
 	rate              fade.Count      // answers
 	served            []fade.Count    // dispatches of each tenant
 	tenants           []fade.Odds     // what became of their reqs,
@@ -315,6 +316,7 @@
 
 // judge lets an outcome speak on the server, or on the source of its req.
 func (b *Balancer) judge(s *server, d *dispatch, o Outcome, took, now int64) {
+	b.turned *= 0.95
 	if o == Served || o == Errored || o == TimedOut {
 		own, _ := b.own(d.req, now)
 		done := o == Served && took <= d.req.rules.ResponseTarget
@@ -358,6 +360,7 @@
 			s.streak++
 		}
 	case Refused: // back-pressure
+		b.turned += 0.05
 		s.answered, s.full = now, now+max(20*ms, int64(s.unit))
 		s.grow = max(1, math.Min(s.grow, float64(len(s.out))))
 	}
@@ -713,7 +716,7 @@
 		healthy = len(b.servers) // all are picked
 	}
 	apiece := leastShare / float64(max(1, b.t.Copies)) // of what a server may always have in flight
-	share := flightShare + min(closeShare, max(0, apiece*float64(len(b.servers))-1))
+	share := flightShare + max(0, min(closeShare, apiece*float64(len(b.servers))-1, 1-2*b.turned))
 	least := apiece * float64(healthy)
 	if least < 1 {
 		// One dispatch for each of hundreds is several a server: while answers are late fewer go, by chance.
