--- a/balance/balance.go
+++ b/balance/balance.go
@@ -728,7 +728,10 @@
 		healthy = len(b.servers) // all are picked
 	}
 	apiece := leastShare / float64(max(1, b.t.Copies)) // of what a server may always have in flight
-	share := flightShare + max(0, min(closeShare, apiece*float64(len(b.servers))-1, 1-2*b.turned))
+	share := flightShare
+	if b.t.Tail == 0 { // where it counts, a deny costs less than an answer that may be late
+		share += max(0, min(closeShare, apiece*float64(len(b.servers))-1, 1-2*b.turned, 2*(jammed-b.jam)))
+	}
 	least := apiece * float64(healthy)
 	if least < 1 {
 		// One dispatch for each of hundreds is several a server: while answers are late fewer go, by chance.
