--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,6 +46,7 @@
 	jammed      = 0.65     // mean time of dispatches over response target at which it is down to its share
 	hedge       = 0.55     // part of the response target after which a second dispatch may go out
 	cheapWaste  = 0.1      // where wasted work costs no more than this
+	copiesEach  = 8        // and no more balancers than this would send one to each server that is open to it
 	restFrom    = sec / 4  // time without a dispatch from which connections rest; steps at 1, 2, 4, 8 times
 	restLoss    = 0.25     // part lost over such connections, past that of others, at which they are closed
 	restSpan    = 20 * sec // over which that is forgotten: one is tried again
@@ -104,7 +105,7 @@
 // scope is what all servers open to reqs of one placement come to. Where no rule set is placed there is one.
 type scope struct {
 	rules        *RuleSet   // one of that placement
-	total, whole float64    // ready now; of late, over the span of rates, ejected and silent ones too
+	total, whole float64    // ready now; and of late, over the span of rates, with those ejected and silent
 	sent, served fade.Count // first dispatches and answers
 	unit         float64    // mean time for each place
 	healthy      int        // servers that are not ejected
@@ -561,10 +562,9 @@
 			}
 			sum += s.ready * s.left
 			if !s.ejected {
-				c.healthy++
-			}
-			if !s.ejected && !s.silent {
-				c.total += s.ready * s.left
+				if c.healthy++; !s.silent {
+					c.total += s.ready * s.left
+				}
 			}
 			if c.rules.placed() {
 				s.left = max(leftLeast, s.left-load)
@@ -624,7 +624,7 @@
 
 // secondAt is when, where waste is cheap, a copy may join a dispatch: many balancers know servers too little.
 func (b *Balancer) secondAt(r *req) int64 {
-	if r.outs != 1 || b.t.WastePrice > cheapWaste || !b.canSend(r) {
+	if r.outs != 1 || b.t.WastePrice > cheapWaste || r.in.healthy*copiesEach < b.t.Copies || !b.canSend(r) {
 		return math.MaxInt64
 	}
 	return r.sends[len(r.sends)-1].sent + int64(hedge*float64(r.rules.ResponseTarget))
