--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -339,7 +339,9 @@
 		b.weigh(0)
 		n := map[string]float64{}
 		for i := range 20000 {
-			n[b.pick(&req{most: 3, rules: &b.t.RuleSets[0], in: b.scope(&b.t.RuleSets[0]), Arrival: Arrival{Key: fmt.Sprint("key-", i)}}, 0).ID] += 1.0 / 20000
+			r := &req{most: 3, rules: &b.t.RuleSets[0], in: b.scope(&b.t.RuleSets[0])}
+			r.Key = fmt.Sprint("key-", i)
+			n[b.pick(r, 0).ID] += 1.0 / 20000
 		}
 		return n
 	}
@@ -373,7 +375,8 @@
 		same := 0.0
 		last := ""
 		for i := range 20000 {
-			r := &req{most: 3, rules: &b.t.RuleSets[0], in: b.scope(&b.t.RuleSets[0]), Arrival: Arrival{Key: fmt.Sprint("key-", i)}}
+			r := &req{most: 3, rules: &b.t.RuleSets[0], in: b.scope(&b.t.RuleSets[0])}
+			r.Key = fmt.Sprint("key-", i)
 			was, is := b.pick(r, 0).ID, c.pick(r, 0).ID
 			if was != "e" && was != is {
 				t.Fatalf("key %d moved from %s to %s", i, was, is)
