--- a/balance/balance.go
+++ b/balance/balance.go
@@ -48,6 +48,7 @@
 	jammed      = 0.65     // mean time of dispatches over response target at which it is down to its share
 	hedge       = 0.55     // part of the response target after which a second dispatch may go out
 	cheapWaste  = 0.1      // where wasted work costs no more than this
+	copiesEach  = 8        // and no more balancers than this would send one to each server that is open to it
 	restFrom    = sec / 4  // time without a dispatch from which connections rest; steps at 1, 2, 4, 8 times
 	restLoss    = 0.25     // part lost over such connections, past that of others, at which they are closed
 	restSpan    = 20 * sec // over which that is forgotten: one is tried again
@@ -73,7 +74,7 @@
 	wake, begun, pace int64 // pace: the shortest response target
 	inflight, healthy int
 	late              [5]fade.Count   // part of dispatches that time out, by how long connections rested
-	scopes            []*scope        // one for each placement that terms have had
+	scopes            []*scope        // one for each placement that any terms had; never emptied
 	weighed, due      int64           // when servers were looked after; when they are to be again
 	stale             bool            // at once
 	jam, unit         float64         // times over response targets; mean time for each place
@@ -167,21 +168,6 @@
 	b.reqs[a.ID], b.open = r, append(b.open, r)
 }
 
-// scope finds that of a rule set's placement, the placed ones first.
-func (b *Balancer) scope(x *RuleSet) *scope {
-	i := slices.IndexFunc(b.scopes, func(c *scope) bool {
-		return slices.Equal(c.rules.Zones, x.Zones) && slices.Equal(c.rules.Kinds, x.Kinds)
-	})
-	if i < 0 {
-		if i = 0; !x.placed() {
-			i = len(b.scopes)
-		}
-		b.scopes = slices.Insert(b.scopes, i, &scope{rules: x})
-		b.weigh(b.weighed)
-	}
-	return b.scopes[i]
-}
-
 // start starts a req's time. What comes past the response target is worth little: it ends before it.
 func (b *Balancer) start(r *req, now int64) {
 	r.taken, r.until = now, now+max(r.Budget, b.t.BudgetError) // an answer is in time till then
@@ -558,10 +544,9 @@
 			}
 			sum += s.ready * s.left
 			if !s.ejected {
-				c.healthy++
-			}
-			if !s.ejected && !s.silent {
-				c.total += s.ready * s.left
+				if c.healthy++; !s.silent {
+					c.total += s.ready * s.left
+				}
 			}
 			if c.rules.placed() {
 				s.left = max(leftLeast, s.left-load)
@@ -621,7 +606,7 @@
 
 // secondAt is when, where waste is cheap, a copy may join a dispatch: many balancers know servers too little.
 func (b *Balancer) secondAt(r *req) int64 {
-	if r.outs != 1 || b.t.WastePrice > cheapWaste || !b.canSend(r) {
+	if r.outs != 1 || b.t.WastePrice > cheapWaste || r.in.healthy*copiesEach < b.t.Copies || !b.canSend(r) {
 		return math.MaxInt64
 	}
 	return r.sends[len(r.sends)-1].sent + int64(hedge*float64(r.rules.ResponseTarget))
--- a/balance/state.go
+++ b/balance/state.go
@@ -2,7 +2,11 @@
 
 // This file owns the records of what an instance knows: dispatches, reqs, servers and scopes. It must never decide anything.
 
-import "ivybank/internal/fade"
+import (
+	"slices"
+
+	"ivybank/internal/fade"
+)
 
 // dispatch is one attempt for a req.
 type dispatch struct {
@@ -60,3 +64,18 @@
 	healthy      int        // servers that are not ejected
 	dazed        bool       // there are none
 }
+
+// scope finds that of a rule set's placement, the placed ones first.
+func (b *Balancer) scope(x *RuleSet) *scope {
+	i := slices.IndexFunc(b.scopes, func(c *scope) bool {
+		return slices.Equal(c.rules.Zones, x.Zones) && slices.Equal(c.rules.Kinds, x.Kinds)
+	})
+	if i < 0 {
+		if i = 0; !x.placed() {
+			i = len(b.scopes)
+		}
+		b.scopes = slices.Insert(b.scopes, i, &scope{rules: x})
+		b.weigh(b.weighed)
+	}
+	return b.scopes[i]
+}
