--- a/balance/balance.go
+++ b/balance/balance.go
@@ -57,7 +57,7 @@
 	leftLeast   = 0.05     // part of a server that is left at the least beside placed rule sets
 	easeStep    = 0.1      // weight of the newest listed weight where they move with load
 	preferred   = 0.15     // power of its value over the mean by which a req may fill more in flight
-	ownOver     = 1.3      // what comes of one source may be tried this multiple of what would be done of others,
+	ownOver     = 1.3      // a source may be tried this multiple of what would be done of others,
 	mostOdd     = 2        // servers that are well and fail a req: the next would fail it too
 	ownFree     = 2.0      // and so many times more, before failures are the source's own
 	askApart    = 5e6      // time that calls for the list are spread over, for each balancer
@@ -160,7 +160,7 @@
 		r.Shed = true
 	}
 	if a.Key == "" || !b.t.WarmKeys {
-		r.order = strconv.FormatUint(uint64(r.luck*(1<<32)), 36) // without a key that servers keep warm chance decides
+		r.order = strconv.FormatUint(uint64(r.luck*(1<<32)), 36) // nothing is kept warm: chance decides
 	} else if n := b.keys.Add(a.Key, now, keySpan) * float64(len(b.servers)) / fullKey; r.luck*n >= 1 {
 		// One that alone would fill a server has several parts, each with an order of servers of its own.
 		r.order = fmt.Sprint(a.Key, "/", int(r.luck*n))
@@ -261,14 +261,14 @@
 	}
 }
 
-// own gives the source of a req whose like fails wherever it goes, its key before its tenant, and the part that does
-// so. What strikes the reqs of all sources alike, as overload does, is no source's own.
+// own gives the source of a req whose like fails wherever it goes, its key before its tenant, and the part that
+// does so. What strikes the reqs of all sources alike, as overload does, is no source's own.
 func (b *Balancer) own(r *req, now int64) (*fade.Odds, float64) {
 	allTried, allDone := b.all.Now(now, span)
 	for _, x := range r.from {
 		tried, done := x.Now(now, span)
-		others := min(1, max(0.01, (allDone-done+1)/(allTried-tried+1)))
-		if part := 1 - ownOver*(done+ownFree)/((tried+ownFree)*others); part > 0 {
+		share := (done + ownFree) / (tried + ownFree) // of others too, where there are none to compare with
+		if part := 1 - ownOver*share*(allTried-tried+ownFree)/(allDone-done+ownFree*share); part > 0 {
 			return x, part
 		}
 	}
@@ -763,8 +763,8 @@
 	b.do(Decision{Kind: Dispatch, Req: r.ID, Server: s.ID, Time: b.limit(r)})
 }
 
-// limit is when a dispatch is to end by itself. A server whose clock is ahead refuses or breaks off what it takes
-// to be over: where clocks may differ it is told all the time there is, and the end comes by a cancel.
+// limit is when a dispatch is to end by itself. A server whose clock is ahead refuses or breaks off what it
+// takes to be over: where clocks may differ it is told all the time there is, and the end comes by a cancel.
 func (b *Balancer) limit(r *req) int64 {
 	if b.t.BudgetError > 0 && b.t.CanCancel {
 		return r.until
--- a/balance/source_test.go
+++ b/balance/source_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"ivybank/internal/draw"
 )
 
 // play hands in reqs of a key each 10 ms and answers what is sent at once; end says how.
@@ -81,9 +83,9 @@
 	})
 	t.Run("what strikes all alike is nobody's own", func(t *testing.T) {
 		b := begin()
-		n := 0
+		dice := draw.Dice{Seed: 3}
 		_, shed := play(b, 0, 500, good, func(string, string) Outcome {
-			if n++; n%2 == 0 {
+			if dice.Next() < 0.5 {
 				return Errored
 			}
 			return Served
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
-// This file owns the records of what an instance knows: dispatches, reqs, servers and scopes. It must never decide anything.
+// This file owns the records of what an instance knows: dispatches, reqs, servers and scopes. It must never
+// decide anything.
 
 import (
 	"slices"
--- a/rehearse/lab/lab_test.go
+++ b/rehearse/lab/lab_test.go
@@ -176,7 +176,7 @@
 		rule   int
 	}{
 		"none": {nil, module, 0},
-		"forgets to answer": {[]string{"queue = 50 -> queue = 1"}, spoilt(func(d balance.Decision) []balance.Decision {
+		"forgets to answer": {[]string{"rate = 60.0 -> rate = 600.0"}, spoilt(func(d balance.Decision) []balance.Decision {
 			if d.Kind == balance.Deny || d.Kind == balance.Abort {
 				return nil
 			}
