--- a/fleet/lease/explore_test.go
+++ b/fleet/lease/explore_test.go
@@ -11,10 +11,11 @@
 	"ivybank/internal/draw"
 )
 
-// The graph of a fleet of three with one strict limit: in steps of a fifth of a second, in any of which one member may be killed, or
-// stopped before it, amid it when it has sent and not heard, or heard and not sent (and come back in any later one), and one member cut off,
-// both ways or one. What ran at servers for one that is killed runs on. States are the cores' own, with times, terms and
-// counts taken from where they stand now, so that what differs by age alone is one state.
+// The graph of a fleet of three with one strict limit: in steps of a fifth of a second, in any of which one
+// member may be killed, or stopped before it, amid it when it has sent and not heard, or heard and not sent
+// (and come back in any later one), and one member cut off, both ways or one. What ran at servers for one
+// that is killed runs on. States are the cores' own, with times, terms and counts taken from where they stand
+// now, so that what differs by age alone is one state.
 
 const (
 	quantum = 200 * ms
@@ -348,8 +349,8 @@
 				}
 			}
 		}
-		put(int64(h.owner), int64(term(h.term)), int64(h.epoch), bit(h.open), int64(min(h.silent, patient)), past(h.at, s, l.Lease),
-			bit(h.soon), past(h.end, g.now, 0), bit(h.paused), rank(i, h.count))
+		put(int64(h.owner), int64(term(h.term)), int64(h.epoch), bit(h.open), int64(min(h.silent, patient)),
+			past(h.at, s, l.Lease), bit(h.soon), past(h.end, g.now, 0), bit(h.paused), rank(i, h.count))
 		if h.open {
 			put(past(h.sent, g.now, full))
 		}
@@ -380,13 +381,15 @@
 			case Vote:
 				count = tried(w.to, it)
 			}
-			put(int64(it.Kind), int64(term(it.Term)), int64(it.Epoch), count, int64(it.Want), int64(it.Use), bit(it.Settled))
+			put(int64(it.Kind), int64(term(it.Term)), int64(it.Epoch), count, int64(it.Want), int64(it.Use),
+				bit(it.Settled))
 		}
 	}
 	return maphash.Bytes(seed, b)
 }
 
-// walk goes through the graph, first what is nearest, and gives the number of states, and the first that is over.
+// walk goes through the graph, first what is nearest, and gives the number of states, and the first that is
+// over.
 func walk(f flaw, hurts, cuts, most int) (states int, over string) {
 	seed := maphash.MakeSeed()
 	g := &graphState{now: sec, hurt: -1, hurts: hurts, cuts: cuts}
@@ -417,8 +420,8 @@
 
 // The whole graph has no state that is over, and each flawed build is found in it.
 func TestGraph(t *testing.T) {
-	for f, name := range map[flaw]string{sound: "sound", unfenced: "no fencing", fromReceipt: "lease counted from receipt",
-		fresh: "fresh allowance on restart"} {
+	for f, name := range map[flaw]string{sound: "sound", unfenced: "no fencing",
+		fromReceipt: "lease counted from receipt", fresh: "fresh allowance on restart"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			states, over := walk(f, 1, 1, 1<<20)
--- a/fleet/lease/holder.go
+++ b/fleet/lease/holder.go
@@ -7,7 +7,7 @@
 const (
 	renewals = 8      // asks in a lease's time
 	hurry    = 20     // the same while what is wanted changes
-	apart    = 5 * ms // for each member, between the asks of one: an owner answers 200 a second at the most, in calm
+	apart    = 5 * ms // for each member, between the asks of one: in calm an owner answers 200 a second
 	patient  = 2      // asks without an answer after which others are asked who owns
 )
 
@@ -77,8 +77,8 @@
 		return
 	}
 	h.open, h.silent = false, 0
-	if h.gone || now >= h.sent+l.Lease {
-		return
+	if h.gone || now >= h.sent+l.Lease || it.Use == 0 && !it.Settled {
+		return // a lease of nothing, as the owner knows nothing yet, would keep a floor out of force
 	}
 	h.soon = it.Use < h.units // so that the owner hears of it
 	h.units, h.end = it.Use, h.sent+l.Lease
--- a/fleet/lease/lease_test.go
+++ b/fleet/lease/lease_test.go
@@ -166,7 +166,8 @@
 	}
 }
 
-// Three hundred members: none but the owner sends ten datagrams a second, and the owner no more than it is bound to.
+// Three hundred members: none but the owner sends ten datagrams a second, and the owner no more than it is
+// bound to.
 func TestMany(t *testing.T) {
 	const members = 300
 	text, row := "at  rig", "  ."
@@ -199,14 +200,15 @@
 	}
 	slices.Sort(rates)
 	used := float64(w.admitted-let) / (float64(x.Units) * 40)
-	t.Logf("datagrams a second: median %d, the two most %v; used %.3f", rates[members/2], rates[members-2:], used)
+	t.Logf("datagrams a second: median %d, the two most %v; used %.3f", rates[members/2], rates[members-2:],
+		used)
 	if rates[members-4] >= 10 || rates[members-1] > 500 || used < 0.95 {
 		t.Error("too many datagrams, or too little used")
 	}
 }
 
-// Twelve that are asked by chance and unevenly (the n-th as 1 over n to 0.7) for more than there is: how much of it is used, beside what
-// equal division could at the best.
+// Twelve that are asked by chance and unevenly (the n-th as 1 over n to 0.7) for more than there is: how much
+// of it is used, beside what equal division could at the best.
 func TestUsed(t *testing.T) {
 	const members = 12
 	for _, c := range []struct {
@@ -214,7 +216,8 @@
 		burst       int64
 		least, most float64
 	}{
-		{60, 0.8, 2 * sec, 0.72, 0.8}, {60, 1.2, 250 * ms, 0.5, 1}, {60, 1.2, 2 * sec, 0.9, 1}, {60, 2, 2 * sec, 0.95, 1},
+		{60, 0.8, 2 * sec, 0.72, 0.8}, {60, 1.2, 250 * ms, 0.5, 1}, {60, 1.2, 2 * sec, 0.9, 1},
+		{60, 2, 2 * sec, 0.95, 1},
 		{600, 1.2, sec, 0.95, 1},
 	} {
 		x := strict
@@ -241,15 +244,16 @@
 			}
 		}
 		used := float64(w.admitted) / (c.rate * 30)
-		t.Logf("%3.0f a second, asked for %.1f times, burst %.2f s: used %.3f, by equal division %.3f at the best", c.rate, c.load,
-			float64(c.burst)/1e9, used, equal)
+		t.Logf("%3.0f a second, asked for %.1f times, burst %.2f s: used %.3f, by equal division %.3f at the best",
+			c.rate, c.load, float64(c.burst)/1e9, used, equal)
 		if r.Err != nil || used < c.least || used > c.most*(1+float64(c.burst)/30e9) {
 			t.Errorf("used %.3f, expected %.2f to %.2f: %v", used, c.least, c.most, r.Err)
 		}
 	}
 }
 
-// Many limits at once: each has one owner, they are spread over the voters, and what is said of several shares datagrams that fit.
+// Many limits at once: each has one owner, they are spread over the voters, and what is said of several
+// shares datagrams that fit.
 func TestSpread(t *testing.T) {
 	var limits []Limit
 	for i := range 12 {
@@ -355,7 +359,8 @@
 	}
 }
 
-// What there is goes round: max-min fair by weight, what is left over by turns, and to the idle what nobody wants.
+// What there is goes round: max-min fair by weight, what is left over by turns, and to the idle what nobody
+// wants.
 func TestShare(t *testing.T) {
 	for name, c := range map[string]struct {
 		units        int
--- a/fleet/lease/owner.go
+++ b/fleet/lease/owner.go
@@ -127,12 +127,13 @@
 	}
 	n := min(o.parts[from], kept+max(0, all-out))
 	h.use, h.end = max(kept, n), m.sure+m.lasts(l.Lease)+m.linger(l)
-	m.post(from, l, Item{Kind: Grant, Term: o.term, Epoch: m.t.Life, Count: it.Count, Use: n})
+	m.post(from, l, Item{Kind: Grant, Term: o.term, Epoch: m.t.Life, Count: it.Count, Use: n,
+		Settled: m.sure >= o.ready})
 }
 
-// shares are the members' parts: max-min fair by weight in whole units. What is less than one each goes round by
-// turns; what nobody wants goes one unit each to those that want nothing now, so that their next req finds one, and
-// the rest to the others by what they want, as reqs come unevenly.
+// shares are the members' parts: max-min fair by weight in whole units. What is less than one each goes round
+// by turns; what nobody wants goes one unit each to those that want nothing now, so that their next req finds
+// one, and the rest to the others by what they want, as reqs come unevenly.
 func (m *Member) shares(l *limit) []int {
 	type part struct{ who, want, weight, got int }
 	var wants []part
--- a/fleet/lease/wire.go
+++ b/fleet/lease/wire.go
@@ -42,7 +42,9 @@
 	Term, Epoch uint64
 	Count       uint64
 	Want, Use   int
-	Settled     bool // Ask: the sender has lived longer than any lease of its place's earlier life
+	// Settled, of an Ask: the sender has lived longer than any lease of its place's earlier life. Of a Grant: the
+	// owner knows what all hold.
+	Settled bool
 }
 
 // Datagram is one message.
