--- /dev/null
+++ b/fleet/quota/fault_test.go
@@ -0,0 +1,186 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// fault is one trouble of a run.
+type fault struct {
+	at      int // of 100 parts of the run
+	kind    int
+	a, b, n int
+}
+
+var kinds = []string{"kill", "back", "older", "cut", "heal", "pause", "wake", "own", "own", "loss", "calm", "clock", "surge"}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%d%% %s %d %d %d", f.at, kinds[f.kind], f.a, f.b, f.n)
+}
+
+func faults() *rapid.Generator[[]fault] {
+	one := rapid.Custom(func(t *rapid.T) fault {
+		return fault{rapid.IntRange(0, 99).Draw(t, "at"), rapid.IntRange(0, len(kinds)-1).Draw(t, "kind"), rapid.IntRange(0, 2).Draw(t, "a"),
+			rapid.IntRange(0, 2).Draw(t, "b"), rapid.IntRange(1, 30).Draw(t, "n")}
+	})
+	return rapid.SliceOfN(one, 0, 30)
+}
+
+// play has a fleet of three live through faults for as long and gives what is over, or "".
+func play(q Quota, f flaw, seed uint64, all []fault, long int64) (w *world, bad string) {
+	w = newWorld(q, terms(), 3, seed)
+	w.f = f
+	w.own(0)
+	load, never := 2, 0.2
+	for i := range w.procs { // within the skew
+		w.procs[i].off = int64((w.dice.Next() - 0.5) * float64(w.t.Skew))
+	}
+	calm := []int64{w.procs[0].off, w.procs[1].off, w.procs[2].off}
+	for w.now < long {
+		part := int(w.now * 100 / long)
+		for i := range all {
+			x := &all[i]
+			if x.at != part || x.n < 0 {
+				continue
+			}
+			w.befall(x, calm, &load)
+			x.n = -x.n // once
+		}
+		w.step(never)
+		for i := range w.procs {
+			r := Req{Cost: 1 + int64(w.dice.Next()*4), Worth: int64(w.dice.Next() * 10)}
+			var key uint64
+			if w.dice.Next() < 0.3 {
+				key = 1 + uint64(w.dice.Next()*40) // some are retries
+			}
+			w.ask(i, int(w.dice.Next()*float64(load+1)), r, int64(w.dice.Next()*float64(3*second)), key)
+		}
+		if bad = w.over(); bad != "" {
+			return w, bad
+		}
+	}
+	return w, ""
+}
+
+func (w *world) befall(x *fault, calm []int64, load *int) {
+	p := w.procs[x.a]
+	switch kinds[x.kind] {
+	case "kill":
+		w.kill(x.a)
+	case "back":
+		w.back(x.a, 0)
+	case "older":
+		w.kill(x.a)
+		w.back(x.a, x.n)
+	case "cut":
+		w.cut[x.a][x.b] = x.a != x.b
+	case "heal":
+		for i := range w.cut {
+			clear(w.cut[i])
+		}
+	case "pause":
+		p.paused = true
+	case "wake":
+		p.paused = false
+	case "own":
+		w.own(x.a)
+	case "loss":
+		w.loss, w.double, w.delay = float64(x.n)/100, float64(x.n)/60, int64(x.n)*100*ms
+	case "calm":
+		w.loss, w.double, w.delay = 0, 0, 5*ms
+	case "clock": // of one at a time
+		for i := range w.procs {
+			w.procs[i].off = calm[i]
+		}
+		if x.n > 8 {
+			p.off = []int64{-120, 120, 3600, -3600}[x.n%4] * second
+		}
+	case "surge":
+		*load = x.n % 8
+	}
+}
+
+func quotas() *rapid.Generator[Quota] {
+	return rapid.Custom(func(t *rapid.T) Quota {
+		q := minutely(rapid.SampledFrom([]int64{1, 12, 40, 100, 300}).Draw(t, "amount"))
+		if rapid.Bool().Draw(t, "sliding") {
+			q.Calendar = Calendar{Kind: Sliding, Length: 20 * second, Steps: 4}
+		} else {
+			q.Carry = rapid.SampledFrom([]int64{0, 50}).Draw(t, "carry")
+		}
+		q.Unit = Unit(rapid.IntRange(0, 2).Draw(t, "unit"))
+		q.Slice = rapid.SampledFrom([]int64{1, 5, 40}).Draw(t, "slice")
+		q.Ahead = rapid.SampledFrom([]int64{1, 10, 60}).Draw(t, "ahead")
+		q.Ramp = rapid.SampledFrom([]int64{0, 5 * second}).Draw(t, "ramp")
+		if rapid.Bool().Draw(t, "reserve") {
+			q.Reserve, q.From, q.Release = q.Amount/5, 7, 5*second
+		}
+		return q
+	})
+}
+
+// Whatever befalls the fleet, what ran in a window is within the quota, and a req counts in the window of its true time or one that borders on
+// it within twice the skew.
+func TestNeverOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := quotas().Draw(t, "quota")
+		w, bad := play(q, flaw{}, rapid.Uint64().Draw(t, "seed"), faults().Draw(t, "faults"), 85*second)
+		if bad != "" {
+			t.Fatal(bad)
+		}
+		if strip := 2 * w.t.Skew; w.early > strip || w.late > strip {
+			t.Fatalf("a req was %d ms before or %d ms past its window", w.early/ms, w.late/ms)
+		}
+	})
+}
+
+// Each broken variant is found by the same runs.
+func TestBrokenVariantsAreCaught(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		f    flaw
+	}{
+		{"refund twice", flaw{refundTwice: true}},
+		{"report added instead of the highest", flaw{addReports: true}},
+		{"window by own clock", flaw{ownClock: true}},
+		{"fresh allowance on restart", flaw{freshAtRestart: true}},
+		{"no fencing", flaw{noFence: true}},
+		{"granted before it is written down", flaw{noMark: true}},
+		{"lease counted from receipt", flaw{receipt: true}},
+		{"window turned without the voters' clocks", flaw{freeTurn: true}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range 600 {
+				g := faults().Example(seed)
+				q := quotas().Example(seed)
+				w, bad := play(q, x.f, uint64(seed), g, 85*second)
+				if bad == "" && max(w.early, w.late) > 2*w.t.Skew {
+					bad = fmt.Sprintf("%d ms before or %d ms past its window", w.early/ms, w.late/ms)
+				}
+				if bad != "" {
+					t.Logf("run %d: %s", seed, bad)
+					return
+				}
+			}
+			t.Error("was not found")
+		})
+	}
+}
+
+// A calm run uses what there is.
+func TestCalmUsesAll(t *testing.T) {
+	for _, amount := range []int64{12, 600, 5000} {
+		q := minutely(amount)
+		q.Slice, q.Ahead = max(1, amount/50), max(1, amount/50)
+		w, bad := play(q, flaw{}, 3, nil, 85*second)
+		if bad != "" {
+			t.Error(bad)
+		}
+		for at, n := range w.effects {
+			t.Logf("amount %d: %d in the window of %d", amount, n, at)
+		}
+	}
+}
