--- a/fleet/quota/book.go
+++ b/fleet/quota/book.go
@@ -134,7 +134,7 @@
 			if p.opens > now {
 				v.Wait = p.opens - now
 			}
-			v.Wait += p.later[s.turn.Add(1)%uint32(len(p.later))]
+			v.Wait += p.later[s.turn.Add(1)%uint32(len(*p.later))]
 			return v
 		}
 		part := &c.parts[c.n]
--- a/fleet/quota/holder.go
+++ b/fleet/quota/holder.go
@@ -47,11 +47,11 @@
 // view is the picture a req reads; it is never written to once it is there.
 type view struct {
 	cell  *Cell
-	until int64     // on the monotonic clock, when what is held may no more be spent
-	opens int64     // when the next window opens, where this one is spent; else 0
-	soon  int64     // how long until more may come
-	from  int64     // worth from which the reserve is open
-	later [64]int64 // drawn times after the opening
+	until int64      // on the monotonic clock, when what is held may no more be spent
+	opens int64      // when the next window opens, where this one is spent; else 0
+	soon  int64      // how long until more may come
+	from  int64      // worth from which the reserve is open
+	later *[64]int64 // times after the opening, drawn for each window
 }
 
 // Slot is where the req path finds a quota's picture.
@@ -74,7 +74,7 @@
 	dice     draw.Dice
 	term     uint64
 	total    Pair // heard of this term and window
-	returned Pair // of the window
+	returned Pair // of this term and window
 	heard    Pair // of that, what the owner knows
 	cell     *Cell
 	until    int64
@@ -87,6 +87,7 @@
 	rate     Pair   // amounts asked in a period
 	low      Pair   // least that was left since lowAt
 	lowAt    int64
+	later    *[64]int64
 	old      []past // emptied Seal after each window was left
 }
 
@@ -105,7 +106,7 @@
 // NewHolder begins with nothing held. Life must be above that of each earlier process at this place.
 func NewHolder(q Quota, t Terms, place int, life, seed uint64, clocks *Clocks) *Holder {
 	return &Holder{slot: &Slot{id: q.ID, unit: q.Unit}, t: t, place: place, life: life, owner: -1, clocks: clocks,
-		dice: draw.Dice{Seed: seed}, cell: &Cell{}}
+		dice: draw.Dice{Seed: seed}, cell: &Cell{}, later: new([64]int64)}
 }
 
 // Owner tells whose place the owner's is; -1 where it is not known.
@@ -170,7 +171,7 @@
 		}
 		if p.returned != p.heard && h.owner >= 0 {
 			out = append(out, Letter{h.owner,
-				Report{Quota: h.slot.id, Place: h.place, Life: h.life, Window: p.cell.window, Returned: p.returned}})
+				Report{Quota: h.slot.id, Place: h.place, Life: h.life, Window: p.cell.window, Term: h.term, Returned: p.returned}})
 		}
 		kept = append(kept, p)
 	}
@@ -195,10 +196,14 @@
 		return
 	}
 	if g.Window > h.cell.window {
-		h.turn(g.Window, now)
+		h.turn(g.Window, now, g.Spread)
 	}
 	if g.Term > h.term {
-		h.term, h.total = g.Term, Pair{}
+		// what was given back before and not written down in time is spent
+		h.term, h.total, h.returned, h.heard = g.Term, Pair{}, Pair{}, Pair{}
+		for i := range h.old {
+			h.old[i].returned, h.old[i].heard = Pair{}, Pair{}
+		}
 	}
 	for c := range classes {
 		h.cell.left[c].Add(max(0, g.Total[c]-h.total[c]))
@@ -223,23 +228,25 @@
 }
 
 // turn leaves a window for the next.
-func (h *Holder) turn(window, now int64) {
+func (h *Holder) turn(window, now, spread int64) {
 	if h.cell.window != 0 {
 		h.old = append(h.old, past{h.cell, h.returned, h.heard, now + h.t.Seal})
 	}
 	h.cell = &Cell{window: window}
 	h.total, h.returned, h.heard, h.seen, h.low, h.until = Pair{}, Pair{}, Pair{}, Pair{}, Pair{}, 0
-	h.lowAt = now
+	h.lowAt, h.later = now, new([64]int64)
+	for i := range h.later {
+		if spread > 0 {
+			h.later[i] = int64(h.dice.Next() * float64(spread))
+		}
+	}
 }
 
 // show makes the picture for the req path.
 func (h *Holder) show(g Grant, now int64) {
-	v := &view{cell: h.cell, until: h.until, soon: h.t.Every, from: g.From}
+	v := &view{cell: h.cell, until: h.until, soon: h.t.Every, from: g.From, later: h.later}
 	if g.Opens > 0 {
 		v.opens = now + g.Opens
 	}
-	for i := range v.later {
-		v.later[i] = int64(h.dice.Next() * float64(g.Spread))
-	}
 	h.slot.view.Store(v)
 }
--- a/fleet/quota/owner.go
+++ b/fleet/quota/owner.go
@@ -24,11 +24,12 @@
 	promised []promise // by voter
 	standing Standing
 
-	s      State // what stands
-	out    Pair  // handed out of the open window, or by earlier terms
-	marked Pair  // how much of that window a majority holds as handed out
-	window int64 // the open one, once a majority holds it; else 0
-	demand []int64
+	s      State   // what stands
+	out    Pair    // handed out of the open window, or by earlier terms
+	marked Pair    // how much of that window a majority holds as handed out
+	window int64   // the open one, once a majority holds it; else 0
+	demand []int64 // by place, until when it counts as asking
+	asking int64   // how many do
 
 	sent    State // on its way to the voters
 	sentAt  int64 // last time
@@ -140,19 +141,12 @@
 		}
 	}
 	o.s.Quota = o.q
-	for i := range o.s.Windows {
-		w := &o.s.Windows[i]
-		for j := range w.Held {
-			h := &w.Held[j]
-			h.Total, h.Heard, h.Left, h.Num = Pair{}, Pair{}, Pair{}, 0
-		}
-	}
 	if w := o.last(); w != nil {
 		w.Amount = o.q.Amount
 		o.out = w.Mark
 	}
 	o.standing, o.saved = Granting, now
-	o.mark()
+	o.mark(wall)
 	return o.turn(now, wall)
 }
 
@@ -191,6 +185,12 @@
 	default:
 		o.standing = Granting
 	}
+	o.asking = 0
+	for _, until := range o.demand {
+		if until > now {
+			o.asking++
+		}
+	}
 	out := o.turn(now, wall)
 	if o.busy && now-o.sentAt >= o.t.Every {
 		out = append(out, o.send(now, wall)...)
@@ -261,9 +261,6 @@
 		kept = 0
 	}
 	class0 := o.out[0] - w.Returned[0]
-	for i := range w.Held {
-		class0 -= w.Held[i].Returned[0]
-	}
 	paced, into := allow, max(0, wall-w.Start)
 	if o.q.Burst > 0 && wall < w.End {
 		paced = min(paced, o.q.Burst+part(allow, into, w.End-w.Start))
@@ -281,15 +278,12 @@
 }
 
 // mark wants more written down as handed out, ahead of need.
-func (o *Owner) mark() {
+func (o *Owner) mark(wall int64) {
 	w := o.last()
 	if w == nil {
 		return
 	}
-	all, _ := o.free(w.Start)
-	if o.q.Release > 0 {
-		all, _ = o.free(w.End) // marks may run ahead of the reserve's release
-	}
+	all, _ := o.free(wall)
 	for c := range classes {
 		if ahead := min(o.q.Ahead, all[c]); (c == 0 || all[0] <= 0) && w.Mark[c]-o.out[c] < (ahead+1)/2 {
 			w.Mark[c] = max(w.Mark[c], o.out[c]+ahead)
@@ -302,7 +296,7 @@
 	if o.busy || !o.dirty || o.standing == Reading || o.standing == Deposed {
 		return nil
 	}
-	o.mark()
+	o.mark(wall)
 	o.s.Seq++
 	o.sent, o.busy, o.dirty, o.begun = o.s.copy(), true, false, now
 	clear(o.acks)
@@ -378,8 +372,8 @@
 		return out
 	}
 	late := r.Num <= h.Num
-	if r.Window == w.Start {
-		h.Returned = h.Returned.max(r.Returned)
+	if r.Window == w.Start && r.Term == o.term {
+		w.gives(h, r.Returned)
 	}
 	if !late {
 		h.Num, h.Left, h.Heard = r.Num, Pair{}, Pair{}
@@ -396,7 +390,7 @@
 	if r.Want.sum() > 0 && !late {
 		o.demand[r.Place] = now + o.t.Lease
 		if o.standing == Granting && wall < w.End {
-			o.grant(w, h, r.Want, now, wall)
+			o.grant(w, h, r.Want, wall)
 		}
 	}
 	g := Grant{Quota: o.q.ID, Life: r.Life, Term: o.term, Window: w.Start, Num: r.Num, Total: h.Total, Heard: h.Returned, Rest: w.End - wall,
@@ -412,7 +406,7 @@
 		g.Recall = Spare
 	}
 	out = append(out, Letter{r.Place, g})
-	o.mark()
+	o.mark(wall)
 	return append(out, o.save(now, wall)...)
 }
 
@@ -423,8 +417,8 @@
 		if w.Start != r.Window {
 			continue
 		}
-		if h := w.holder(r.Place, r.Life); h != nil {
-			h.Returned = h.Returned.max(r.Returned)
+		if h := w.holder(r.Place, r.Life); h != nil && r.Term == o.term {
+			w.gives(h, r.Returned)
 			out = append(out, Letter{r.Place, Grant{Quota: o.q.ID, Life: r.Life, Term: o.term, Window: w.Start, Heard: h.Returned}})
 		}
 	}
@@ -433,13 +427,12 @@
 
 // holder gives a process's entry. One that restarted takes its place's: what the earlier life had and did not give back is spent.
 func (w *Window) holder(place int, life uint64) *Held {
-	i, had := slices.BinarySearchFunc(w.Held, place, func(h Held, p int) int { return h.Place - p })
+	i, had := slices.BinarySearchFunc(w.held, place, func(h Held, p int) int { return h.Place - p })
 	if !had {
-		w.Held = slices.Insert(w.Held, i, Held{Place: place, Life: life})
+		w.held = slices.Insert(w.held, i, Held{Place: place, Life: life})
 	}
-	h := &w.Held[i]
+	h := &w.held[i]
 	if life > h.Life {
-		w.Returned = w.Returned.plus(h.Returned)
 		*h = Held{Place: place, Life: life, Deaths: h.Deaths + 1}
 	}
 	if life < h.Life {
@@ -450,22 +443,16 @@
 
 // grant hands out: no more than is wanted, than the process may hold unspent, than its even share of what is due, than is written down. A
 // place that died in this window holds half as much for each time, so that dying wins nothing.
-func (o *Owner) grant(w *Window, h *Held, want Pair, now, wall int64) {
-	asking := int64(0)
-	for _, until := range o.demand {
-		if until > now {
-			asking++
-		}
-	}
+func (o *Owner) grant(w *Window, h *Held, want Pair, wall int64) {
 	slice := max(1, o.q.Slice>>min(h.Deaths, 62))
 	for c := range classes {
 		_, due := o.free(wall)
 		if c == 1 && due[0] > 0 {
 			break // the reserve is for when the rest is spent
 		}
-		n := min(want[c], slice-h.unspent(0)-h.unspent(1), max(1, due[c]/max(1, asking)), due[c], o.marked[c]-o.out[c])
+		n := min(want[c], slice-h.unspent(0)-h.unspent(1), max(1, due[c]/max(1, o.asking)), due[c], o.marked[c]-o.out[c])
 		if c == 0 && want[1] > 0 {
-			n = min(want[0]+want[1], slice-h.unspent(0)-h.unspent(1), max(1, due[0]/max(1, asking)), due[0], o.marked[0]-o.out[0])
+			n = min(want[0]+want[1], slice-h.unspent(0)-h.unspent(1), max(1, due[0]/max(1, o.asking)), due[0], o.marked[0]-o.out[0])
 		}
 		if n > 0 {
 			o.out[c] += n
@@ -478,6 +465,7 @@
 type Status struct {
 	Standing Standing
 	Voters   int  // that promised, while Reading
+	Doubts   int  // voters in doubt that this term may not ask in before a majority of the others holds its state
 	Needed   int  // the least that must
 	Clock    bool // voters do not agree to a window, or most clocks heard are against this one
 	Window   int64
@@ -493,6 +481,11 @@
 			s.Voters++
 		}
 	}
+	for _, d := range o.doubts {
+		if d.life != 0 {
+			s.Doubts++
+		}
+	}
 	if self, _ := o.clocks.Judge(now, wall); self {
 		s.Clock = true
 	}
--- a/fleet/quota/quota.go
+++ b/fleet/quota/quota.go
@@ -54,8 +54,6 @@
 
 func (p Pair) max(q Pair) Pair { return Pair{max(p[0], q[0]), max(p[1], q[1])} }
 
-func (p Pair) plus(q Pair) Pair { return Pair{p[0] + q[0], p[1] + q[1]} }
-
 // Letter is one message to a process.
 type Letter struct {
 	To   int
@@ -69,9 +67,9 @@
 	Life     uint64 // of the process; later ones are greater
 	Window   int64  // by its start; 0: knows none
 	Num      uint32 // of this report; 0: of a closed window, nothing is asked
-	Returned Pair   // given back, in all
-	Term     uint64 // whose total it has heard
-	Heard    Pair   // that total
+	Term     uint64 // the latest it has heard of
+	Returned Pair   // given back in that term, in all
+	Heard    Pair   // that term's total
 	Left     Pair   // unspent
 	Want     Pair   // more
 }
@@ -159,17 +157,17 @@
 	Amount     int64
 	Carried    int64  // into it, once the window before is sealed
 	Mark       Pair   // handed out at the most
-	Returned   Pair   // by processes that have since restarted
-	Held       []Held // by place; at most one for each
+	Returned   Pair   // by all, as far as the owner knows
+	held       []Held // by place, at most one for each; the owner's alone
 }
 
-// Held is what the owner knows of one process in a window.
+// Held is what an owner knows of one process in a window and in its term.
 type Held struct {
 	Place    int
 	Life     uint64
 	Deaths   int // that its place had in this window
 	Returned Pair
-	Total    Pair // handed out in this term
+	Total    Pair // handed out
 	Num      uint32
 	Heard    Pair
 	Left     Pair
@@ -179,19 +177,22 @@
 func (h *Held) unspent(c int) int64 { return h.Total[c] - h.Heard[c] + h.Left[c] }
 
 // charged is what may have been spent at the most; it counts what nobody knows as spent.
-func (w *Window) charged(out Pair) int64 {
-	sum := out.sum() - w.Returned.sum()
-	for i := range w.Held {
-		sum -= w.Held[i].Returned.sum()
+func (w *Window) charged(out Pair) int64 { return out.sum() - w.Returned.sum() }
+
+// gives takes what a process says that it gave back in this term; the highest counts.
+func (w *Window) gives(h *Held, p Pair) {
+	for c := range classes {
+		more := max(0, p[c]-h.Returned[c])
+		h.Returned[c] += more
+		w.Returned[c] += more
 	}
-	return sum
 }
 
-// copy shares nothing with s.
+// copy is what others are told: it shares nothing with s and has nothing of single processes.
 func (s State) copy() State {
 	ws := make([]Window, len(s.Windows))
 	for i, w := range s.Windows {
-		w.Held = append([]Held(nil), w.Held...)
+		w.held = nil
 		ws[i] = w
 	}
 	s.Windows = ws
--- /dev/null
+++ b/fleet/quota/timeline_test.go
@@ -0,0 +1,330 @@
+package quota
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// Runs drawn as text: one column a node, one row a moment in seconds; the drawing below ---- is the run as it was, each cell with what was
+// seen. With -rewrite the files are written anew.
+//
+//	own               begins a term here
+//	kill, back [n]    ends the process; starts it again with its file as it was n writings ago
+//	pause, wake       stops it as SIGSTOP does, and lets it go on
+//	cut bc, cut> bc   nothing goes between it and b and c; only from it to them
+//	heal              all goes everywhere
+//	clock +90s        sets its wall clock off true time
+//	amount 5          a later edition of the quota comes to the owner here
+//	anew              operators begin anew at this voter
+//	want 5 [w7] [k3]  clients want 5 reqs let in until the next row, of worth 7, retries of key 3: how many were
+//	greedy 1000       it claims so many times its demand
+//	end, never        all that is open here ends; having run, or surely never having
+//	?                 what it holds, and as an owner its standing and what is charged of what is allowed
+func TestTimelines(t *testing.T) {
+	datadriven.Walk(t, "testdata/timelines", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd != "play" {
+				d.Fatalf(t, "command %s", d.Cmd)
+			}
+			return newTimeline(t, d).play(d.Input)
+		})
+	})
+}
+
+type timeline struct {
+	t       *testing.T
+	w       *world
+	begun   time.Time
+	wants   []want
+	greedy  []int64
+	edition uint64
+}
+
+type want struct {
+	n, got, denied int
+	wait           int64
+	r              Req
+	key            uint64
+}
+
+func newTimeline(t *testing.T, d *datadriven.TestData) *timeline {
+	q, tt, places := minutely(12), terms(), 3
+	began := int64(1_800_000_050)
+	zone, kind, double, late := "UTC", Minute, 0.0, int64(5)
+	for _, a := range d.CmdArgs {
+		n, _ := strconv.ParseInt(a.Vals[0], 10, 64)
+		switch a.Key {
+		case "amount":
+			q.Amount = n
+		case "slice":
+			q.Slice = n
+		case "ahead":
+			q.Ahead = n
+		case "carry":
+			q.Carry = n
+		case "reserve":
+			q.Reserve, q.From = n, 7
+		case "release":
+			q.Release = n * second
+		case "ramp":
+			q.Ramp = n * second
+		case "burst":
+			q.Burst = n
+		case "places":
+			places = int(n)
+		case "old":
+			tt.Old = int(n)
+		case "seal":
+			tt.Seal = n * second
+		case "double":
+			double = float64(n) / 100
+		case "late":
+			late = n
+		case "zone":
+			zone = a.Vals[0]
+		case "kind":
+			kind = map[string]Kind{"minute": Minute, "hour": Hour, "day": Day, "month": Month, "sliding": Sliding}[a.Vals[0]]
+		case "began":
+			at, err := time.Parse(time.RFC3339, a.Vals[0])
+			if err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			began = at.Unix()
+		default:
+			d.Fatalf(t, "no setting %s", a.Key)
+		}
+	}
+	c, err := NewCalendar(kind, zone, 20*second, 4)
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	q.Calendar = c
+	w := newWorld(q, tt, places, 1)
+	w.began, w.double, w.delay = began*second, double, late*ms
+	return &timeline{t: t, w: w, wants: make([]want, places), greedy: make([]int64, places), edition: 1}
+}
+
+func (l *timeline) play(input string) string {
+	var rows [][]string
+	for line := range strings.Lines(input) {
+		cells := strings.Split(line, "|")
+		for i := range cells {
+			cells[i] = strings.TrimSpace(cells[i])
+		}
+		rows = append(rows, cells)
+	}
+	pending := make([]int, len(l.wants))
+	for i, row := range rows {
+		if i == 0 {
+			continue
+		}
+		at, err := strconv.ParseFloat(row[0], 64)
+		if err != nil {
+			l.t.Fatalf("row %q: %v", row, err)
+		}
+		l.until(int64(at * float64(second)))
+		l.seen(rows, pending)
+		for p, cell := range row[1:] {
+			var out []string
+			for do := range strings.SplitSeq(cell, ";") {
+				if do = strings.TrimSpace(do); do != "" {
+					out = append(out, l.do(p, strings.Fields(do)))
+				}
+			}
+			row[p+1] = strings.Join(out, "; ")
+			if l.wants[p].n > 0 {
+				pending[p] = i
+			}
+		}
+	}
+	l.until(l.w.now + 2*second)
+	l.seen(rows, pending)
+	return drawing(rows) + l.total()
+}
+
+// until lets time go by; what is wanted is asked for at each step.
+func (l *timeline) until(at int64) {
+	for l.w.now+l.w.tick <= at {
+		l.w.step(0)
+		for p := range l.wants {
+			x, was := &l.wants[p], l.w.procs[p].served
+			if h := l.w.procs[p].holder; l.greedy[p] > 0 {
+				h.cell.asked[0].Add(l.greedy[p])
+			}
+			for x.n > x.got && l.w.procs[p].up && !l.w.procs[p].paused {
+				l.w.ask(p, 1, x.r, 1000*second, x.key)
+				if l.w.procs[p].served == was {
+					x.denied++
+					x.wait = l.w.procs[p].last.Wait
+					break
+				}
+				was++
+				x.got++
+			}
+		}
+	}
+}
+
+// seen writes what became of what was wanted beside it.
+func (l *timeline) seen(rows [][]string, pending []int) {
+	for p := range l.wants {
+		x := &l.wants[p]
+		if x.n > 0 {
+			cell := &rows[pending[p]][p+1]
+			saw := fmt.Sprintf("want %d: %d", x.n, x.got)
+			if x.got < x.n && x.denied > 0 {
+				saw += fmt.Sprintf(", wait %.0fs", float64(x.wait)/float64(second))
+			}
+			*cell = strings.Replace(*cell, fmt.Sprintf("want %d", x.n), saw, 1)
+		}
+		*x = want{}
+	}
+}
+
+func (l *timeline) do(p int, words []string) string {
+	w := l.w
+	node := w.procs[p]
+	var arg string
+	if len(words) > 1 {
+		arg = words[1]
+	}
+	number, _ := strconv.ParseInt(arg, 10, 64)
+	switch words[0] {
+	case "own":
+		w.own(p)
+	case "kill":
+		w.kill(p)
+	case "back":
+		w.back(p, int(number))
+	case "pause":
+		node.paused = true
+	case "wake":
+		node.paused = false
+	case "heal":
+		for i := range w.cut {
+			clear(w.cut[i])
+		}
+	case "cut", "cut>":
+		for _, other := range arg {
+			w.cut[p][int(other-'a')] = true
+			w.cut[int(other-'a')][p] = words[0] == "cut"
+		}
+	case "clock":
+		d, err := time.ParseDuration(strings.TrimPrefix(arg, "+"))
+		if err != nil {
+			l.t.Fatal(err)
+		}
+		node.off = int64(d)
+	case "amount":
+		l.edition++
+		q := w.q
+		q.Amount, q.Edition = number, l.edition
+		w.send(p, node.owner.Configure(q, w.now, w.wall(node)))
+	case "anew":
+		node.voter = Anew(w.q, 100, w.wall(node))
+		w.term = 100
+		w.write(node)
+	case "greedy":
+		l.greedy[p] = number
+	case "want":
+		x := &l.wants[p]
+		*x = want{n: int(number), r: Req{Cost: 1, Worth: 1}}
+		for _, word := range words[2:] {
+			n, _ := strconv.ParseInt(word[1:], 10, 64)
+			if word[0] == 'w' {
+				x.r.Worth = n
+			} else {
+				x.key = uint64(n)
+			}
+		}
+	case "end", "never":
+		for i := range node.open {
+			node.open[i].at = w.now
+		}
+		never := 0.0
+		if words[0] == "never" {
+			never = 1
+		}
+		w.end(node, never)
+	case "?":
+		return l.look(p)
+	default:
+		l.t.Fatalf("no cell %q", words)
+	}
+	return strings.Join(words, " ")
+}
+
+func (l *timeline) look(p int) string {
+	node, w := l.w.procs[p], l.w
+	if !node.up {
+		return "? down"
+	}
+	left := node.holder.left()
+	s := fmt.Sprintf("? has %d", left[0])
+	if left[1] > 0 {
+		s += fmt.Sprintf("+%d", left[1])
+	}
+	if node.holder.until <= w.now {
+		s += " ended"
+	}
+	if o := node.owner; o != nil {
+		st := o.Status(w.now, w.wall(node))
+		s += fmt.Sprintf(", %s %d/%d", [...]string{"reading", "granting", "lost", "deposed"}[st.Standing], st.Charged, st.Allowed)
+		if st.Doubts > 0 {
+			s += fmt.Sprintf(", %d voters in doubt", st.Doubts)
+		}
+		if st.Clock {
+			s += ", clocks differ"
+		}
+	}
+	if self, off := node.clocks.Judge(w.now, w.wall(node)); self {
+		s += ", own clock off"
+	} else if len(off) > 0 {
+		s += ", off:"
+		for _, x := range off {
+			s += " " + string(rune('a'+x))
+		}
+	}
+	return s
+}
+
+func (l *timeline) total() string {
+	var b strings.Builder
+	for at := l.w.began - 3600*24*31*second; at <= l.w.began+l.w.now; {
+		start, end := l.w.q.Calendar.At(at)
+		if n, ran := l.w.effects[start]; ran {
+			fmt.Fprintf(&b, "ran %d in %s to %s\n", n, time.Unix(0, start).UTC().Format(time.RFC3339), time.Unix(0, end).UTC().Format(time.RFC3339))
+		}
+		at = end
+	}
+	if bad := l.w.over(); bad != "" {
+		fmt.Fprintf(&b, "over: %s\n", bad)
+	}
+	return b.String()
+}
+
+func drawing(rows [][]string) string {
+	wide := map[int]int{}
+	for _, row := range rows {
+		for i, cell := range row {
+			wide[i] = max(wide[i], len(cell))
+		}
+	}
+	var b strings.Builder
+	for _, row := range rows {
+		var line strings.Builder
+		for i, cell := range row {
+			if i > 0 {
+				line.WriteString(" | ")
+			}
+			fmt.Fprintf(&line, "%-*s", wide[i], cell)
+		}
+		b.WriteString(strings.TrimRight(line.String(), " ") + "\n")
+	}
+	return b.String()
+}
