--- a/fleet/quota/book_test.go
+++ b/fleet/quota/book_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"reflect"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -279,3 +281,40 @@
 		answer(o.Report(r, 1, firstWindow+second))
 	}
 }
+
+// Reqs of several books count down beside the holder's task, and nothing is lost or made.
+func TestReqsBesideTheTask(t *testing.T) {
+	_, h := heldBook(minutely(100), 1000, 1<<60, 16)
+	h.Owner(0)
+	var wg sync.WaitGroup
+	var kept atomic.Int64
+	for range 4 {
+		b := NewBook(second, 16)
+		b.Add("t", h.Slot())
+		wg.Go(func() {
+			for i := range 5000 {
+				x, v := b.Admit(1, Req{Tenant: "t"})
+				if v.Denied {
+					continue
+				}
+				if i%3 > 0 {
+					kept.Add(1)
+				}
+				b.Done(&x, i%3 > 0, Req{})
+			}
+		})
+	}
+	total := int64(1000)
+	for i := range int64(200) {
+		total += 20
+		h.giveBack(Pair{7, 0})
+		for _, l := range h.Tick(i * second) {
+			h.Grant(Grant{Quota: 1, Life: 1, Term: 1, Window: firstWindow, Num: l.Body.(Report).Num,
+				Total: Pair{total, 0}, Rest: 1 << 60}, i*second)
+		}
+	}
+	wg.Wait()
+	if sum := kept.Load() + h.left()[0] + h.returned[0]; sum != h.total[0] {
+		t.Errorf("%d spent, %d left, %d given back, of %d", kept.Load(), h.left()[0], h.returned[0], h.total[0])
+	}
+}
