--- a/fleet/lease/wire.go
+++ b/fleet/lease/wire.go
@@ -42,8 +42,8 @@
 	Term, Epoch uint64
 	Count       uint64
 	Want, Use   int
-	// Settled, of an Ask: the sender has lived longer than any lease of its place's earlier life. Of a Grant: the
-	// owner knows what all hold.
+	// Settled, of an Ask: the sender has lived longer than any lease of its place's earlier life. Of a Grant:
+	// the owner knows what all hold.
 	Settled bool
 }
 
