--- a/conf/conf.go
+++ b/conf/conf.go
@@ -100,13 +100,19 @@
 	var p unstable.Parser
 	p.Reset(text)
 	table, items := "", map[string]int{}
+	at, lines := 0, 1 // counted on from the key before
 	for p.NextExpression() {
 		e := p.Expression()
 		var name []string
 		line := 0
 		for k := e.Key(); k.Next(); {
 			name = append(name, string(k.Node().Data))
-			line = p.Shape(p.Range(k.Node().Data)).Start.Line
+			from := int(p.Range(k.Node().Data).Offset)
+			if from < at {
+				at, lines = 0, 1
+			}
+			lines += bytes.Count(text[at:from], []byte{'\n'})
+			at, line = from, lines
 		}
 		key := strings.Join(name, ".")
 		switch e.Kind {
