--- a/balance/balance.go
+++ b/balance/balance.go
@@ -524,6 +524,9 @@
 			} else if b.t.Live {
 				s.ready *= s.ease // placement leans away from the crowded
 			}
+			if !b.t.WarmKeys && s.cold >= 1 { // no key needs the small: at equal use what comes to them waits longer
+				s.ready *= math.Sqrt(s.size)
+			}
 			if s.unit > 0 {
 				s.ready *= math.Sqrt(b.unit / (s.unit * s.size))
 			}
--- a/balance/more_test.go
+++ b/balance/more_test.go
@@ -117,3 +117,19 @@
 		}
 	}
 }
+
+func TestLargerServersGetMoreThanTheirSize(t *testing.T) {
+	// At equal use a req waits longer at one slow core than at two fast ones; small machines left half of what came to
+	// them unanswered while large ones were idle (i204c1c). A cold server gets by its size alone: rule 4.
+	for _, c := range []struct {
+		warm  bool
+		since int64
+		want  float64
+	}{{true, 0, 4}, {false, 0, 8}, {false, sec, 4}} {
+		b := fleet(2, func(t *Terms) { t.WarmKeys, t.RampTime = c.warm, 10*sec })
+		b.Listed(Changes, []Server{{ID: "a", Zone: "z", Share: 4, Since: c.since}}, sec)
+		b.tend(2 * sec)
+		a, other := b.servers[0], b.servers[1]
+		near(t, "weight over that of a quarter of its size", a.ready/a.cold/other.ready, c.want, 1e-9)
+	}
+}
