--- a/balance/balance.go
+++ b/balance/balance.go
@@ -261,8 +261,8 @@
 	}
 }
 
-// own gives the source of a req whose like fails wherever it goes, its key before its tenant, and the part that
-// does so. What strikes the reqs of all sources alike, as overload does, is no source's own.
+// own gives the source of a req whose like fails wherever it goes, its key before its tenant, and the part
+// that does so. What strikes the reqs of all sources alike, as overload does, is no source's own.
 func (b *Balancer) own(r *req, now int64) (*fade.Odds, float64) {
 	allTried, allDone := b.all.Now(now, span)
 	for _, x := range r.from {
--- a/balance/close_test.go
+++ b/balance/close_test.go
@@ -6,8 +6,9 @@
 	"ivybank/internal/fade"
 )
 
-// Balancers that are few for the servers hold more in flight, since each sees how the servers are. The like of a
-// hundred on so many servers would crowd them and keep to the narrow bound; servers that are out change neither.
+// Balancers that are few for the servers hold more in flight, since each sees how the servers are. The like
+// of a hundred on so many servers would crowd them and keep to the narrow bound; servers that are out change
+// neither.
 func TestBoundWhereBalancersAreFew(t *testing.T) {
 	for _, c := range []struct {
 		name            string
@@ -33,8 +34,8 @@
 	}
 }
 
-// Where servers turn away most of what comes, more in flight only adds to it: at half of the dispatches the bound
-// is the narrow one, and few refusals leave it wide. Answers bring it back.
+// Where servers turn away most of what comes, more in flight only adds to it: at half of the dispatches the
+// bound is the narrow one, and few refusals leave it wide. Answers bring it back.
 func TestRefusalsNarrowTheBound(t *testing.T) {
 	b := fleet(8, func(t *Terms) { t.Copies = 2 })
 	r := take(b, 1, "again", "k")
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -7,8 +7,8 @@
 	"ivybank/internal/fade"
 )
 
-// What all balancers together send to a cold server (rule 4): each has one req for it in hand at any time, so budgets
-// of their own cannot hold them back, and the fewer of the others are up the more came to it.
+// What all balancers together send to a cold server (rule 4): each has one req for it in hand at any time, so
+// budgets of their own cannot hold them back, and the fewer of the others are up the more came to it.
 func TestColdTogether(t *testing.T) {
 	const copies, reqs, servers = 600, 8, 20
 	for _, c := range []struct {
@@ -25,7 +25,8 @@
 		{name: "all others are out", out: servers - 1, want: 1},
 		{name: "most goes unanswered", out: servers - 2, failed: 0.75, want: 0.25},
 		{name: "a retry", tries: 1, out: servers - 2},
-		{name: "one of two of its kind, the other is out", out: servers - 1, kinds: []string{"small"}, want: servers / 2},
+		{name: "one of two of its kind, the other is out", out: servers - 1, kinds: []string{"small"},
+			want: servers / 2},
 		{name: "the others have just gone", spoil: func(b *Balancer) {
 			for _, s := range b.servers[1:] {
 				b.list(Server{ID: s.ID, State: Gone}, 101*sec)
--- a/balance/copies_test.go
+++ b/balance/copies_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// Where many balancers share the few servers that a placement has, a copy of each at once crowds them: reqs that were
-// slow as they were heavy ran twice, and slowed all others.
+// Where many balancers share the few servers that a placement has, a copy of each at once crowds them: reqs
+// that were slow as they were heavy ran twice, and slowed all others.
 func TestNoCopiesOntoFew(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/balance/more_test.go
+++ b/balance/more_test.go
@@ -9,7 +9,8 @@
 // What three further deployments brought: each of these failed on them before the module was changed.
 
 func TestPlacement(t *testing.T) {
-	// Reqs of a rule set that is bound to one kind of machine went to any (every standard day of that deployment).
+	// Reqs of a rule set that is bound to one kind of machine went to any (each standard day of that
+	// deployment).
 	for _, c := range []struct {
 		name  string
 		bind  func(*RuleSet)
@@ -119,8 +120,9 @@
 }
 
 func TestLargerServersGetMoreThanTheirSize(t *testing.T) {
-	// At equal use a req waits longer at one slow core than at two fast ones; small machines left half of what came to
-	// them unanswered while large ones were idle (i204c1c). A cold server gets by its size alone: rule 4.
+	// At equal use a req waits longer at one slow core than at two fast ones; small machines left half of what
+	// came to them unanswered while large ones were idle (i204c1c). A cold server gets by its size alone: rule
+	// 4.
 	for _, c := range []struct {
 		warm  bool
 		since int64
--- a/balance/source_test.go
+++ b/balance/source_test.go
@@ -8,7 +8,8 @@
 )
 
 // play hands in reqs of a key each 10 ms and answers what is sent at once; end says how.
-func play(b *Balancer, from int64, n int, key func(int) string, end func(key, srv string) Outcome) (sent, shed map[string]int) {
+func play(b *Balancer, from int64, n int, key func(int) string, end func(key, srv string) Outcome) (
+	sent, shed map[string]int) {
 	sent, shed = map[string]int{}, map[string]int{}
 	for i := range n {
 		now, id := from+int64(i)*10*ms, uint64(from)+uint64(i)
--- a/balance/types.go
+++ b/balance/types.go
@@ -55,7 +55,7 @@
 	RuleSets      []RuleSet
 	Tenants       []Tenant
 	Copies        int // balancers of this fleet
-	Beside        int // further processes of this balancer that live now: they share what it may send to cold servers
+	Beside        int // further processes of this balancer that live now: new servers begin with their part of the cap
 	MaxDispatches int
 	Parallel      bool // a second dispatch may be out at the same time
 	CanCancel     bool
