--- a/balance/source_test.go
+++ b/balance/source_test.go
@@ -30,6 +30,16 @@
 	return sent, shed
 }
 
+// failing answers with an error what is bad, and serves the rest.
+func failing(bad func(key, srv string) bool) func(key, srv string) Outcome {
+	return func(key, srv string) Outcome {
+		if bad(key, srv) {
+			return Errored
+		}
+		return Served
+	}
+}
+
 func TestFailsAnywhere(t *testing.T) {
 	begin := func() *Balancer {
 		return fleet(6, func(t *Terms) { t.Tenants = []Tenant{{Name: "t", Share: 1}} })
@@ -44,12 +54,7 @@
 	t.Run("no server is blamed for a key that fails at each", func(t *testing.T) {
 		// All thirteen servers were ejected by each balancer within a second (altiplano-pedidos rough-1).
 		b := begin()
-		_, shed := play(b, 0, 2000, bad, func(key, _ string) Outcome {
-			if key == "bad" {
-				return Errored
-			}
-			return Served
-		})
+		_, shed := play(b, 0, 2000, bad, failing(func(key, _ string) bool { return key == "bad" }))
 		for _, s := range b.servers {
 			if s.ejections > 0 || s.ejected || s.health < 0.9 {
 				t.Errorf("%s: health %.2f, ejected %d times", s.ID, s.health, s.ejections)
@@ -69,12 +74,7 @@
 	})
 	t.Run("a server that fails is not taken for its keys", func(t *testing.T) {
 		b := begin()
-		_, shed := play(b, 0, 300, good, func(_, srv string) Outcome {
-			if srv == "c" {
-				return Errored
-			}
-			return Served
-		})
+		_, shed := play(b, 0, 300, good, failing(func(_, srv string) bool { return srv == "c" }))
 		if c := b.servers[2]; c.ejections == 0 {
 			t.Error("c was never ejected")
 		}
@@ -85,12 +85,7 @@
 	t.Run("what strikes all alike is nobody's own", func(t *testing.T) {
 		b := begin()
 		dice := draw.Dice{Seed: 3}
-		_, shed := play(b, 0, 500, good, func(string, string) Outcome {
-			if dice.Next() < 0.5 {
-				return Errored
-			}
-			return Served
-		})
+		_, shed := play(b, 0, 500, good, failing(func(string, string) bool { return dice.Next() < 0.5 }))
 		all := 0
 		for _, x := range shed {
 			all += x
