A connection to a host is bound to its request only until it is put back; logic that stood twice

Cause: a streaming request left its context's close on the connection after that was put back, so a client that went away later closed the connection under the next request. The option of TCP for unacknowledged bytes and the look-up of members stood twice each; fields and hooks that nobody used are gone. Change: the pool binds a connection to a request's context at Get and releases it at Put; internal/tcp; Replica.Includes.

--- a/control/feed.go
+++ b/control/feed.go
@@ -5,12 +5,11 @@
 // subscriber is an agent that tails the feed.
 type subscriber struct {
 	conn *wire.Conn
-	node string
 }
 
 // acceptAgent serves one agent's connection.
-func (n *Node) acceptAgent(conn *wire.Conn, node string) {
-	s := &subscriber{conn: conn, node: node}
+func (n *Node) acceptAgent(conn *wire.Conn) {
+	s := &subscriber{conn: conn}
 	defer n.do(func() { delete(n.subscribers, s) })
 	for {
 		m, err := conn.Receive()
--- a/control/node.go
+++ b/control/node.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -219,11 +220,7 @@
 		n.log.Info("role changed", "role", role.String(), "term", n.replica.Term())
 		n.wasRole = role
 	}
-	for _, e := range n.replica.TakeMessages() {
-		if link := n.links[e.To.IP]; link != nil {
-			link.Send(e.Message)
-		}
-	}
+	n.sendMessages()
 	if !n.saving {
 		if s := n.replica.TakeSave(); s != nil {
 			n.saving = true
@@ -241,6 +238,15 @@
 	}
 }
 
+// sendMessages sends what the replica has to say to others.
+func (n *Node) sendMessages() {
+	for _, e := range n.replica.TakeMessages() {
+		if link := n.links[e.To.IP]; link != nil {
+			link.Send(e.Message)
+		}
+	}
+}
+
 // writeSaves writes to the disk, one save at a time, until each is done.
 func (n *Node) writeSaves(ctx context.Context) {
 	for {
@@ -276,7 +282,7 @@
 	if at == n.memberSince {
 		return
 	}
-	changed := n.group == nil || !sameMembers(n.group.Members, n.replica.Members())
+	changed := n.group == nil || !slices.Equal(n.group.Members, n.replica.Members())
 	n.memberSince = at
 	if changed {
 		n.granter.Pause(n.now())
@@ -286,18 +292,6 @@
 	}
 }
 
-func sameMembers(a, b []wire.Member) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // followCommit takes a newly committed state and feeds it.
 func (n *Node) followCommit() {
 	committed := n.replica.Committed()
@@ -347,10 +341,6 @@
 	}
 	n.replica.Leave()
 	n.replica.Tick(now)
-	for _, e := range n.replica.TakeMessages() {
-		if link := n.links[e.To.IP]; link != nil {
-			link.Send(e.Message)
-		}
-	}
+	n.sendMessages()
 	time.Sleep(tickInterval) // for the writers of the links
 }
--- a/control/peers.go
+++ b/control/peers.go
@@ -78,7 +78,7 @@
 		n.acceptPeer(ctx, conn, wire.Member{ID: hello.Node, IP: hello.IP})
 		return
 	}
-	n.acceptAgent(conn, hello.Node)
+	n.acceptAgent(conn)
 }
 
 // acceptPeer takes what another control process says. Answers go over the own link to it.
@@ -108,7 +108,7 @@
 	now := n.now()
 	switch {
 	case m.LeaseRequest != nil:
-		if !isMember(n.replica.Members(), from.ID) || !n.replica.IsMember() {
+		if !n.replica.Includes(from.ID) || !n.replica.IsMember() {
 			return
 		}
 		reply := n.granter.Answer(m.LeaseRequest, now)
@@ -121,7 +121,3 @@
 		n.replica.Receive(from, m, now)
 	}
 }
-
-func isMember(members []wire.Member, id string) bool {
-	return slices.ContainsFunc(members, func(m wire.Member) bool { return m.ID == id })
-}
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -185,7 +185,10 @@
 func (r *Replica) Members() []wire.Member { return allMembers(r.disk.Entry) }
 
 // IsMember says whether the newest entry names this replica.
-func (r *Replica) IsMember() bool { return containsID(r.Members(), r.self.ID) }
+func (r *Replica) IsMember() bool { return r.Includes(r.self.ID) }
+
+// Includes says whether the newest entry names a member, one on its way out included.
+func (r *Replica) Includes(id string) bool { return containsID(r.Members(), id) }
 
 // Leading says whether this replica is the leader, its lease holds at now, and all that was ever acknowledged is in
 // Committed.
--- a/router/forward.go
+++ b/router/forward.go
@@ -20,13 +20,11 @@
 	deadlineHeader    = "Deadline-Ms"
 	tenantHeader      = "Tenant"
 	targetHeader      = "Target-Instance"
-	sealHeader        = "Response-Seal"
 	notRunHeader      = "Not-Executed"
 	retryAfterHeader  = "Retry-After"
 	prefixHeader      = "Prefix-Hash"
 	priorityHeader    = "Priority"
 	lastEventHeader   = "Last-Event-Id"
-	instanceHeader    = "Instance-Id"
 	authorization     = "Authorization"
 	lowestPriority    = 9
 	defaultDeadline   = 30 * time.Second
@@ -236,8 +234,6 @@
 		}
 		return false, err
 	}
-	stop := context.AfterFunc(x.in.Context(), conn.Close)
-	defer stop()
 	stopWatch := x.watchHead(a, conn)
 	answer, err := conn.Do(x.outgoing(a), x.deadline)
 	stopWatch()
--- a/router/stream.go
+++ b/router/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -168,7 +167,6 @@
 	if err != nil {
 		return fail(policy.Failed)
 	}
-	context.AfterFunc(x.in.Context(), conn.Close)
 	request := x.outgoing(a)
 	if last != "" {
 		request.Header.Set(lastEventHeader, last)
--- a/router/upstream/pool.go
+++ b/router/upstream/pool.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"ivybank/internal/tcp"
 )
 
 const (
@@ -56,7 +58,7 @@
 	address string
 	rested  time.Time
 	rest    time.Duration // for which it may rest
-	used    bool          // for an exchange before this one
+	release func() bool   // ends the bond to the request that it is used for; see bind
 }
 
 // Pool keeps connections at rest, by address. It is safe for concurrent use.
@@ -68,7 +70,8 @@
 // NewPool makes an empty pool.
 func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}} }
 
-// Get gives a connection to a host: one at rest that is still open, else a new one.
+// Get gives a connection to a host: one at rest that is still open, else a new one. It ends with the context, until it
+// is put back.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
 	for {
 		c := p.take(address)
@@ -76,21 +79,29 @@
 			return p.Dial(ctx, address)
 		}
 		if time.Since(c.rested) < c.rest && c.quiet() {
-			return c, nil
+			return c.bind(ctx), nil
 		}
 		c.raw.Close()
 	}
 }
 
-// Dial gives a new connection. That it comes up shows that the host is there.
+// Dial gives a new connection, which ends with the context until it is put back. That it comes up shows that the host
+// is there.
 func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, &Error{NotSent, fmt.Errorf("upstream: %w", err)}
 	}
-	setUserTimeout(raw)
-	return &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), address: address, rest: longestRest}, nil
+	tcp.SetUserTimeout(raw, unacknowledgedMax)
+	c := &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), address: address, rest: longestRest}
+	return c.bind(ctx), nil
+}
+
+// bind has a connection end with the context of the request that it is used for, until it is put back.
+func (c *Conn) bind(ctx context.Context) *Conn {
+	c.release = context.AfterFunc(ctx, c.Close)
+	return c
 }
 
 func (p *Pool) take(address string) *Conn {
@@ -107,7 +118,7 @@
 
 // Put gives a connection back after a whole answer. It is closed where the host said so, or sent more than that.
 func (p *Pool) Put(c *Conn, answer *http.Response) {
-	if answer.Close || c.reader.Buffered() > 0 {
+	if !c.release() || answer.Close || c.reader.Buffered() > 0 {
 		c.raw.Close()
 		return
 	}
@@ -118,7 +129,7 @@
 		c.raw.Close()
 		return
 	}
-	c.rested, c.used = time.Now(), true
+	c.rested = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= idlePerHost {
@@ -176,11 +187,11 @@
 
 // quiet says whether a connection at rest is open and nothing has come over it.
 func (c *Conn) quiet() bool {
-	tcp, ok := c.raw.(*net.TCPConn)
+	socket, ok := c.raw.(*net.TCPConn)
 	if !ok {
 		return true
 	}
-	control, err := tcp.SyscallConn()
+	control, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -196,15 +207,3 @@
 
 // Close ends the connection; the host drops what it works on.
 func (c *Conn) Close() { c.raw.Close() }
-
-func setUserTimeout(raw net.Conn) {
-	tcp, ok := raw.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	if control, err := tcp.SyscallConn(); err == nil {
-		_ = control.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedMax.Milliseconds()))
-		})
-	}
-}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -11,7 +11,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"golang.org/x/sys/unix"
+
+	"ivybank/internal/tcp"
 )
 
 // Limits of a connection.
@@ -47,7 +48,7 @@
 
 // NewConn takes over an open TCP connection.
 func NewConn(raw net.Conn) *Conn {
-	setUserTimeout(raw)
+	tcp.SetUserTimeout(raw, silenceLimit)
 	c := &Conn{raw: raw, queue: make(chan *Message, sendQueue), done: make(chan struct{})}
 	c.reader = bufio.NewReaderSize(progressReader{raw}, 8<<10)
 	go c.write()
@@ -178,16 +179,3 @@
 	}
 	return r.Conn.Read(b)
 }
-
-// setUserTimeout bounds how long sent bytes may stay unacknowledged.
-func setUserTimeout(raw net.Conn) {
-	tcp, ok := raw.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	if control, err := tcp.SyscallConn(); err == nil {
-		_ = control.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceLimit.Milliseconds()))
-		})
-	}
-}
--- a/wire/link.go
+++ b/wire/link.go
@@ -24,8 +24,6 @@
 	Connected func(send func(*Message) bool)
 	// Received is called with each message, in order.
 	Received func(m *Message)
-	// Disconnected is called when a connection that Connected was told of has ended; may be nil.
-	Disconnected func()
 
 	current atomic.Pointer[Conn]
 }
@@ -72,12 +70,7 @@
 		l.Connected(conn.Send)
 	}
 	l.current.Store(conn)
-	defer func() {
-		l.current.Store(nil)
-		if l.Disconnected != nil {
-			l.Disconnected()
-		}
-	}()
+	defer l.current.Store(nil)
 	for {
 		m, err := conn.Receive()
 		if err != nil {
