--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,50 +4,54 @@
 package agent
 
 import (
-	"context"
-	"fmt"
-	"net"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"ivybank/control/hostlist"
-	"ivybank/membership"
 	"ivybank/settings"
 	"ivybank/wire"
 )
 
-const (
-	tickInterval = 200 * time.Millisecond
-	// firstConfigPatience is how long an agent that has just started waits for the leader's word that a configuration
-	// is current, before it takes the newest that it was told.
-	firstConfigPatience = 3 * time.Second
-	eventQueue          = 1024
-	// lingerShare is the part of the time before the platform's SIGKILL for which an agent waits for its router.
-	lingerShare = 0.95
-)
+// confirmedFor is how long after a leader's word an agent takes the members that it knows for those in force. Without
+// one for longer it also asks the seeds and the control processes that peers have told of.
+const confirmedFor = 3 * time.Second
+
+// Environment is what an agent needs of the world: in service sockets, in tests a simulated one. All that it tells the
+// agent comes as events in the agent's loop.
+type Environment interface {
+	// Now is the steady clock, from the start of this life of the process.
+	Now() time.Duration
+	// OpenLink keeps a connection to the control process at an address.
+	OpenLink(ip string, hello wire.Hello, events wire.LinkEvents) wire.OpenLink
+	// KnownControls gives the addresses of control processes that peers have told of.
+	KnownControls() []string
+	// Introduce tells peers of control processes.
+	Introduce(ips ...string)
+}
 
-// Agent is one agent process.
+// Agent is one life of an agent process. Its methods belong to its loop.
 type Agent struct {
 	settings *settings.Settings
 	log      hclog.Logger
-	start    time.Time
-	events   chan func()
+	env      Environment
 
-	peers     *membership.Service
-	links     map[string]*controlLink // by IP
-	group     *wire.Group
-	config    *wire.Config // the newest that the router may act by
-	candidate *wire.Config // the newest that was told, before any is known to be current
-	tables    [hostlist.Shards]table
-	routers   map[*wire.Conn]struct{}
+	links       map[string]wire.OpenLink // by IP
+	group       *wire.Group
+	config      *wire.Config  // the newest that the router may act by
+	candidate   *wire.Config  // the newest that was told, before any is known to be current
+	confirmedAt time.Duration // when a leader said last that a configuration is current
+	tables      [hostlist.Shards]table
+	fences      [hostlist.Shards]uint64 // highest fencing number that the router or this agent has seen
+	routers     map[wire.Sender]struct{}
+	dropped     Dropped
 }
 
-type controlLink struct {
-	*wire.Link
-	stop context.CancelFunc
+// Dropped counts messages that were not taken, by cause.
+type Dropped struct {
+	OldGroups int64 // members under an older position than is known
+	OldHosts  int64 // hosts under an older fencing number than is known
 }
 
 // table is one shard's hosts and the control process that they come from.
@@ -56,119 +60,74 @@
 	source string
 }
 
-// New makes an agent.
-func New(s *settings.Settings, log hclog.Logger) *Agent {
-	return &Agent{settings: s, log: log, start: time.Now(), events: make(chan func(), eventQueue),
-		links: map[string]*controlLink{}, routers: map[*wire.Conn]struct{}{}}
+// NewAgent makes an agent that has just started.
+func NewAgent(s *settings.Settings, log hclog.Logger, env Environment) *Agent {
+	a := &Agent{settings: s, log: log, env: env, links: map[string]wire.OpenLink{}, routers: map[wire.Sender]struct{}{},
+		confirmedAt: -confirmedFor}
+	a.env.Introduce(s.SeedIPs()...)
+	a.syncLinks()
+	return a
 }
 
-// Run serves until the context ends and the router of this machine has ended too, which drains with what is fed here.
-// Settings that come over reloads replace the old: the seeds may be others.
-func (a *Agent) Run(stopped context.Context, reloads <-chan *settings.Settings) error {
-	ctx, end := context.WithCancel(context.WithoutCancel(stopped))
-	defer end()
-	local, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(a.settings.LocalPort())))
-	if err != nil {
-		return fmt.Errorf("agent: %w", err)
-	}
-	defer local.Close()
-	a.peers, err = membership.Listen(membership.Peer{IP: a.settings.IP}, a.settings.InternalPort())
-	if err != nil {
-		return fmt.Errorf("agent: %w", err)
-	}
-	defer a.peers.Close()
-	a.peers.Introduce(true, a.settings.SeedIPs()...)
-	go a.peers.Run(ctx)
-	go wire.Serve(ctx, local, a.acceptRouter)
-	a.syncLinks(ctx)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	stopping := stopped.Done()
-	var lastMoment <-chan time.Time
-	for stopping != nil || len(a.routers) > 0 {
-		select {
-		case <-stopping:
-			stopping = nil
-			lastMoment = time.After(a.lingerTime())
-		case <-lastMoment:
-			return nil
-		case event := <-a.events:
-			event()
-		case a.settings = <-reloads:
-			a.peers.Introduce(true, a.settings.SeedIPs()...)
-		case <-ticker.C:
-			a.syncLinks(ctx)
-			a.settleFirstConfig()
-		}
-	}
-	return nil
+// Reload takes other settings: the seeds may be others.
+func (a *Agent) Reload(s *settings.Settings) {
+	a.settings = s
+	a.env.Introduce(s.SeedIPs()...)
 }
 
-// lingerTime is how long an agent that has to stop waits for its router.
-func (a *Agent) lingerTime() time.Duration {
-	return time.Duration(lingerShare * a.settings.Bounds.GraceS * float64(time.Second))
-}
+// Tick lets time pass.
+func (a *Agent) Tick() { a.syncLinks() }
 
-func (a *Agent) do(event func()) { a.events <- event }
+// Routers says how many routers are connected.
+func (a *Agent) Routers() int { return len(a.routers) }
 
-// syncLinks keeps a link to each member. While none is up, it tries the seeds and what peers have told of.
-func (a *Agent) syncLinks(ctx context.Context) {
-	var want []string
-	if a.group != nil {
-		for _, m := range a.group.Members {
-			want = append(want, m.IP)
-		}
-	}
-	if !a.anyUp() {
+// syncLinks keeps a link to each member. While none is up, or none of them leads, it tries the seeds and what peers have
+// told of.
+func (a *Agent) syncLinks() {
+	want := a.members()
+	if !a.anyUp(want) || a.env.Now() >= a.confirmedAt+confirmedFor {
 		want = append(want, a.settings.SeedIPs()...)
-		want = append(want, a.peers.ControlIPs()...)
+		want = append(want, a.env.KnownControls()...)
 	}
-	for _, ip := range want {
+	slices.Sort(want)
+	for _, ip := range slices.Compact(want) {
 		if a.links[ip] == nil {
-			a.openLink(ctx, ip)
+			a.openLink(ip)
 		}
 	}
 	for ip, link := range a.links {
-		if !slices.Contains(want, ip) && a.anyMemberUp() {
-			link.stop()
+		if !slices.Contains(want, ip) {
+			link.Close()
 			delete(a.links, ip)
 		}
 	}
 }
 
-func (a *Agent) anyUp() bool {
-	for _, link := range a.links {
-		if link.Up() {
-			return true
+func (a *Agent) members() []string {
+	var ips []string
+	if a.group != nil {
+		for _, m := range a.group.Members {
+			ips = append(ips, m.IP)
 		}
 	}
-	return false
+	return ips
 }
 
-func (a *Agent) anyMemberUp() bool {
-	if a.group == nil {
-		return false
-	}
-	return slices.ContainsFunc(a.group.Members, func(m wire.Member) bool {
-		link := a.links[m.IP]
+func (a *Agent) anyUp(ips []string) bool {
+	return slices.ContainsFunc(ips, func(ip string) bool {
+		link := a.links[ip]
 		return link != nil && link.Up()
 	})
 }
 
-func (a *Agent) openLink(ctx context.Context, ip string) {
-	ctx, stop := context.WithCancel(ctx)
-	link := &wire.Link{
-		Address: net.JoinHostPort(ip, strconv.Itoa(a.settings.InternalPort())),
-		Hello:   wire.Hello{Role: wire.RoleAgent, Node: a.settings.NodeName, IP: a.settings.IP},
-	}
-	link.Connected = func(send func(*wire.Message) bool) {
-		subscribe := make(chan *wire.Subscribe, 1)
-		a.do(func() { subscribe <- a.position() })
-		send(&wire.Message{Subscribe: <-subscribe})
-	}
-	link.Received = func(m *wire.Message) { a.do(func() { a.onControl(ip, link, m) }) }
-	a.links[ip] = &controlLink{link, stop}
-	go link.Run(ctx)
+func (a *Agent) openLink(ip string) {
+	hello := wire.Hello{Role: wire.RoleAgent, Node: a.settings.NodeName, IP: a.settings.IP}
+	var link wire.OpenLink
+	link = a.env.OpenLink(ip, hello, wire.LinkEvents{
+		Subscribe: func() *wire.Message { return &wire.Message{Subscribe: a.position()} },
+		Received:  func(m *wire.Message) { a.onControl(ip, link, m) },
+	})
+	a.links[ip] = link
 }
 
 // position is what this agent holds.
@@ -178,22 +137,19 @@
 		s.Config = a.config.Revision
 	}
 	for i := range a.tables {
-		s.Hosts[uint32(i)] = a.tables[i].At
+		at := a.tables[i].At
+		if a.fences[i] > at.Term {
+			at = wire.HostsOffset{Term: a.fences[i]}
+		}
+		s.Hosts[uint32(i)] = at
 	}
 	return s
 }
 
-func (a *Agent) onControl(ip string, link *wire.Link, m *wire.Message) {
+func (a *Agent) onControl(ip string, link wire.Sender, m *wire.Message) {
 	switch {
 	case m.Group != nil:
-		if a.group == nil || !slices.Equal(a.group.Members, m.Group.Members) {
-			a.log.Info("members", "from", ip, "members", m.Group.Members)
-			for _, member := range m.Group.Members {
-				a.peers.Introduce(true, member.IP)
-			}
-		}
-		a.group = m.Group
-		a.toRouters(m)
+		a.onGroup(ip, m)
 	case m.Config != nil:
 		a.onConfig(link, m.Config)
 	case m.Hosts != nil:
@@ -203,8 +159,38 @@
 	}
 }
 
-// onConfig keeps the newest configuration. The first one has to be current by the leader's word.
-func (a *Agent) onConfig(link *wire.Link, c *wire.Config) {
+// onGroup takes the members, and the number of routers, unless they come from an older entry than those that are known:
+// a control process that was replaced while it was cut off tells the members of long ago.
+func (a *Agent) onGroup(ip string, m *wire.Message) {
+	if a.group != nil && m.Group.At.Less(a.group.At) {
+		a.dropOldGroup(ip, m.Group)
+		return
+	}
+	if a.group == nil || !slices.Equal(a.group.Members, m.Group.Members) {
+		a.log.Info("members", "from", ip, "members", m.Group.Members)
+		for _, member := range m.Group.Members {
+			a.env.Introduce(member.IP)
+		}
+	}
+	a.group = m.Group
+	if a.config != nil { // one that knows no configuration in force may have heard of nothing but old members
+		a.toRouters(m)
+	}
+}
+
+func (a *Agent) dropOldGroup(ip string, group *wire.Group) {
+	a.dropped.OldGroups++
+	if !slices.Equal(a.group.Members, group.Members) {
+		a.log.Info("members of an older entry not taken", "from", ip, "members", group.Members, "dropped", a.dropped.OldGroups)
+	}
+}
+
+// onConfig keeps the newest configuration. The first one has to be current by the leader's word: an agent that has just
+// started may hear control processes alone that are cut off from the others.
+func (a *Agent) onConfig(link wire.Sender, c *wire.Config) {
+	if c.Current {
+		a.confirmedAt = a.env.Now()
+	}
 	if a.config != nil {
 		if c.Revision > a.config.Revision {
 			a.adopt(link, c)
@@ -219,31 +205,34 @@
 	}
 }
 
-func (a *Agent) adopt(link *wire.Link, c *wire.Config) {
+func (a *Agent) adopt(link wire.Sender, c *wire.Config) {
 	if len(c.Body) == 0 {
 		if a.candidate == nil || a.candidate.Revision != c.Revision {
 			link.Send(&wire.Message{Subscribe: a.position()})
 			return
 		}
-		c = a.candidate
+		c = &wire.Config{Revision: c.Revision, Body: a.candidate.Body, Current: c.Current, At: c.At}
 	}
+	first := a.config == nil
 	a.config, a.candidate = c, nil
 	a.log.Info("configuration", "revision", c.Revision)
-	a.toRouters(&wire.Message{Config: c})
-}
-
-func (a *Agent) settleFirstConfig() {
-	if a.config == nil && a.candidate != nil && time.Since(a.start) > firstConfigPatience {
-		a.adopt(nil, a.candidate)
+	if first && a.group != nil {
+		a.toRouters(&wire.Message{Group: a.group})
 	}
+	a.toRouters(&wire.Message{Config: c})
 }
 
-func (a *Agent) onHosts(ip string, link *wire.Link, c *wire.Hosts) {
+func (a *Agent) onHosts(ip string, link wire.Sender, c *wire.Hosts) {
 	if int(c.Shard) >= len(a.tables) {
 		return
 	}
 	t := &a.tables[c.Shard]
-	if c.At.Term < t.At.Term || !t.Apply(c) { // the owner learns what was fed, and raises its fencing number
+	if c.At.Term < max(t.At.Term, a.fences[c.Shard]) {
+		a.dropped.OldHosts++
+		link.Send(&wire.Message{Subscribe: a.position()}) // the owner learns what was fed, and raises its fencing number
+		return
+	}
+	if !t.Apply(c) {
 		link.Send(&wire.Message{Subscribe: a.position()})
 		return
 	}
@@ -255,47 +244,45 @@
 }
 
 func (a *Agent) toRouters(m *wire.Message) {
-	for conn := range a.routers {
-		conn.Send(m)
+	for router := range a.routers {
+		router.Send(m)
 	}
 }
 
-// acceptRouter serves the router of this machine.
-func (a *Agent) acceptRouter(conn *wire.Conn, _ wire.Hello) {
-	defer a.do(func() { delete(a.routers, conn) })
-	for {
-		m, err := conn.Receive()
-		if err != nil {
-			return
-		}
-		switch {
-		case m.Subscribe != nil:
-			a.do(func() { a.feedRouter(conn, m.Subscribe) })
-		case m.QuotaRequest != nil:
-			a.do(func() { a.onQuotaRequest(m) })
-		}
+// RouterDisconnected forgets a router's connection.
+func (a *Agent) RouterDisconnected(router wire.Sender) { delete(a.routers, router) }
+
+// OnRouterMessage takes what the router of this machine says.
+func (a *Agent) OnRouterMessage(router wire.Sender, m *wire.Message) {
+	switch {
+	case m.Subscribe != nil:
+		a.feedRouter(router, m.Subscribe)
+	case m.QuotaRequest != nil:
+		a.onQuotaRequest(m)
 	}
 }
 
 // feedRouter brings a router up to date.
-func (a *Agent) feedRouter(conn *wire.Conn, q *wire.Subscribe) {
-	a.routers[conn] = struct{}{}
-	if a.group != nil {
-		conn.Send(&wire.Message{Group: a.group})
+func (a *Agent) feedRouter(router wire.Sender, q *wire.Subscribe) {
+	a.routers[router] = struct{}{}
+	if a.group != nil && a.config != nil {
+		router.Send(&wire.Message{Group: a.group})
 	}
 	if a.config != nil && a.config.Revision > q.Config {
-		conn.Send(&wire.Message{Config: a.config})
+		router.Send(&wire.Message{Config: a.config})
 	}
 	for i := range a.tables {
 		t := &a.tables[i]
-		if t.At.Offset == 0 || q.Hosts[uint32(i)] == t.At {
+		has := q.Hosts[uint32(i)]
+		a.fences[i] = max(a.fences[i], has.Term)
+		if t.At.Offset == 0 || !has.Before(t.At) {
 			continue
 		}
 		whole := &wire.Hosts{Shard: uint32(i), At: t.At, Whole: true}
 		for _, h := range t.Hosts {
 			whole.Updated = append(whole.Updated, h)
 		}
-		conn.Send(&wire.Message{Hosts: whole})
+		router.Send(&wire.Message{Hosts: whole})
 	}
 }
 
--- a/control/feed.go
+++ b/control/feed.go
@@ -4,32 +4,27 @@
 
 // subscriber is an agent that tails the feed.
 type subscriber struct {
-	conn *wire.Conn
+	conn wire.Sender
 }
 
-// acceptAgent serves one agent's connection.
-func (n *Node) acceptAgent(conn *wire.Conn) {
-	s := &subscriber{conn: conn}
-	defer n.do(func() { delete(n.subscribers, s) })
-	for {
-		m, err := conn.Receive()
-		if err != nil {
-			return
-		}
-		switch {
-		case m.Subscribe != nil:
-			n.do(func() { n.subscribe(s, m.Subscribe) })
-		case m.QuotaRequest != nil:
-			n.do(func() { n.onQuotaRequest(s, m.QuotaRequest) })
-		}
+// AgentDisconnected forgets an agent's connection.
+func (n *Node) AgentDisconnected(s *subscriber) { delete(n.subscribers, s) }
+
+// OnAgentMessage takes what an agent says.
+func (n *Node) OnAgentMessage(s *subscriber, m *wire.Message) {
+	switch {
+	case m.Subscribe != nil:
+		n.subscribe(s, m.Subscribe)
+	case m.QuotaRequest != nil:
+		n.onQuotaRequest(s, m.QuotaRequest)
 	}
 }
 
 // subscribe brings an agent up to date; from then on it gets each change.
 func (n *Node) subscribe(s *subscriber, q *wire.Subscribe) {
 	n.subscribers[s] = struct{}{}
-	if n.group != nil {
-		s.conn.Send(&wire.Message{Group: n.group})
+	if group := n.currentGroup(); group != nil {
+		s.conn.Send(&wire.Message{Group: group})
 	}
 	if n.feed != nil {
 		s.conn.Send(n.configMessage(q.Config))
@@ -50,7 +45,7 @@
 // configFor gives the configuration as one agent needs it: without its body where the agent holds it already.
 func (n *Node) configFor(held int64) *wire.Config {
 	c := *n.feed
-	c.Current = n.replica.Leading(n.now())
+	c.Current, c.At = n.replica.Leading(n.now()), n.stateAt
 	if held >= c.Revision {
 		c.Body = nil
 	}
@@ -63,7 +58,7 @@
 	if len(c.Body) == 0 {
 		return &wire.Message{Config: c}
 	}
-	if n.feedMessage == nil || n.feedMessage.Config.Revision != c.Revision || n.feedMessage.Config.Current != c.Current {
+	if n.feedMessage == nil || n.feedMessage.Config.At != c.At || n.feedMessage.Config.Current != c.Current {
 		n.feedMessage = (&wire.Message{Config: c}).Prepare()
 	}
 	return n.feedMessage
@@ -85,18 +80,27 @@
 	n.publish(n.configMessage(0))
 }
 
+// currentGroup gives the members by the newest entry; nil before the first.
+func (n *Node) currentGroup() *wire.Group {
+	entry := n.replica.Newest()
+	if entry == nil {
+		return nil
+	}
+	group := &wire.Group{Members: entry.Members, Routers: len(n.subscribers), At: entry.Position()}
+	if n.state != nil {
+		group.Routers = max(group.Routers, n.state.Routers)
+	}
+	return group
+}
+
 // publishGroup tells agents who the members are; each second anew, with the word of the leader that their
 // configuration is current.
 func (n *Node) publishGroup() {
-	members := n.replica.Members()
-	if len(members) == 0 {
+	group := n.currentGroup()
+	if group == nil {
 		return
 	}
-	n.group = &wire.Group{Members: members, Routers: len(n.subscribers)}
-	if n.state != nil {
-		n.group.Routers = max(n.group.Routers, n.state.Routers)
-	}
-	n.publish(&wire.Message{Group: n.group})
+	n.publish(&wire.Message{Group: group})
 	if n.feed != nil && n.replica.Leading(n.now()) {
 		n.publish(&wire.Message{Config: n.configFor(n.feed.Revision)})
 	}
--- a/control/hostlist/table.go
+++ b/control/hostlist/table.go
@@ -93,6 +93,9 @@
 
 // Apply takes a change. It reports false where one is missing and the subscriber has to ask anew.
 func (r *Replica) Apply(c *wire.Hosts) bool {
+	if c.At.Before(r.At) {
+		return true // of an owner before, or come late: what is held is newer
+	}
 	if c.Whole {
 		r.At, r.Hosts = c.At, make(map[string]wire.Host, len(c.Updated))
 	} else if c.At.Term != r.At.Term || c.At.Offset != r.At.Offset+1 {
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -48,7 +48,7 @@
 		held = &grant{}
 		g.grants[q.Resource] = held
 	}
-	reply := &wire.LeaseReply{Resource: q.Resource, Round: q.Round}
+	reply := &wire.LeaseReply{Resource: q.Resource, Round: q.Round, Life: q.Life}
 	same := held.holder == q.Holder && held.term == q.Term
 	switch {
 	case q.Release:
@@ -79,6 +79,7 @@
 type Holder struct {
 	resource string
 	self     string
+	life     uint64 // of the process, carried by requests and echoed by replies
 	salt     uint64
 	rank     int // 0 for the member that should hold it
 	term     uint64
@@ -94,9 +95,10 @@
 	freeAt   time.Duration // since when it seems free; for the delay by rank
 }
 
-// NewHolder makes the side of one candidate. salt differs from holder to holder, as by chance.
-func NewHolder(resource, self string, salt uint16, now time.Duration) *Holder {
-	return &Holder{resource: resource, self: self, salt: uint64(salt), nextAsk: now, freeAt: now}
+// NewHolder makes the side of one candidate in one life of its process. Lives differ, as by chance; so do the low bits of
+// fencing numbers, which come from them.
+func NewHolder(resource, self string, life uint64, now time.Duration) *Holder {
+	return &Holder{resource: resource, self: self, life: life, salt: life & (1<<saltBits - 1), nextAsk: now, freeAt: now}
 }
 
 // SetRank tells how many other members come before this one.
@@ -136,25 +138,29 @@
 	h.asking = true
 	h.round++
 	h.askedAt, h.nextAsk, h.granted = now, now+RenewInterval, map[string]bool{}
-	return &wire.LeaseRequest{Resource: h.resource, Holder: h.self, Term: h.term, Round: h.round}
+	return &wire.LeaseRequest{Resource: h.resource, Holder: h.self, Term: h.term, Round: h.round, Life: h.life}
 }
 
-// Replied takes a member's answer.
-func (h *Holder) Replied(from string, p *wire.LeaseReply, enough Quorum, now time.Duration) {
+// Replied takes a member's answer. It reports false for one to an earlier life of this process, which it drops.
+func (h *Holder) Replied(from string, p *wire.LeaseReply, enough Quorum) bool {
+	if p.Life != h.life {
+		return false
+	}
 	h.highest = max(h.highest, p.Term)
-	if p.Round != h.round || !p.Granted || !h.asking && !h.holding {
-		return
+	if p.Round != h.round || p.Term != h.term || !p.Granted || !h.asking && !h.holding {
+		return true
 	}
 	h.granted[from] = true
 	if enough(func(id string) bool { return h.granted[id] }) {
 		h.holding, h.asking, h.until = true, false, h.askedAt+Duration-Margin
 	}
+	return true
 }
 
 // concede frees what members granted in a round that wasn't won, so that another candidate may win.
 func (h *Holder) concede(now time.Duration) *wire.LeaseRequest {
 	h.asking, h.freeAt, h.nextAsk = false, now, now+RenewInterval
-	return &wire.LeaseRequest{Resource: h.resource, Holder: h.self, Term: h.term, Round: h.round, Release: true}
+	return &wire.LeaseRequest{Resource: h.resource, Holder: h.self, Term: h.term, Round: h.round, Life: h.life, Release: true}
 }
 
 // Hurry asks again at once, as members may grant now that did not before.
@@ -170,7 +176,7 @@
 		return nil
 	}
 	h.holding, h.nextAsk = false, now+Duration
-	return &wire.LeaseRequest{Resource: h.resource, Holder: h.self, Term: h.term, Round: h.round, Release: true}
+	return &wire.LeaseRequest{Resource: h.resource, Holder: h.self, Term: h.term, Round: h.round, Life: h.life, Release: true}
 }
 
 // Resource is the name of what the lease is for.
--- a/control/lease/lease_test.go
+++ b/control/lease/lease_test.go
@@ -21,6 +21,7 @@
 	posts    []post
 	cut      [][]time.Duration
 	owners   map[uint64]int
+	late     bool // messages may be held up for long
 }
 
 type post struct {
@@ -44,7 +45,7 @@
 }
 
 func (g *group) holder(i int) *Holder {
-	h := NewHolder(resource, strconv.Itoa(i), uint16(g.random.Uint32()), g.now)
+	h := NewHolder(resource, strconv.Itoa(i), g.random.Uint64(), g.now)
 	h.SetRank(i)
 	return h
 }
@@ -62,6 +63,9 @@
 func (g *group) send(p post) {
 	if p.from == p.to || g.cut[p.from][p.to] <= g.now && g.random.IntN(30) > 0 {
 		p.due = g.now + time.Duration(g.random.IntN(15))*time.Millisecond
+		if g.late && g.random.IntN(10) == 0 { // held up on the way, past the end of the process that asked
+			p.due += time.Duration(g.random.IntN(2000)) * time.Millisecond
+		}
 		if p.from == p.to {
 			p.due = g.now
 		}
@@ -95,7 +99,7 @@
 		if p.request != nil {
 			g.send(post{from: p.to, to: p.from, reply: g.granters[p.to].Answer(p.request, g.now)})
 		} else {
-			g.holders[p.to].Replied(strconv.Itoa(p.from), p.reply, g.enough, g.now)
+			g.holders[p.to].Replied(strconv.Itoa(p.from), p.reply, g.enough)
 		}
 	}
 	for i, h := range g.holders {
@@ -124,8 +128,9 @@
 }
 
 func TestOneHolderAtATime(t *testing.T) {
-	for seed := range uint64(200) {
+	for seed := range uint64(400) {
 		g := newGroup(seed, 3+2*int(seed%2))
+		g.late = seed%4 > 1
 		held := 0
 		for g.now < 20*time.Second {
 			if g.now < 14*time.Second && g.random.IntN(150) == 0 {
@@ -171,3 +176,25 @@
 	}
 	assert.Assert(t, h.Term() > 100<<saltBits)
 }
+
+// A process that has just started counts its rounds from one again: what was granted to its earlier life is not for it.
+func TestGrantToAnEarlierLifeDoesNotCount(t *testing.T) {
+	all := func(has func(string) bool) bool { return has("a") && has("b") }
+	earlier := NewHolder(resource, "a", 0x10001, 0)
+	asked := earlier.Tick(false, 0)
+	late := &wire.LeaseReply{Resource: resource, Granted: true, Term: asked.Term, Round: asked.Round, Life: asked.Life}
+	// Even a life that happens to draw the same fencing number counts answers to its own requests alone.
+	holder := NewHolder(resource, "a", 0x20001, time.Second)
+	again := holder.Tick(false, time.Second)
+	assert.Equal(t, again.Round, asked.Round)
+	assert.Equal(t, again.Term, asked.Term)
+	for _, from := range []string{"a", "b"} {
+		assert.Assert(t, !holder.Replied(from, late, all))
+	}
+	assert.Assert(t, !holder.Holds(time.Second))
+	own := &wire.LeaseReply{Resource: resource, Granted: true, Term: again.Term, Round: again.Round, Life: again.Life}
+	for _, from := range []string{"a", "b"} {
+		assert.Assert(t, holder.Replied(from, own, all))
+	}
+	assert.Assert(t, holder.Holds(time.Second))
+}
--- /dev/null
+++ b/control/members.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"slices"
+
+	"ivybank/wire"
+)
+
+// syncLinks keeps a link to each other member, and to each control process that is connected to this one: it may be
+// learning. While this node has to ask for its place, it tries the seeds and what peers have told of.
+func (n *Node) syncLinks() {
+	want := []string{}
+	for _, m := range n.replica.Members() {
+		want = append(want, m.IP)
+	}
+	for ip := range n.callers {
+		want = append(want, ip)
+	}
+	if n.replica.NeedsToJoin(n.now()) {
+		want = append(want, n.settings.SeedIPs()...)
+		want = append(want, n.env.KnownControls()...)
+	}
+	slices.Sort(want)
+	for _, ip := range slices.Compact(want) {
+		n.openLink(ip)
+	}
+	for ip, link := range n.links {
+		if !slices.Contains(want, ip) && n.replica.IsMember() {
+			link.Close()
+			delete(n.links, ip)
+		}
+	}
+}
+
+func (n *Node) openLink(ip string) {
+	if ip == n.settings.IP || n.links[ip] != nil {
+		return
+	}
+	self := n.replica.Self()
+	hello := wire.Hello{Role: wire.RoleControl, Node: self.ID, IP: self.IP}
+	n.links[ip] = n.env.OpenLink(ip, hello, wire.LinkEvents{Received: n.onGroup})
+}
+
+// onGroup learns of members that a node that has to ask for its place may ask.
+func (n *Node) onGroup(m *wire.Message) {
+	if m.Group == nil || !n.replica.NeedsToJoin(n.now()) {
+		return
+	}
+	for _, member := range m.Group.Members {
+		n.openLink(member.IP)
+	}
+}
+
+func (n *Node) toAllLinks(m *wire.Message) {
+	for _, link := range n.links {
+		link.Send(m)
+	}
+}
+
+// followMembers keeps links, leases and subscribers in step with the members of the newest entry.
+func (n *Node) followMembers() {
+	entry := n.replica.Newest()
+	if entry == nil || entry.Position() == n.memberSince {
+		return
+	}
+	changed := !slices.Equal(n.members, entry.Members)
+	n.memberSince, n.members = entry.Position(), entry.Members
+	if changed {
+		n.granter.Pause(n.now())
+		n.log.Info("members", "entry", entry.Index, "members", entry.Members)
+		n.syncLinks()
+		n.publishGroup()
+	}
+}
+
+// PeerConnected tells that another control process has connected, and how it is reached over that connection.
+func (n *Node) PeerConnected(from wire.Member, back wire.Sender) {
+	n.callers[from.IP]++
+	n.syncLinks()
+	if group := n.currentGroup(); group != nil {
+		back.Send(&wire.Message{Group: group})
+	}
+}
+
+// PeerDisconnected tells that such a connection has ended.
+func (n *Node) PeerDisconnected(from wire.Member) {
+	if n.callers[from.IP]--; n.callers[from.IP] == 0 {
+		delete(n.callers, from.IP)
+	}
+}
+
+// OnPeerMessage takes what another control process says. Answers go over the own link to it.
+func (n *Node) OnPeerMessage(from wire.Member, m *wire.Message) {
+	now := n.now()
+	switch {
+	case m.LeaseRequest != nil:
+		n.onLeaseRequest(from, m.LeaseRequest, now)
+	case m.LeaseReply != nil:
+		n.onLeaseReply(from.ID, m.LeaseReply, now)
+	default:
+		n.replica.Receive(from, m, now)
+	}
+}
--- a/control/node.go
+++ b/control/node.go
@@ -1,16 +1,10 @@
 // Package control is the control process of a fleet: it replicates the operator's configuration, owns shards of hosts
 // and limits while it holds their lease, and feeds the agents. All state belongs to one goroutine, to which everything
-// that happens is handed as an event; disk, platform and connections work beside it.
+// that happens is handed as an event; disk, platform and connections work beside it, behind Environment.
 package control
 
 import (
-	"context"
-	"errors"
-	"fmt"
 	"math/rand/v2"
-	"net"
-	"slices"
-	"strconv"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -21,192 +15,119 @@
 	"ivybank/control/lease"
 	"ivybank/control/replica"
 	"ivybank/control/store"
-	"ivybank/membership"
 	"ivybank/settings"
 	"ivybank/wire"
 )
 
 const (
-	tickInterval   = 25 * time.Millisecond
-	eventQueue     = 1024
-	saveRetryPause = 100 * time.Millisecond
-	joinInterval   = 200 * time.Millisecond
-	groupInterval  = time.Second
+	joinInterval  = 200 * time.Millisecond
+	groupInterval = time.Second
+	// silenceShare is the part of sync_s for which a member may be silent before another machine takes its place. A machine
+	// that replaces one has sync_s from its start, which is no earlier than the silence: the rest is left for the change.
+	silenceShare    = 0.5
+	shortestSilence = 1200 * time.Millisecond
 )
 
-// ErrNoDisk says that a control process was started without a data folder.
-var ErrNoDisk = errors.New("data_dir is missing: a control process needs a disk")
+// parser reads and checks an operator's configuration.
+type parser interface {
+	Parse(body []byte) (*config.Config, error)
+}
 
-// Node is one control process.
+// Node is one life of a control process. Its methods belong to its loop.
 type Node struct {
 	settings *settings.Settings
 	log      hclog.Logger
-	start    time.Time
-	events   chan func()
-	folder   *store.Folder
-	saves    chan *replica.Save
-	saving   bool
+	env      Environment
+	life     uint64
+	dropped  Dropped
+
+	replica *replica.Replica
+	saving  bool
+	wasRole replica.Role
+	links   map[string]wire.OpenLink
+	callers map[string]int // connections of other control processes to this one, by IP
+	joinAt  time.Duration
 
-	replica     *replica.Replica
 	state       *store.State // decoded from the committed entry
 	stateAt     replica.Position
-	memberSince replica.Position          // entry whose members the granter has seen
 	tenants     map[string]*config.Tenant // of the committed configuration
-	links       map[string]*peerLink
-	callers     map[string]int // connections of other control processes to this one, by IP
-	peers       *membership.Service
-	granter     *lease.Granter
-	shards      [hostlist.Shards]*shard
-	reader      *hostlist.Reader
-	validator   validate.Validator
-	reading     bool
-	readAt      time.Duration
+	memberSince replica.Position          // entry whose members the granter has seen
+	members     []wire.Member             // that it names
+	groupAt     time.Duration
 	subscribers map[*subscriber]struct{}
 	feed        *wire.Config // the committed configuration as it is fed
 	feedMessage *wire.Message
-	group       *wire.Group
-	groupAt     time.Duration
-	joinAt      time.Duration
-	proposal    *proposal
-	queue       []*proposal
-	stopping    bool
-	resumedAt   time.Duration
-	resumed     bool // leases are granted again, as all members had restarted
-	wasRole     replica.Role
-}
 
-// New reads the disk and makes a node. It serves nothing yet.
-func New(s *settings.Settings, log hclog.Logger) (*Node, error) {
-	if s.DataDir == "" {
-		return nil, ErrNoDisk
-	}
-	folder, err := store.Open(s.DataDir)
-	if err != nil {
-		return nil, err
-	}
-	n := &Node{settings: s, log: log, start: time.Now(), events: make(chan func(), eventQueue), folder: folder,
-		saves: make(chan *replica.Save, 1), links: map[string]*peerLink{}, callers: map[string]int{}, subscribers: map[*subscriber]struct{}{},
-		reader: hostlist.NewReader(s.Cloud.Address)}
-	identity, disk, err := loadIdentity(s, folder)
-	if err != nil {
-		return nil, err
-	}
-	self := wire.Member{ID: identity.ID, IP: s.IP}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	n.replica = replica.New(self, 2*s.Tolerate.Machines+1, disk, random, 0)
-	n.granter = lease.NewGranter(0)
-	for i := range n.shards {
-		n.shards[i] = newShard(uint32(i), self.ID)
-	}
-	log.Info("replica starts", "id", self.ID, "founder", identity.Founder, "term", disk.Term, "has_entry", disk.Entry != nil)
-	return n, nil
+	granter   *lease.Granter
+	shards    [hostlist.Shards]*shard
+	reading   bool
+	readAt    time.Duration
+	readSince time.Duration // when the read that is under way began
+	resumedAt time.Duration
+	resumed   bool // leases are granted again, as all members had restarted
+
+	validator parser
+	proposal  *proposal
+	queue     []*proposal
+	queued    int // bytes
+	stopping  bool
 }
 
-// loadIdentity gives who this process is. At the very first start the machines of the seeds found the group; any
-// other process with an empty disk is new, also one at a founder's address.
-func loadIdentity(s *settings.Settings, folder *store.Folder) (store.Identity, replica.Disk, error) {
-	identity, known, err := folder.Identity()
-	if err != nil {
-		return identity, replica.Disk{}, err
-	}
-	founders := foundingMembers(s)
-	founding := false
-	for _, m := range founders {
-		founding = founding || m.IP == s.IP
-	}
-	if !known {
-		identity = store.Identity{ID: s.IP + "/" + strconv.FormatUint(rand.Uint64(), 36)}
-		if s.Bootstrap && founding {
-			identity = store.Identity{ID: founderID(s.IP), Founder: true}
-		}
-		if err := folder.SaveIdentity(identity); err != nil {
-			return identity, replica.Disk{}, err
-		}
-	}
-	disk, err := folder.Load()
-	if err != nil {
-		return identity, disk, err
-	}
-	if disk.Entry == nil && identity.Founder && s.Bootstrap {
-		disk.Entry = replica.Found(founders, nil)
-	}
-	return identity, disk, nil
+// Start is what a node starts from.
+type Start struct {
+	Settings *settings.Settings
+	Log      hclog.Logger
+	Identity store.Identity
+	Disk     replica.Disk
+	Random   *rand.Rand
 }
 
-func founderID(ip string) string { return ip + "/founder" }
-
-func foundingMembers(s *settings.Settings) []wire.Member {
-	var members []wire.Member
-	for _, ip := range s.SeedIPs() {
-		members = append(members, wire.Member{ID: founderID(ip), IP: ip})
-	}
-	return members
+// Dropped counts messages that were not taken, by cause.
+type Dropped struct {
+	EarlierLife int64 `json:"earlier_life"` // answers to requests of an earlier life of this process
+	NotMember   int64 `json:"not_member"`   // requests for leases of processes that are no members
 }
 
-// Run serves until the context ends, then gives up what it holds. Settings that come over reloads replace the old.
-func (n *Node) Run(ctx context.Context, reloads <-chan *settings.Settings) error {
-	internal, err := net.Listen("tcp4", net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.InternalPort())))
-	if err != nil {
-		return fmt.Errorf("control: %w", err)
-	}
-	defer internal.Close()
-	operator, err := net.Listen("tcp4", n.settings.Listen.Control)
-	if err != nil {
-		return fmt.Errorf("control: %w", err)
-	}
-	defer operator.Close()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	n.peers, err = membership.Listen(membership.Peer{IP: n.settings.IP, Control: true}, n.settings.InternalPort())
-	if err != nil {
-		return fmt.Errorf("control: %w", err)
+// NewNode makes a node from what its disk held.
+func NewNode(from Start, env Environment) *Node {
+	s := from.Settings
+	n := &Node{settings: s, log: from.Log, env: env, life: from.Random.Uint64() | 1, links: map[string]wire.OpenLink{},
+		callers: map[string]int{}, subscribers: map[*subscriber]struct{}{}, validator: &validate.Validator{}}
+	self := wire.Member{ID: from.Identity.ID, IP: s.IP}
+	group := replica.Group{Target: 2*s.Tolerate.Machines + 1, MemberSilence: memberSilence(s)}
+	n.replica = replica.New(self, group, from.Disk, from.Random, n.now())
+	n.granter = lease.NewGranter(n.now())
+	for i := range n.shards {
+		n.shards[i] = newShard(uint32(i), self.ID, n.life, n.now())
 	}
-	defer n.peers.Close()
-	n.peers.Introduce(true, n.settings.SeedIPs()...)
-	go n.peers.Run(ctx)
-	go wire.Serve(ctx, internal, func(conn *wire.Conn, hello wire.Hello) { n.accept(ctx, conn, hello) })
-	go n.serveOperator(operator)
-	go n.writeSaves(ctx)
-	n.loop(ctx, reloads)
-	return nil
+	n.log.Info("replica starts", "id", self.ID, "founder", from.Identity.Founder, "term", from.Disk.Term,
+		"entry", from.Disk.Entry.Position())
+	n.syncLinks()
+	return n
 }
 
-// loop is the goroutine that owns the state.
-func (n *Node) loop(ctx context.Context, reloads <-chan *settings.Settings) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	n.syncLinks(ctx)
-	for {
-		select {
-		case <-ctx.Done():
-			n.resign()
-			return
-		case event := <-n.events:
-			event()
-		case n.settings = <-reloads:
-			n.peers.Introduce(true, n.settings.SeedIPs()...)
-			n.syncLinks(ctx)
-		case <-ticker.C:
-			n.tick(ctx)
-		}
-		n.flush(ctx)
-	}
+func memberSilence(s *settings.Settings) time.Duration {
+	return max(shortestSilence, time.Duration(silenceShare*s.Bounds.SyncS*float64(time.Second)))
 }
 
-// do hands an event to the loop.
-func (n *Node) do(event func()) { n.events <- event }
+func (n *Node) now() time.Duration { return n.env.Now() }
 
-func (n *Node) now() time.Duration { return time.Since(n.start) }
+// Reload takes other settings.
+func (n *Node) Reload(s *settings.Settings) {
+	n.settings = s
+	n.syncLinks()
+}
 
-func (n *Node) tick(ctx context.Context) {
+// Tick lets time pass.
+func (n *Node) Tick() {
 	now := n.now()
 	n.replica.Tick(now)
-	if !n.replica.IsMember() && now >= n.joinAt {
+	if now >= n.joinAt && n.replica.NeedsToJoin(now) {
 		n.joinAt = now + joinInterval
-		n.syncLinks(ctx)
+		n.syncLinks()
 		n.toAllLinks(&wire.Message{JoinRequest: &wire.JoinRequest{Member: n.replica.Self()}})
 	}
-	n.tickShards(ctx, now)
+	n.tickShards(now)
 	n.tickProposals(now)
 	if now >= n.groupAt {
 		n.groupAt = now + groupInterval
@@ -214,8 +135,8 @@
 	}
 }
 
-// flush carries out what the replica asks for after each event.
-func (n *Node) flush(ctx context.Context) {
+// Flush carries out what the replica asks for. It is called after each event.
+func (n *Node) Flush() {
 	if role := n.replica.Role(); role != n.wasRole {
 		n.log.Info("role changed", "role", role.String(), "term", n.replica.Term())
 		n.wasRole = role
@@ -224,18 +145,19 @@
 	if !n.saving {
 		if s := n.replica.TakeSave(); s != nil {
 			n.saving = true
-			n.saves <- s
+			n.env.Save(s)
 		}
 	}
-	n.followMembers(ctx)
+	n.followMembers()
 	n.followCommit()
-	if n.replica.AllRestarted() && !n.resumed {
-		n.resumed, n.resumedAt = true, n.now()
-		n.granter.Resume(n.now())
-		for _, s := range n.shards {
-			s.holder.Hurry(n.now())
-		}
-	}
+	n.sendMessages() // of what was proposed upon the commit
+	n.followRestart()
+}
+
+// Saved tells that a write is on disk.
+func (n *Node) Saved(s *replica.Save) {
+	n.saving = false
+	n.replica.Saved(s, n.now())
 }
 
 // sendMessages sends what the replica has to say to others.
@@ -247,59 +169,10 @@
 	}
 }
 
-// writeSaves writes to the disk, one save at a time, until each is done.
-func (n *Node) writeSaves(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case s := <-n.saves:
-			for warned := false; ; warned = true {
-				err := n.folder.Save(s)
-				if err == nil {
-					break
-				}
-				if !warned {
-					n.log.Warn("state not written, trying again", "error", err)
-				}
-				time.Sleep(saveRetryPause)
-			}
-			n.do(func() {
-				n.saving = false
-				n.replica.Saved(s, n.now())
-			})
-		}
-	}
-}
-
-// followMembers keeps links, leases and subscribers in step with the members of the newest entry.
-func (n *Node) followMembers(ctx context.Context) {
-	entry := n.replica.Newest()
-	if entry == nil {
-		return
-	}
-	at := replica.Position{Term: entry.Term, Index: entry.Index}
-	if at == n.memberSince {
-		return
-	}
-	changed := n.group == nil || !slices.Equal(n.group.Members, n.replica.Members())
-	n.memberSince = at
-	if changed {
-		n.granter.Pause(n.now())
-		n.log.Info("members", "entry", entry.Index, "members", n.replica.Members(), "changing", len(entry.Outgoing) > 0)
-		n.syncLinks(ctx)
-		n.publishGroup()
-	}
-}
-
 // followCommit takes a newly committed state and feeds it.
 func (n *Node) followCommit() {
 	committed := n.replica.Committed()
-	if committed == nil {
-		return
-	}
-	at := replica.Position{Term: committed.Term, Index: committed.Index}
-	if at == n.stateAt {
+	if committed == nil || committed.Position() == n.stateAt {
 		return
 	}
 	state, err := store.Decode(committed.Value)
@@ -308,14 +181,12 @@
 		return
 	}
 	before := n.state
-	n.state, n.stateAt = state, at
-	if before != nil && before.Revision == state.Revision {
-		n.finishProposal()
-		return
+	n.state, n.stateAt = state, committed.Position()
+	if before == nil || before.Revision != state.Revision {
+		n.log.Info("configuration committed", "revision", state.Revision, "entry", committed.Index)
+		n.tenants = tenantsOf(state.Body)
+		n.publishConfig()
 	}
-	n.log.Info("configuration committed", "revision", state.Revision, "entry", at.Index)
-	n.tenants = tenantsOf(state.Body)
-	n.publishConfig()
 	n.finishProposal()
 }
 
@@ -330,17 +201,33 @@
 	return tenants
 }
 
-// resign gives up what others may take over at once.
-func (n *Node) resign() {
+// followRestart grants leases at once where all members have just restarted.
+func (n *Node) followRestart() {
+	if n.resumed || !n.replica.AllRestarted() {
+		return
+	}
+	now := n.now()
+	n.resumed, n.resumedAt = true, now
+	n.granter.Resume(now)
+	for _, s := range n.shards {
+		s.holder.Hurry(now)
+	}
+}
+
+// StartLeaving gives up what others may take over at once: shards, and the leadership once the others have all that was
+// acknowledged. Orders are no longer taken.
+func (n *Node) StartLeaving() {
 	n.stopping = true
 	now := n.now()
 	for _, s := range n.shards {
 		if q := s.holder.Release(now); q != nil {
 			n.toAllLinks(&wire.Message{LeaseRequest: q})
 		}
+		n.followOwnership(s, now)
 	}
-	n.replica.Leave()
-	n.replica.Tick(now)
-	n.sendMessages()
-	time.Sleep(tickInterval) // for the writers of the links
+	n.replica.StartLeaving(now)
+	n.Flush()
 }
+
+// MayStop says whether the others have all that this node had a part in.
+func (n *Node) MayStop() bool { return n.replica.LeaveDone() }
--- /dev/null
+++ b/control/process.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"ivybank/control/hostlist"
+	"ivybank/control/replica"
+	"ivybank/control/store"
+	"ivybank/membership"
+	"ivybank/settings"
+	"ivybank/wire"
+)
+
+const (
+	tickInterval   = 25 * time.Millisecond
+	eventQueue     = 1024
+	saveRetryPause = 100 * time.Millisecond
+	// leaveShare is the part of the time before the platform's SIGKILL for which a process waits, once it has to stop,
+	// until the others have what was acknowledged.
+	leaveShare = 0.3
+)
+
+// ErrNoDisk says that a control process was started without a data folder.
+var ErrNoDisk = errors.New("data_dir is missing: a control process needs a disk")
+
+// Process is a node with its sockets and files.
+type Process struct {
+	settings *settings.Settings
+	log      hclog.Logger
+	start    time.Time
+	events   chan func()
+	folder   *store.Folder
+	saves    chan *replica.Save
+	reader   *hostlist.Reader
+	from     Start
+	node     *Node
+	peers    *membership.Service
+	ctx      context.Context // of all that works beside the loop
+}
+
+// New reads the disk. It serves nothing yet.
+func New(s *settings.Settings, log hclog.Logger) (*Process, error) {
+	if s.DataDir == "" {
+		return nil, ErrNoDisk
+	}
+	folder, err := store.Open(s.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	identity, disk, err := loadDisk(s, folder, random, log)
+	if err != nil {
+		return nil, err
+	}
+	return &Process{settings: s, log: log, start: time.Now(), events: make(chan func(), eventQueue), folder: folder,
+		saves: make(chan *replica.Save, 1), reader: hostlist.NewReader(s.Cloud.Address),
+		from: Start{Settings: s, Log: log, Identity: identity, Disk: disk, Random: random}}, nil
+}
+
+// Run serves until the context ends, then gives up what it holds. Settings that come over reloads replace the old.
+func (p *Process) Run(stopped context.Context, reloads <-chan *settings.Settings) error {
+	internal, err := net.Listen("tcp4", net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.InternalPort())))
+	if err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	defer internal.Close()
+	operator, err := net.Listen("tcp4", p.settings.Listen.Control)
+	if err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	defer operator.Close()
+	p.peers, err = membership.Listen(membership.Peer{IP: p.settings.IP, Control: true}, p.settings.InternalPort())
+	if err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	defer p.peers.Close()
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stopped))
+	defer cancel()
+	p.ctx = ctx
+	p.node = NewNode(p.from, p)
+	p.peers.Introduce(true, p.settings.SeedIPs()...)
+	go p.peers.Run(ctx)
+	go wire.Serve(ctx, internal, p.accept)
+	go newOperatorHandler(p.node).serve(operator)
+	go p.writeSaves(ctx)
+	p.loop(stopped, reloads)
+	return nil
+}
+
+// loop is the goroutine that owns the node's state. Once it has to stop, it goes on for a while until the others have
+// all that was acknowledged.
+func (p *Process) loop(stopped context.Context, reloads <-chan *settings.Settings) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	stopping := stopped.Done()
+	var lastMoment <-chan time.Time
+	for {
+		select {
+		case <-stopping:
+			stopping = nil
+			lastMoment = time.After(time.Duration(leaveShare * p.settings.Bounds.GraceS * float64(time.Second)))
+			p.node.StartLeaving()
+		case <-lastMoment:
+			return
+		case event := <-p.events:
+			event()
+		case p.settings = <-reloads:
+			p.peers.Introduce(true, p.settings.SeedIPs()...)
+			p.node.Reload(p.settings)
+		case <-ticker.C:
+			p.node.Tick()
+		}
+		p.node.Flush()
+		if lastMoment != nil && p.node.MayStop() {
+			time.Sleep(tickInterval) // for the writers of the links
+			return
+		}
+	}
+}
+
+// Now is the steady clock.
+func (p *Process) Now() time.Duration { return time.Since(p.start) }
+
+// Do hands an event to the loop.
+func (p *Process) Do(event func()) { p.events <- event }
+
+// Save hands a write to the writer.
+func (p *Process) Save(s *replica.Save) { p.saves <- s }
+
+// KnownControls gives the control processes that peers have told of.
+func (p *Process) KnownControls() []string { return p.peers.ControlIPs() }
+
+// SpoiltDatagrams counts those that could not be read.
+func (p *Process) SpoiltDatagrams() int64 { return p.peers.Spoilt.Load() }
+
+// OpenLink keeps a connection to a control process.
+func (p *Process) OpenLink(ip string, hello wire.Hello, events wire.LinkEvents) wire.OpenLink {
+	return wire.Open(p.ctx, net.JoinHostPort(ip, strconv.Itoa(p.settings.InternalPort())), hello, events, p.Do)
+}
+
+// ReadHosts reads the platform's list beside the loop.
+func (p *Process) ReadHosts() {
+	go func() {
+		hosts, err := p.reader.Read(p.ctx)
+		p.Do(func() { p.node.HostsRead(hosts, err) })
+	}()
+}
+
+// writeSaves writes to the disk, one save at a time, until each is done.
+func (p *Process) writeSaves(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-p.saves:
+			p.writeUntilDone(s)
+			p.Do(func() { p.node.Saved(s) })
+		}
+	}
+}
+
+func (p *Process) writeUntilDone(s *replica.Save) {
+	for warned := false; ; warned = true {
+		err := p.folder.Save(s)
+		if err == nil {
+			return
+		}
+		if !warned {
+			p.log.Warn("state not written, trying again", "error", err)
+		}
+		time.Sleep(saveRetryPause)
+	}
+}
+
+// accept serves one incoming connection.
+func (p *Process) accept(conn *wire.Conn, hello wire.Hello) {
+	if hello.Role == wire.RoleControl {
+		p.acceptPeer(conn, wire.Member{ID: hello.Node, IP: hello.IP})
+		return
+	}
+	p.acceptAgent(conn)
+}
+
+func (p *Process) acceptPeer(conn *wire.Conn, from wire.Member) {
+	p.Do(func() { p.node.PeerConnected(from, conn) })
+	defer p.Do(func() { p.node.PeerDisconnected(from) })
+	for {
+		m, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		p.Do(func() { p.node.OnPeerMessage(from, m) })
+	}
+}
+
+func (p *Process) acceptAgent(conn *wire.Conn) {
+	s := &subscriber{conn: conn}
+	defer p.Do(func() { p.node.AgentDisconnected(s) })
+	for {
+		m, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		p.Do(func() { p.node.OnAgentMessage(s, m) })
+	}
+}
--- a/control/replica/election.go
+++ b/control/replica/election.go
@@ -9,44 +9,50 @@
 // startPreVote asks whether an election would be won, without disturbing a leader that others still hear.
 func (r *Replica) startPreVote(now time.Duration) {
 	r.role, r.leader = PreCandidate, wire.Member{}
+	r.round = r.random.Uint64() | 1
 	r.votes = map[string]bool{r.self.ID: now >= r.heardAt+LeaseDuration}
 	r.freshVotes = map[string]bool{r.self.ID: r.fresh}
 	r.scheduleElection(now)
-	r.requestVotes(r.disk.Term+1, true)
+	r.requestVotes(&wire.VoteRequest{Term: r.disk.Term + 1, PreVote: true, Round: r.round})
 	r.countVotes(now)
 }
 
-// startElection stands in a new term. allFresh says that all members have just restarted.
-func (r *Replica) startElection(allFresh bool, now time.Duration) {
-	r.role, r.allFresh = Candidate, allFresh
+// startElection stands in a new term. freshRound is that of the pre-vote in which all members told that they had just
+// restarted, else 0; transfer says that the leader has given its lease up and asked for the election.
+func (r *Replica) startElection(freshRound uint64, transfer bool, now time.Duration) {
+	r.role, r.freshRound = Candidate, freshRound
+	r.round = r.random.Uint64() | 1
 	r.disk.Term++
 	r.disk.VotedFor = r.self.ID
 	r.requestSave(false, true)
 	r.votes = map[string]bool{}
 	r.scheduleElection(now)
-	r.requestVotes(r.disk.Term, false)
+	r.requestVotes(&wire.VoteRequest{Term: r.disk.Term, Round: r.round, FreshRound: freshRound, Transfer: transfer})
 }
 
-func (r *Replica) requestVotes(term uint64, preVote bool) {
-	last := positionOf(r.disk.Entry)
-	request := &wire.VoteRequest{Term: term, Candidate: r.self.ID, LastTerm: last.Term, LastIndex: last.Index,
-		PreVote: preVote, AllFresh: r.allFresh && !preVote}
+func (r *Replica) requestVotes(q *wire.VoteRequest) {
+	last := r.disk.Entry.Position()
+	q.Candidate, q.LastTerm, q.LastIndex = r.self.ID, last.Term, last.Index
 	for _, m := range r.Members() {
-		if preVote {
-			r.send(m, &wire.Message{VoteRequest: request})
+		if q.PreVote {
+			r.send(m, &wire.Message{VoteRequest: q})
 		} else if m.ID != r.self.ID {
-			r.sendAfterSave(m, &wire.Message{VoteRequest: request})
+			r.sendAfterSave(m, &wire.Message{VoteRequest: q})
 		}
 	}
 }
 
+// onVoteRequest answers a candidate. A learner votes too, as the newest entry, which names it a member, may not have
+// reached it; the candidate counts the votes of its own members alone.
 func (r *Replica) onVoteRequest(from wire.Member, q *wire.VoteRequest, now time.Duration) {
-	reply := &wire.VoteReply{Term: r.disk.Term, PreVote: q.PreVote}
-	upToDate := !(Position{q.LastTerm, q.LastIndex}).Less(positionOf(r.disk.Entry))
-	leaderHeard := now < r.heardAt+LeaseDuration || r.Leading(now)
-	willing := r.IsMember() && q.Term >= r.disk.Term && upToDate
-	reply.Fresh = q.PreVote && r.fresh && (willing || !r.IsMember())
-	if !willing || leaderHeard && !(q.AllFresh && r.fresh) {
+	reply := &wire.VoteReply{Term: r.disk.Term, PreVote: q.PreVote, Round: q.Round}
+	upToDate := !(Position{Term: q.LastTerm, Index: q.LastIndex}).Less(r.disk.Entry.Position())
+	willing := q.Term >= r.disk.Term && upToDate
+	if reply.Fresh = q.PreVote && r.fresh && willing; reply.Fresh {
+		r.freshTold[q.Candidate] = q.Round
+		r.yieldTo(q.Candidate, now)
+	}
+	if !willing || r.leaderHeard(now) && !r.leaseIsOver(q) {
 		r.send(from, &wire.Message{VoteReply: reply})
 		return
 	}
@@ -73,8 +79,31 @@
 	r.sendAfterSave(from, &wire.Message{VoteReply: reply})
 }
 
+// yieldTo lets another replica that has also just restarted stand first, as all vote for the first that they hear of.
+func (r *Replica) yieldTo(candidate string, now time.Duration) {
+	if r.role == Candidate || r.role == PreCandidate && r.self.ID < candidate {
+		return
+	}
+	r.role = Follower
+	r.electAt = max(r.electAt, now+freshYield+time.Duration(r.random.Int64N(int64(freshInterval))))
+}
+
+// leaderHeard says whether a leader may count on this replica's word that it elects no other one.
+func (r *Replica) leaderHeard(now time.Duration) bool {
+	return now < r.heardAt+LeaseDuration || r.Leading(now)
+}
+
+// leaseIsOver says whether a request for a vote shows that no lease of a leader is left: the leader of the term before
+// gave it up, or all members have restarted, and this life of this one has said so in that very round.
+func (r *Replica) leaseIsOver(q *wire.VoteRequest) bool {
+	if q.Transfer && !q.PreVote && q.Term == r.disk.Term+1 {
+		return true
+	}
+	return q.FreshRound != 0 && r.fresh && r.freshTold[q.Candidate] == q.FreshRound
+}
+
 func (r *Replica) onVoteReply(from wire.Member, p *wire.VoteReply, now time.Duration) {
-	if p.Fresh && r.role == PreCandidate {
+	if p.Fresh && r.role == PreCandidate && p.Round == r.round {
 		r.noteFresh(from)
 		r.countVotes(now)
 	}
@@ -86,7 +115,7 @@
 	}
 	preVoteCounts := p.PreVote && r.role == PreCandidate && p.Term == r.disk.Term+1
 	voteCounts := !p.PreVote && r.role == Candidate && p.Term == r.disk.Term
-	if preVoteCounts || voteCounts {
+	if p.Round == r.round && (preVoteCounts || voteCounts) {
 		r.votes[from.ID] = true
 		r.countVotes(now)
 	}
@@ -96,12 +125,12 @@
 	if r.role == Candidate && r.saved >= r.sequence {
 		r.votes[r.self.ID] = true // the own vote counts once it is on disk
 	}
-	won := Quorum(r.disk.Entry, func(id string) bool { return r.votes[id] })
+	won := Quorum(r.Members(), func(id string) bool { return r.votes[id] })
 	switch {
-	case r.role == PreCandidate && r.allRestarted():
-		r.startElection(true, now)
+	case r.role == PreCandidate && r.fresh && r.allRestarted():
+		r.startElection(r.round, false, now)
 	case r.role == PreCandidate && won:
-		r.startElection(false, now)
+		r.startElection(0, false, now)
 	case r.role == Candidate && won:
 		r.becomeLeader(now)
 	}
@@ -130,8 +159,15 @@
 
 func (r *Replica) becomeLeader(now time.Duration) {
 	r.role, r.leader, r.ledSince, r.fresh = Leader, r.self, now, false
-	r.peers, r.rounds = map[string]*peer{}, map[uint64]time.Duration{}
+	r.peers, r.beats, r.made = map[string]*peer{}, map[uint64]time.Duration{}, map[uint64]time.Duration{}
 	r.nextBeat = now
 	// What it holds is committed only by an entry of its own term.
-	r.appendEntry(r.disk.Entry.Members, r.disk.Entry.Outgoing, r.disk.Entry.Value, now)
+	r.appendEntry(r.disk.Entry.Members, r.disk.Entry.Value, now)
+}
+
+// onTransfer stands at once, as the leader of this term has given its lease up.
+func (r *Replica) onTransfer(from wire.Member, q *wire.Transfer, now time.Duration) {
+	if q.Term == r.disk.Term && r.role == Follower && r.leader.ID == from.ID && r.IsMember() && !r.leave.started {
+		r.startElection(0, true, now)
+	}
 }
--- a/control/replica/leader.go
+++ b/control/replica/leader.go
@@ -8,6 +8,30 @@
 	"ivybank/wire"
 )
 
+// beatsKept is for how many heartbeats the leader knows when it sent them.
+const beatsKept = 1024
+
+// entriesTimed is for how many of its entries the leader knows when it made them.
+const entriesTimed = 64
+
+// peer is what a leader knows of another replica.
+type peer struct {
+	member    wire.Member
+	stored    Position      // on its disk
+	received  Position      // in its memory, perhaps not yet on disk
+	ackedSent time.Duration // when the newest acknowledged heartbeat was sent
+	heard     time.Duration
+	sent      Position // entry that is on its way to it,
+	sentBeat  uint64   // and the heartbeat that carries it; 0 for none
+	leavingAt time.Duration
+	storedAt  time.Duration // when it last told of a newer entry on its disk
+	lag       time.Duration // between the making of that entry and that word
+}
+
+func newPeer(m wire.Member, now time.Duration) *peer {
+	return &peer{member: m, ackedSent: unreachableMark, heard: now, leavingAt: unreachableMark, storedAt: unreachableMark}
+}
+
 // refreshPeers keeps one record for each other member.
 func (r *Replica) refreshPeers(now time.Duration) {
 	members := r.Members()
@@ -20,7 +44,7 @@
 			delete(r.learners, m.ID)
 			continue
 		}
-		r.peers[m.ID] = &peer{member: m, ackedSent: unreachableMark, heard: now}
+		r.peers[m.ID] = newPeer(m, now)
 	}
 	for id := range r.peers {
 		if !containsID(members, id) {
@@ -41,14 +65,19 @@
 	r.changeMembers(now)
 }
 
-// broadcast starts a new round of heartbeats.
+// startBeat numbers the next heartbeat.
+func (r *Replica) startBeat(now time.Duration) {
+	r.beat++
+	r.beats[r.beat] = now
+	delete(r.beats, r.beat-beatsKept)
+}
+
+// broadcast sends a heartbeat to all.
 func (r *Replica) broadcast(now time.Duration) {
-	r.round++
-	r.rounds[r.round] = now
-	delete(r.rounds, r.round-64)
+	r.startBeat(now)
 	r.nextBeat = now + HeartbeatInterval
 	for _, id := range sortedIDs(r.peers) {
-		r.sendAppend(r.peers[id], now)
+		r.sendAppend(r.peers[id])
 	}
 	for _, id := range sortedIDs(r.learners) {
 		l := r.learners[id]
@@ -56,21 +85,22 @@
 			delete(r.learners, id)
 			continue
 		}
-		r.sendAppend(l, now)
+		r.sendAppend(l)
 	}
 }
 
 // sortedIDs fixes the order in which peers are served, so that a run repeats.
 func sortedIDs(peers map[string]*peer) []string { return slices.Sorted(maps.Keys(peers)) }
 
-func (r *Replica) sendAppend(p *peer, now time.Duration) {
-	at := positionOf(r.committed)
-	a := &wire.Append{Term: r.disk.Term, Leader: r.self.ID, LeaderIP: r.self.IP, Round: r.round,
-		CommitTerm: at.Term, CommitIndex: at.Index, AllFresh: r.allFresh}
-	newest := positionOf(r.disk.Entry)
-	if p.received != newest && (p.sentEntry != newest || now >= p.sentAt+resendInterval) {
+// sendAppend sends the newest heartbeat, with the newest entry where the peer lacks it. Only one entry is on its way to a
+// peer at a time: over a link that is slower than the orders come, it gets those that are newest when the link is free.
+func (r *Replica) sendAppend(p *peer) {
+	a := &wire.Append{Term: r.disk.Term, Leader: r.self.ID, LeaderIP: r.self.IP, Round: r.beat,
+		Commit: r.committed.Position(), FreshRound: r.freshRound}
+	newest := r.disk.Entry.Position()
+	if p.received != newest && p.sentBeat == 0 {
 		a.Entry = r.disk.Entry
-		p.sentEntry, p.sentAt = newest, now
+		p.sent, p.sentBeat = newest, r.beat
 	}
 	r.send(p.member, &wire.Message{Append: a})
 }
@@ -84,7 +114,7 @@
 	slices.Sort(starts)
 	slices.Reverse(starts)
 	for _, start := range starts {
-		if Quorum(r.disk.Entry, func(id string) bool { return id == r.self.ID || r.peers[id] != nil && r.peers[id].ackedSent >= start }) {
+		if Quorum(r.Members(), func(id string) bool { return id == r.self.ID || r.peers[id] != nil && r.peers[id].ackedSent >= start }) {
 			return start
 		}
 	}
@@ -100,32 +130,42 @@
 		r.becomeFollower(a.Term, now)
 	}
 	r.leader, r.heardAt = wire.Member{ID: a.Leader, IP: a.LeaderIP}, now
-	r.allFresh = a.AllFresh && (r.fresh || r.allFresh)
 	r.fresh = false
+	if r.freshRound = a.FreshRound; r.freshTold[a.Leader] != a.FreshRound {
+		r.freshRound = 0 // an earlier life of this process was asked, not this one
+	}
 	r.scheduleElection(now)
-	if a.Entry != nil && positionOf(r.disk.Entry).Less(positionOf(a.Entry)) {
+	r.followCommit(a) // of the entry before, where a stream of orders always brings the next one along
+	if a.Entry != nil && r.disk.Entry.Position().Less(a.Entry.Position()) {
 		r.storeEntry(a.Entry)
-	}
-	commit := Position{a.CommitTerm, a.CommitIndex}
-	if at := positionOf(r.disk.Entry); at == commit && positionOf(r.committed).Less(at) {
-		r.committed = r.disk.Entry
+		r.followCommit(a)
 	}
 	// The heartbeat needs no write; what is stored is told as it stands on disk.
 	if r.termDurable() {
 		r.send(from, r.appendReply(a.Round, r.durable))
 	}
-	if r.durable != positionOf(r.disk.Entry) && a.Entry != nil || !r.termDurable() {
-		r.sendAfterSave(from, r.appendReply(a.Round, positionOf(r.disk.Entry)))
+	if r.durable != r.disk.Entry.Position() && a.Entry != nil || !r.termDurable() {
+		r.sendAfterSave(from, r.appendReply(a.Round, r.disk.Entry.Position()))
+	}
+}
+
+// followCommit takes the newest entry as committed where the leader says so: of that very entry, or of a later one of
+// its own, as a leader makes its next entry only once the one before is committed.
+func (r *Replica) followCommit(a *wire.Append) {
+	at := r.disk.Entry.Position()
+	ofThisLeader := at.Term == a.Term && a.Commit.Term == a.Term && !a.Commit.Less(at)
+	if (at == a.Commit || ofThisLeader) && r.committed.Position().Less(at) {
+		r.committed = r.disk.Entry
 	}
 }
 
 func (r *Replica) appendReply(round uint64, stored Position) *wire.Message {
-	received := positionOf(r.disk.Entry)
-	return &wire.Message{AppendReply: &wire.AppendReply{Term: r.disk.Term, Round: round,
-		StoredTerm: stored.Term, StoredIndex: stored.Index,
-		ReceivedTerm: received.Term, ReceivedIndex: received.Index}}
+	return &wire.Message{AppendReply: &wire.AppendReply{Term: r.disk.Term, Round: round, Stored: stored,
+		Received: r.disk.Entry.Position()}}
 }
 
+// onAppendReply takes a follower's word. It belongs to this leadership, as only one process leads a term, and that
+// process leads it once; the round tells when the heartbeat was sent.
 func (r *Replica) onAppendReply(from wire.Member, p *wire.AppendReply, now time.Duration) {
 	if p.Term > r.disk.Term {
 		r.becomeFollower(p.Term, now)
@@ -142,95 +182,52 @@
 		return
 	}
 	other.heard = now
-	if sent, ok := r.rounds[p.Round]; ok {
+	if sent, ok := r.beats[p.Round]; ok {
 		other.ackedSent = max(other.ackedSent, sent)
 	}
-	other.received = Position{p.ReceivedTerm, p.ReceivedIndex}
-	if at := (Position{p.StoredTerm, p.StoredIndex}); other.stored.Less(at) {
-		other.stored = at
-		r.advanceCommit(now)
-	}
-}
-
-// advanceCommit commits the newest entry once a quorum has it on disk.
-func (r *Replica) advanceCommit(now time.Duration) {
-	newest := positionOf(r.disk.Entry)
-	if positionOf(r.committed) == newest || newest.Term != r.disk.Term {
-		return
-	}
-	stored := func(id string) bool {
-		if id == r.self.ID {
-			return r.durable == newest
-		}
-		return r.peers[id] != nil && r.peers[id].stored == newest
+	other.received = p.Received
+	if p.Round >= other.sentBeat {
+		other.sentBeat = 0 // the entry has come, or was lost with its connection
 	}
-	if !Quorum(r.disk.Entry, stored) {
-		return
+	if other.stored.Less(p.Stored) {
+		other.stored, other.storedAt, other.lag = p.Stored, now, r.age(p.Stored, now)
+		r.advanceCommit(now)
 	}
-	r.committed = r.disk.Entry
-	if len(r.committed.Outgoing) > 0 {
-		r.appendEntry(r.committed.Members, nil, r.committed.Value, now)
-		return
+	if r.role == Leader && other.sentBeat == 0 && other.received != r.disk.Entry.Position() {
+		r.startBeat(now) // an answer to it is one to this entry
+		r.sendAppend(other)
 	}
-	r.broadcast(now)
 }
 
-func (r *Replica) onJoinRequest(q *wire.JoinRequest, now time.Duration) {
-	if r.role != Leader {
-		return
-	}
-	if p := r.peers[q.Member.ID]; p != nil {
-		p.leaving = p.leaving || q.Leaving
-		return
-	}
-	if q.Leaving || q.Member.ID == r.self.ID {
-		return
+// age is how long ago this leader made an entry; longer than any bound where that isn't known.
+func (r *Replica) age(at Position, now time.Duration) time.Duration {
+	made, ok := r.made[at.Index]
+	if !ok || at.Term != r.disk.Term {
+		return now - unreachableMark
 	}
-	l := r.learners[q.Member.ID]
-	if l == nil {
-		l = &peer{member: q.Member, ackedSent: unreachableMark}
-		r.learners[q.Member.ID] = l
-	}
-	l.heard = now
-	r.sendAppend(l, now)
+	return now - made
 }
 
-// changeMembers takes in a learner that has caught up: as one more while the group is too small, else in the place of
-// a member that is gone. A learner at a member's address is that machine without its disk.
-func (r *Replica) changeMembers(now time.Duration) {
-	if !r.Leading(now) || r.Uncommitted() || len(r.disk.Entry.Outgoing) > 0 {
+// advanceCommit commits the newest entry once a quorum has it on disk. A change of members that is due comes before
+// whatever is proposed next.
+func (r *Replica) advanceCommit(now time.Duration) {
+	newest := r.disk.Entry.Position()
+	if r.committed.Position() == newest || newest.Term != r.disk.Term {
 		return
 	}
-	e := r.disk.Entry
-	for _, id := range sortedIDs(r.learners) {
-		l := r.learners[id]
-		if l.stored != positionOf(e) || now > l.heard+2*HeartbeatInterval {
-			continue
-		}
-		members := slices.DeleteFunc(slices.Clone(e.Members), func(m wire.Member) bool { return m.IP == l.member.IP })
-		if len(members) >= r.target {
-			gone := r.goneMember(members, now)
-			if gone == "" {
-				continue
-			}
-			members = slices.DeleteFunc(members, func(m wire.Member) bool { return m.ID == gone })
-		}
-		r.appendEntry(append(members, l.member), e.Members, e.Value, now)
+	if !Quorum(r.Members(), func(id string) bool { return r.hasStored(id, newest) }) {
 		return
 	}
+	r.committed = r.disk.Entry
+	if !r.changeMembers(now) {
+		r.broadcast(now)
+	}
 }
 
-// goneMember gives the member that has been silent for longest, and long enough to be replaced.
-func (r *Replica) goneMember(members []wire.Member, now time.Duration) string {
-	gone, since := "", now
-	for _, m := range members {
-		p := r.peers[m.ID]
-		if p == nil || !(p.leaving && now > p.heard+2*HeartbeatInterval) && now < p.heard+memberSilence {
-			continue
-		}
-		if p.heard < since {
-			gone, since = m.ID, p.heard
-		}
+// hasStored says whether a member has an entry, or a newer one, on its disk.
+func (r *Replica) hasStored(id string, at Position) bool {
+	if id == r.self.ID {
+		return !r.durable.Less(at)
 	}
-	return gone
+	return r.peers[id] != nil && !r.peers[id].stored.Less(at)
 }
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -3,8 +3,8 @@
 // end of disk writes are handed in, messages and writes are handed out.
 //
 // The rules are those of Raft with a log of one entry: as an entry replaces all before it, a follower keeps only the
-// newest. Members change by joint consensus. A replica without its disk comes back under a new ID, as a learner; it
-// votes once an entry that names it a member is on its disk.
+// newest. Members change one at a time (see members.go). A replica without its disk comes back under a new ID, as a
+// learner; it counts once an entry names it a member.
 package replica
 
 import (
@@ -25,10 +25,8 @@
 	LeaseMargin     = 100 * time.Millisecond
 	electionSpread  = 250 * time.Millisecond // longest random wait on top of LeaseDuration
 	freshInterval   = 50 * time.Millisecond  // least time between asking whether all members have just restarted
+	freshYield      = 90 * time.Millisecond  // for which one that has just restarted lets another one stand first
 	electionTime    = 150 * time.Millisecond // least time that an election may take before the next one
-	resendInterval  = 250 * time.Millisecond // between copies of an entry to a follower that hasn't stored it
-	learnerSilence  = 1500 * time.Millisecond
-	memberSilence   = 1200 * time.Millisecond // after which a member may be replaced by a learner
 	unreachableMark = -time.Hour
 )
 
@@ -39,19 +37,7 @@
 )
 
 // Position orders entries.
-type Position struct{ Term, Index uint64 }
-
-// Less says whether p comes before q.
-func (p Position) Less(q Position) bool {
-	return p.Term < q.Term || p.Term == q.Term && p.Index < q.Index
-}
-
-func positionOf(e *wire.Entry) Position {
-	if e == nil {
-		return Position{}
-	}
-	return Position{e.Term, e.Index}
-}
+type Position = wire.Position
 
 // Disk is what a replica has to find again after a restart.
 type Disk struct {
@@ -89,16 +75,10 @@
 	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
 }
 
-// peer is what a leader knows of another replica.
-type peer struct {
-	member    wire.Member
-	stored    Position      // on its disk
-	received  Position      // in its memory, perhaps not yet on disk
-	ackedSent time.Duration // when the newest acknowledged heartbeat was sent
-	heard     time.Duration
-	sentEntry Position
-	sentAt    time.Duration
-	leaving   bool
+// Group is what a deployment asks of the group.
+type Group struct {
+	Target        int           // members that the group should have
+	MemberSilence time.Duration // after which a member may be replaced, where another machine is ready to take its place
 }
 
 // held is a message that waits for a write to end.
@@ -110,7 +90,7 @@
 // Replica is one member or learner. It is not safe for concurrent use.
 type Replica struct {
 	self     wire.Member
-	target   int // members that the group should have
+	group    Group
 	random   *rand.Rand
 	disk     Disk
 	durable  Position // newest entry known to be on the own disk
@@ -123,27 +103,30 @@
 
 	role       Role
 	leader     wire.Member
-	votes      map[string]bool
-	freshVotes map[string]bool // members that have heard no leader since they started
-	fresh      bool            // this one has heard none
-	allFresh   bool            // the present leader was elected, or this one stands, as all had restarted
+	round      uint64            // of the own newest request for votes
+	votes      map[string]bool   // in that round
+	freshVotes map[string]bool   // members that have answered in that round that they heard no leader since they started
+	fresh      bool              // this one has heard none, and takes part in no lease
+	freshTold  map[string]uint64 // candidate to the round in which this life told it so
+	freshRound uint64            // by which the present leader was elected, where all had restarted
 	electAt    time.Duration
 	heardAt    time.Duration // last heartbeat of a valid leader, or the start
 	committed  *wire.Entry
 
-	round     uint64
-	rounds    map[uint64]time.Duration // when each heartbeat round was sent
-	nextBeat  time.Duration
-	peers     map[string]*peer
-	learners  map[string]*peer
-	ledSince  time.Duration
-	selfLeave bool
+	beat     uint64                   // number of the newest heartbeat
+	beats    map[uint64]time.Duration // when each heartbeat was sent
+	nextBeat time.Duration
+	peers    map[string]*peer // other members
+	learners map[string]*peer
+	ledSince time.Duration
+	made     map[uint64]time.Duration // when the leader made its newest entries, by index
+	leave    leaveState
 }
 
-// New makes a replica from what its disk held. target is the number of members that the group grows to.
-func New(self wire.Member, target int, disk Disk, random *rand.Rand, now time.Duration) *Replica {
-	r := &Replica{self: self, target: target, disk: disk, random: random, durable: positionOf(disk.Entry),
-		learners: map[string]*peer{}, fresh: true}
+// New makes a replica from what its disk held.
+func New(self wire.Member, group Group, disk Disk, random *rand.Rand, now time.Duration) *Replica {
+	r := &Replica{self: self, group: group, disk: disk, random: random, durable: disk.Entry.Position(),
+		learners: map[string]*peer{}, fresh: true, freshTold: map[string]uint64{}}
 	r.heardAt = now // a heartbeat may have been acknowledged right before the restart
 	r.scheduleElection(now)
 	return r
@@ -175,21 +158,44 @@
 // Term gives the present term.
 func (r *Replica) Term() uint64 { return r.disk.Term }
 
-// Leader gives the leader that is known, or a zero Member.
-func (r *Replica) Leader() wire.Member { return r.leader }
+// Target gives how many members the group should have.
+func (r *Replica) Target() int { return r.group.Target }
+
+// Leader gives the leader that was heard within the time in which another one can't have followed it unnoticed, or a
+// zero Member.
+func (r *Replica) Leader(now time.Duration) wire.Member {
+	if r.role != Leader && now > r.heardAt+LeaseDuration+electionSpread {
+		return wire.Member{}
+	}
+	return r.leader
+}
 
 // Committed gives the newest entry that is known to be committed; nil where none is.
 func (r *Replica) Committed() *wire.Entry { return r.committed }
 
-// Members gives the members of the newest entry, those on their way out included.
-func (r *Replica) Members() []wire.Member { return allMembers(r.disk.Entry) }
+// Newest gives the newest entry, committed or not; nil before the first.
+func (r *Replica) Newest() *wire.Entry { return r.disk.Entry }
+
+// Members gives the members of the newest entry.
+func (r *Replica) Members() []wire.Member {
+	if r.disk.Entry == nil {
+		return nil
+	}
+	return r.disk.Entry.Members
+}
 
 // IsMember says whether the newest entry names this replica.
 func (r *Replica) IsMember() bool { return r.Includes(r.self.ID) }
 
-// Includes says whether the newest entry names a member, one on its way out included.
+// Includes says whether the newest entry names a member.
 func (r *Replica) Includes(id string) bool { return containsID(r.Members(), id) }
 
+// NeedsToJoin says whether this replica has to ask for its place: it is no member, or has heard no leader for so long
+// that the others may have replaced it.
+func (r *Replica) NeedsToJoin(now time.Duration) bool {
+	return !r.leave.started && (!r.IsMember() || r.role != Leader && now > r.heardAt+LeaseDuration+electionSpread)
+}
+
 // Leading says whether this replica is the leader, its lease holds at now, and all that was ever acknowledged is in
 // Committed.
 func (r *Replica) Leading(now time.Duration) bool {
@@ -198,11 +204,15 @@
 }
 
 // Uncommitted says whether the newest entry isn't committed.
-func (r *Replica) Uncommitted() bool { return positionOf(r.committed) != positionOf(r.disk.Entry) }
+func (r *Replica) Uncommitted() bool { return r.committed.Position() != r.disk.Entry.Position() }
+
+// AllRestarted says whether the present leader was elected while all members had just restarted, this life of this one
+// among them: then nothing that any of them granted before is in force.
+func (r *Replica) AllRestarted() bool { return r.freshRound != 0 && r.leader.ID != "" }
 
-// AllRestarted says whether the present leader was elected while all members had just restarted: then nothing that any
-// of them granted before is in force.
-func (r *Replica) AllRestarted() bool { return r.allFresh && r.leader.ID != "" }
+// JoinedLease tells that this process has granted or got a lease by the members: it no longer counts as one that has
+// just restarted.
+func (r *Replica) JoinedLease() { r.fresh = false }
 
 // Propose replicates a new value on top of the committed one. Only a leader without an uncommitted entry does.
 func (r *Replica) Propose(value []byte, now time.Duration) (Position, error) {
@@ -212,23 +222,24 @@
 	if r.Uncommitted() {
 		return Position{}, ErrBusy
 	}
-	e := r.disk.Entry
-	return r.appendEntry(e.Members, e.Outgoing, value, now), nil
+	return r.appendEntry(r.disk.Entry.Members, value, now), nil
 }
 
-// Leave tells that this process is about to stop: the leader may give its place to a learner at once.
-func (r *Replica) Leave() { r.selfLeave = true }
-
 // appendEntry makes the leader's next entry.
-func (r *Replica) appendEntry(members, outgoing []wire.Member, value []byte, now time.Duration) Position {
-	e := &wire.Entry{Term: r.disk.Term, Index: r.disk.Entry.Index + 1, Members: members, Outgoing: outgoing, Value: value}
+func (r *Replica) appendEntry(members []wire.Member, value []byte, now time.Duration) Position {
+	e := &wire.Entry{Term: r.disk.Term, Index: r.disk.Entry.Index + 1, Members: members, Value: value}
 	r.storeEntry(e)
+	r.made[e.Index] = now
+	delete(r.made, e.Index-entriesTimed)
 	r.refreshPeers(now)
 	r.broadcast(now)
-	return positionOf(e)
+	return e.Position()
 }
 
 func (r *Replica) storeEntry(e *wire.Entry) {
+	if e.Position().Less(r.disk.Entry.Position()) {
+		panic("replica: an older entry would replace a newer one")
+	}
 	r.disk.Entry = e
 	r.requestSave(true, false)
 }
@@ -255,7 +266,7 @@
 // Saved tells that a write has reached the disk.
 func (r *Replica) Saved(s *Save, now time.Duration) {
 	r.saved = max(r.saved, s.Sequence)
-	r.durable = positionOf(s.Disk.Entry)
+	r.durable = s.Disk.Entry.Position()
 	kept := r.waiting[:0]
 	for _, h := range r.waiting {
 		if h.after <= r.saved {
@@ -264,6 +275,7 @@
 			kept = append(kept, h)
 		}
 	}
+	clear(r.waiting[len(kept):])
 	r.waiting = kept
 	switch r.role {
 	case Candidate:
@@ -300,17 +312,13 @@
 
 // Tick lets time pass.
 func (r *Replica) Tick(now time.Duration) {
-	if r.role == Leader {
+	switch {
+	case r.role == Leader:
 		r.tickLeader(now)
-		return
-	}
-	if now >= r.electAt && r.IsMember() {
+	case now >= r.electAt && r.IsMember() && !r.leave.started:
 		r.startPreVote(now)
 	}
-	if r.selfLeave && r.leader.ID != "" {
-		r.send(r.leader, &wire.Message{JoinRequest: &wire.JoinRequest{Member: r.self, Leaving: true}})
-		r.selfLeave = false
-	}
+	r.tickLeave(now)
 }
 
 // Receive takes a message of another replica.
@@ -325,7 +333,11 @@
 	case m.AppendReply != nil:
 		r.onAppendReply(from, m.AppendReply, now)
 	case m.JoinRequest != nil:
-		r.onJoinRequest(m.JoinRequest, now)
+		r.onJoinRequest(from, m.JoinRequest, now)
+	case m.LeaveReply != nil:
+		r.onLeaveReply(from, m.LeaveReply)
+	case m.Transfer != nil:
+		r.onTransfer(from, m.Transfer, now)
 	}
 }
 
@@ -335,35 +347,18 @@
 		r.disk.Term, r.disk.VotedFor = term, ""
 		r.requestSave(false, true)
 	}
-	r.role, r.leader, r.allFresh = Follower, wire.Member{}, false
-	r.peers, r.rounds = nil, nil
+	r.role, r.leader, r.freshRound = Follower, wire.Member{}, 0
+	r.peers, r.beats, r.made = nil, nil, nil
+	clear(r.learners)
 	r.scheduleElection(now)
 }
 
-func allMembers(e *wire.Entry) []wire.Member {
-	if e == nil {
-		return nil
-	}
-	all := slices.Clone(e.Members)
-	for _, m := range e.Outgoing {
-		if !containsID(all, m.ID) {
-			all = append(all, m)
-		}
-	}
-	return all
-}
-
 func containsID(members []wire.Member, id string) bool {
 	return slices.ContainsFunc(members, func(m wire.Member) bool { return m.ID == id })
 }
 
-// Quorum says whether those for which has is true are a majority of the members, and while members change also of
-// the former ones.
-func Quorum(e *wire.Entry, has func(id string) bool) bool {
-	return majority(e.Members, has) && (len(e.Outgoing) == 0 || majority(e.Outgoing, has))
-}
-
-func majority(members []wire.Member, has func(id string) bool) bool {
+// Quorum says whether those for which has is true are a majority of the members.
+func Quorum(members []wire.Member, has func(id string) bool) bool {
 	n := 0
 	for _, m := range members {
 		if has(m.ID) {
@@ -372,6 +367,3 @@
 	}
 	return 2*n > len(members)
 }
-
-// Newest gives the newest entry, committed or not; nil before the first.
-func (r *Replica) Newest() *wire.Entry { return r.disk.Entry }
--- a/control/replica/sim_test.go
+++ b/control/replica/sim_test.go
@@ -15,9 +15,10 @@
 
 const (
 	simStep     = 5 * time.Millisecond
-	simLength   = 16 * time.Second
-	simCalm     = 8 * time.Second // at the end
-	simSchedule = 400
+	simLength   = 20 * time.Second
+	simCalm     = 9 * time.Second // at the end
+	simSchedule = 600
+	simSilence  = 2 * time.Second // after which a member may be replaced
 )
 
 type simMessage struct {
@@ -36,6 +37,24 @@
 	downTil time.Duration
 	stalled time.Duration
 	lives   int
+	wiped   bool          // and no member again yet
+	started time.Duration // of this life
+	leaveBy time.Duration // when it stops at the latest, once it leaves
+}
+
+// simCounts is what a run has played.
+type simCounts struct {
+	schedules, wipes, repaired, leaderChanges, commits, leaves, transfers int
+}
+
+func (c *simCounts) add(o simCounts) {
+	c.schedules += o.schedules
+	c.wipes += o.wipes
+	c.repaired += o.repaired
+	c.leaderChanges += o.leaderChanges
+	c.commits += o.commits
+	c.leaves += o.leaves
+	c.transfers += o.transfers
 }
 
 type sim struct {
@@ -43,52 +62,90 @@
 	seed     uint64
 	random   *rand.Rand
 	now      time.Duration
+	target   int
 	nodes    []*simNode
 	messages []simMessage
 	cut      map[[2]string]time.Duration // one way, until when
 	acked    string                      // newest value that a leader acknowledged
 	ackedAt  Position
+	members  []wire.Member // of the newest entry that a leader with a lease had as committed
 	leaders  map[uint64]string
+	lastLead string
 	values   int
-	commits  int
+	simCounts
 	calmDisk bool
-	pace     int // longest time between faults, in ms
+	idle     bool // no orders
+	rate     int  // one order in so many steps in which there could be one; 0 for each
+	pace     int  // longest time between faults, in ms
 }
 
-func newSim(t *testing.T, seed uint64, size int) *sim {
-	s := &sim{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]time.Duration{},
+// newSim makes a group of founders, and spares that have empty disks.
+func newSim(t *testing.T, seed uint64, size int) *sim { return newSimWithSpares(t, seed, size, 0) }
+
+func newSimWithSpares(t *testing.T, seed uint64, size, spares int) *sim {
+	s := &sim{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]time.Duration{}, target: size,
 		leaders: map[uint64]string{}, pace: []int{150, 600, 2500}[seed%3]}
-	var members []wire.Member
-	for i := range size {
-		ip := fmt.Sprintf("10.0.0.%d", i+1)
-		members = append(members, wire.Member{ID: ip + "/founder", IP: ip})
-	}
-	for _, m := range members {
-		n := &simNode{ip: m.IP, disk: Disk{Entry: Found(members, nil)}}
-		n.replica = New(m, size, n.disk, s.random, 0)
+	var founders []wire.Member
+	for i := range size + spares {
+		n := &simNode{ip: fmt.Sprintf("10.0.0.%d", i+1)}
+		if i < size {
+			founders = append(founders, n.member())
+		} else {
+			n.lives = 1
+		}
 		s.nodes = append(s.nodes, n)
 	}
+	s.members = founders
+	for i, n := range s.nodes {
+		if i < size {
+			n.disk = Disk{Entry: Found(founders, nil)}
+		}
+		s.start(n)
+	}
 	return s
 }
 
+func (s *sim) start(n *simNode) {
+	n.started, n.leaveBy = s.now, 0
+	n.replica = New(n.member(), Group{Target: s.target, MemberSilence: simSilence}, n.disk, s.random, s.now)
+}
+
 func (s *sim) fail(format string, args ...any) {
 	s.t.Helper()
+	for _, n := range s.nodes {
+		s.t.Log(s.describe(n))
+	}
 	s.t.Fatalf("seed %d at %v: %s", s.seed, s.now, fmt.Sprintf(format, args...))
 }
 
+func (s *sim) describe(n *simNode) string {
+	if n.replica == nil {
+		return fmt.Sprintf("%s/%d is down, entry %v", n.ip, n.lives, n.disk.Entry.Position())
+	}
+	r := n.replica
+	return fmt.Sprintf("%s %v term %d entry %v committed %v members %v", r.self.ID, r.Role(), r.Term(), r.disk.Entry.Position(),
+		r.committed.Position(), r.Members())
+}
+
 func (s *sim) step() {
 	s.now += simStep
 	for _, n := range s.nodes {
 		if n.replica == nil {
 			if s.now >= n.downTil {
-				n.replica = New(n.member(), len(s.nodes), n.disk, s.random, s.now)
+				s.start(n)
 			}
 			continue
 		}
+		if n.leaveBy != 0 && (n.replica.LeaveDone() || s.now >= n.leaveBy) {
+			s.stop(n)
+			continue
+		}
 		n.replica.Tick(s.now)
-		if !n.replica.IsMember() {
+		if n.replica.NeedsToJoin(s.now) {
 			for _, other := range s.nodes {
-				s.post(n, other.ip, &wire.Message{JoinRequest: &wire.JoinRequest{Member: n.replica.Self()}})
+				if other != n {
+					s.post(n, other.ip, &wire.Message{JoinRequest: &wire.JoinRequest{Member: n.replica.Self()}})
+				}
 			}
 		}
 		s.flush(n)
@@ -122,6 +179,9 @@
 
 func (s *sim) flush(n *simNode) {
 	for _, e := range n.replica.TakeMessages() {
+		if e.Message.Transfer != nil {
+			s.transfers++
+		}
 		s.post(n, e.To.IP, e.Message)
 	}
 	if n.writing == nil {
@@ -157,7 +217,7 @@
 	}
 }
 
-// check holds the invariants.
+// check holds the invariants, and acts as operators who send the next order as soon as one is acknowledged.
 func (s *sim) check() {
 	leading := ""
 	for _, n := range s.nodes {
@@ -178,8 +238,12 @@
 			s.fail("%s and %s hold the lease", leading, r.Self().ID)
 		}
 		leading = r.Self().ID
+		if s.lastLead != leading {
+			s.lastLead = leading
+			s.leaderChanges++
+		}
 		s.acknowledge(r.Committed())
-		if !r.Uncommitted() {
+		if !r.Uncommitted() && !s.idle && n.leaveBy == 0 && s.random.IntN(max(1, s.rate)) == 0 {
 			s.values++
 			next := fmt.Sprintf("%d/%d", versionOf(r.Committed().Value)+1, s.values)
 			if _, err := r.Propose([]byte(next), s.now); err != nil {
@@ -200,7 +264,14 @@
 	if s.acked != string(c.Value) {
 		s.commits++
 	}
-	s.acked, s.ackedAt = string(c.Value), positionOf(c)
+	s.acked = string(c.Value)
+	s.members, s.ackedAt = c.Members, c.Position()
+	for _, n := range s.nodes {
+		if n.wiped && containsID(c.Members, n.member().ID) {
+			n.wiped = false
+			s.repaired++
+		}
+	}
 }
 
 // versionOf reads the number of a value.
@@ -210,19 +281,13 @@
 }
 
 // harm brings one fault of those that a deployment bears at once.
-func (s *sim) harm(bearable int) {
-	var down []*simNode
-	for _, n := range s.nodes {
-		if n.replica == nil || !n.replica.IsMember() || n.stalled > s.now {
-			down = append(down, n)
-		}
-	}
+func (s *sim) harm() {
 	n := s.nodes[s.random.IntN(len(s.nodes))]
 	other := s.nodes[s.random.IntN(len(s.nodes))]
-	switch kind := s.random.IntN(10); {
-	case kind == 0 && len(down) < bearable: // killed, disk kept
+	switch kind := s.random.IntN(14); {
+	case kind == 0: // killed, disk kept
 		s.stop(n)
-	case kind == 1 && len(down) < bearable && s.calm(): // comes back without its disk
+	case kind == 1 && s.bearsLossOf(n) && (!n.wiped || s.random.IntN(3) == 0): // comes back without its disk
 		s.wipe(n)
 	case kind == 2: // cut one way
 		s.cut[[2]string{n.ip, other.ip}] = s.now + time.Duration(s.random.IntN(2000))*time.Millisecond
@@ -230,9 +295,9 @@
 		n.stalled = s.now + time.Duration(s.random.IntN(2000))*time.Millisecond
 	case kind == 5: // cut off, one way or both
 		s.isolate(n, s.random.IntN(2) == 0)
-	case kind >= 6 && kind < 9 && len(down) < bearable && s.calm(): // loses its disk as the leader is cut off
+	case kind >= 6 && kind < 9 && s.bearsLossOf(n) && (!n.wiped || s.random.IntN(3) == 0): // loses its disk as the leader is cut off
 		for _, leader := range s.nodes {
-			if leader.replica.Role() == Leader && leader != n {
+			if leader.replica != nil && leader.replica.Role() == Leader && leader != n {
 				s.isolate(leader, true)
 			}
 		}
@@ -241,6 +306,34 @@
 		for _, n := range s.nodes {
 			s.stop(n)
 		}
+	case kind == 10 && s.bearsLossOf(n) && !n.wiped: // all lose power, and one its disk
+		for _, n := range s.nodes {
+			s.stop(n)
+		}
+		s.wipe(n)
+	case kind == 11 && n.replica != nil && n.leaveBy == 0: // stops by plan
+		s.leave(n)
+	case kind == 12: // half from half
+		s.split(time.Duration(s.random.IntN(4000)) * time.Millisecond)
+	case kind == 13: // cut off for long enough to be replaced
+		s.isolateFor(n, simSilence+time.Duration(s.random.IntN(3000))*time.Millisecond)
+	}
+}
+
+func (s *sim) leave(n *simNode) {
+	n.leaveBy = s.now + 2*time.Second
+	s.leaves++
+	n.replica.StartLeaving(s.now)
+	s.flush(n)
+}
+
+func (s *sim) split(span time.Duration) {
+	for i, one := range s.nodes {
+		for j, other := range s.nodes {
+			if (i < len(s.nodes)/2) != (j < len(s.nodes)/2) {
+				s.cut[[2]string{one.ip, other.ip}] = s.now + span
+			}
+		}
 	}
 }
 
@@ -262,14 +355,40 @@
 func (s *sim) wipe(n *simNode) {
 	s.stop(n)
 	n.lives++
+	n.wiped = true
+	s.wipes++
 	n.disk = Disk{}
 }
 
-// calm says whether all are members again and hold the newest entry on disk, so that one disk may be lost.
-func (s *sim) calm() bool {
-	return !slices.ContainsFunc(s.nodes, func(n *simNode) bool {
-		return n.replica == nil || !n.replica.IsMember() || positionOf(n.disk.Entry).Less(s.ackedAt)
-	})
+// bearsLossOf says whether one more disk may be lost: a majority of the members that were committed last still has
+// its own, and so it is with each change of members that is under way. Whether they are up, or hear each other, doesn't
+// matter.
+func (s *sim) bearsLossOf(lost *simNode) bool {
+	kept := func(id string) bool {
+		return slices.ContainsFunc(s.nodes, func(n *simNode) bool { return n != lost && n.member().ID == id })
+	}
+	borne := Quorum(s.members, kept)
+	for _, e := range s.entriesUnderWay() {
+		borne = borne && (e == nil || e.Position().Less(s.ackedAt) || Quorum(e.Members, kept))
+	}
+	return borne
+}
+
+// entriesUnderWay gives the newest entries of all disks and processes, and those in messages.
+func (s *sim) entriesUnderWay() []*wire.Entry {
+	var all []*wire.Entry
+	for _, n := range s.nodes {
+		all = append(all, n.disk.Entry)
+		if n.replica != nil {
+			all = append(all, n.replica.Newest())
+		}
+	}
+	for _, m := range s.messages {
+		if m.body.Append != nil {
+			all = append(all, m.body.Append.Entry)
+		}
+	}
+	return all
 }
 
 func (s *sim) stop(n *simNode) {
@@ -277,29 +396,50 @@
 	n.downTil = s.now + time.Duration(50+s.random.IntN(2500))*time.Millisecond
 }
 
+// checkRepaired checks that the group is whole at the end: each machine is a member again, but for spares.
+func (s *sim) checkRepaired() {
+	if len(s.members) != s.target {
+		s.fail("%d members at the end", len(s.members))
+	}
+	for _, m := range s.members {
+		if !slices.ContainsFunc(s.nodes, func(n *simNode) bool { return n.member().ID == m.ID }) {
+			s.fail("%s is a member at the end, and is no more", m.ID)
+		}
+	}
+}
+
+func playSchedule(t *testing.T, seed uint64) simCounts {
+	spares := int(seed / 6 % 2)
+	s := newSimWithSpares(t, seed, 3+2*int(seed/3%2), spares)
+	s.rate = []int{1, 1, 4, 20}[seed/12%4]
+	nextHarm := 2 * time.Second
+	for s.now < simLength {
+		if s.now >= nextHarm && s.now < simLength-simCalm {
+			s.harm()
+			nextHarm = s.now + time.Duration(s.random.IntN(s.pace))*time.Millisecond
+		}
+		s.step()
+	}
+	if !slices.ContainsFunc(s.nodes, func(n *simNode) bool { return n.replica != nil && n.replica.Leading(s.now) }) {
+		s.fail("nobody leads after the calm")
+	}
+	s.checkRepaired()
+	s.schedules = 1
+	return s.simCounts
+}
+
 func TestRandomFaults(t *testing.T) {
 	schedules := simSchedule
 	if testing.Short() {
 		schedules /= 10
 	}
-	commits := 0
+	var played simCounts
 	for seed := range uint64(schedules) {
-		size := 3 + 2*int(seed/3%2)
-		s := newSim(t, seed, size)
-		nextHarm := 2 * time.Second
-		for s.now < simLength {
-			if s.now >= nextHarm && s.now < simLength-simCalm {
-				s.harm(size / 2)
-				nextHarm = s.now + time.Duration(s.random.IntN(s.pace))*time.Millisecond
-			}
-			s.step()
-		}
-		if !slices.ContainsFunc(s.nodes, func(n *simNode) bool { return n.replica != nil && n.replica.Leading(s.now) }) {
-			s.fail("nobody leads after the calm")
-		}
-		commits += s.commits
+		played.add(playSchedule(t, seed))
 	}
-	if commits < schedules*20 {
-		t.Errorf("%d commits in %d schedules: the simulation does too little", commits, schedules)
+	t.Logf("played %+v", played)
+	if played.commits < schedules*20 || played.wipes < schedules/2 || played.repaired < schedules/2 ||
+		played.leaderChanges < schedules*2 || played.leaves < schedules/4 {
+		t.Errorf("the simulation does too little: %+v", played)
 	}
 }
--- a/control/shards.go
+++ b/control/shards.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -20,7 +18,8 @@
 	readsPerDrain  = 4.5 // reads of the platform's list within the time in which a drain has to be known
 	shortestPeriod = 250 * time.Millisecond
 	longestPeriod  = time.Second
-	freshOwners    = time.Second // after a restart of all, in which owners are the first ones
+	freshOwners    = time.Second     // after a restart of all, in which owners are the first ones
+	longestRead    = 2 * time.Second // age of a read of the list, beyond which it is not used
 )
 
 // shard is one part of the services and tenants, and this node's claim to own it.
@@ -30,6 +29,7 @@
 	term   uint64 // fencing number under which table is kept
 	table  *hostlist.Table
 	limits *quota.Owner
+	since  time.Duration // when it was taken over
 	whole  *wire.Message // the whole table as it was last sent
 }
 
@@ -44,8 +44,8 @@
 	return s.whole
 }
 
-func newShard(number uint32, self string) *shard {
-	return &shard{number: number, holder: lease.NewHolder("shard-"+string(rune('0'+number)), self, uint16(rand.Uint32()), 0)}
+func newShard(number uint32, self string, life uint64, now time.Duration) *shard {
+	return &shard{number: number, holder: lease.NewHolder("shard-"+string(rune('0'+number)), self, life, now)}
 }
 
 // rank is the place of this node in the shard's order of candidates.
@@ -56,23 +56,22 @@
 }
 
 // tickShards asks for leases, and reads the platform's list while this node owns any shard.
-func (n *Node) tickShards(ctx context.Context, now time.Duration) {
-	if !n.replica.IsMember() {
-		return
-	}
+func (n *Node) tickShards(now time.Duration) {
 	owns := false
 	for _, s := range n.shards {
-		s.holder.SetRank(s.rank(n.replica.Members(), n.replica.Self().ID))
-		if q := s.holder.Tick(n.granter.HeldByOther(s.resource(), n.replica.Self().ID, now), now); q != nil {
-			n.requestLease(q, now)
+		if n.replica.IsMember() && !n.stopping {
+			s.holder.SetRank(s.rank(n.replica.Members(), n.replica.Self().ID))
+			if q := s.holder.Tick(n.granter.HeldByOther(s.resource(), n.replica.Self().ID, now), now); q != nil {
+				n.requestLease(q, now)
+			}
 		}
 		n.followOwnership(s, now)
 		owns = owns || s.holder.Holds(now)
 	}
 	if owns && !n.reading && now >= n.readAt {
-		n.reading = true
+		n.reading, n.readSince = true, now
 		n.readAt = now + n.readPeriod()
-		go n.readHosts(ctx)
+		n.env.ReadHosts()
 	}
 }
 
@@ -83,20 +82,39 @@
 
 func (n *Node) requestLease(q *wire.LeaseRequest, now time.Duration) {
 	n.toAllLinks(&wire.Message{LeaseRequest: q})
-	n.onLeaseReply(n.replica.Self().ID, n.granter.Answer(q, now), now)
+	n.onLeaseReply(n.replica.Self().ID, n.grantLease(q, now), now)
 }
 
-func (n *Node) onLeaseReply(from string, p *wire.LeaseReply, now time.Duration) {
-	entry := n.replica.Newest()
-	if entry == nil {
+func (n *Node) grantLease(q *wire.LeaseRequest, now time.Duration) *wire.LeaseReply {
+	reply := n.granter.Answer(q, now)
+	if reply.Granted {
+		n.replica.JoinedLease()
+	}
+	return reply
+}
+
+// onLeaseRequest answers a member; both this node and the one that asks have to be members by what this one knows.
+func (n *Node) onLeaseRequest(from wire.Member, q *wire.LeaseRequest, now time.Duration) {
+	if !n.replica.Includes(from.ID) || !n.replica.IsMember() || q.Holder != from.ID {
+		n.dropped.NotMember++
 		return
 	}
-	enough := func(has func(string) bool) bool { return replica.Quorum(entry, has) }
+	reply := n.grantLease(q, now)
+	if link := n.links[from.IP]; link != nil {
+		link.Send(&wire.Message{LeaseReply: reply})
+	}
+}
+
+func (n *Node) onLeaseReply(from string, p *wire.LeaseReply, now time.Duration) {
+	enough := func(has func(string) bool) bool { return replica.Quorum(n.replica.Members(), has) }
 	for _, s := range n.shards {
-		if s.resource() == p.Resource {
-			s.holder.Replied(from, p, enough, now)
-			n.followOwnership(s, now)
+		if s.resource() != p.Resource {
+			continue
+		}
+		if !s.holder.Replied(from, p, enough) {
+			n.dropped.EarlierLife++
 		}
+		n.followOwnership(s, now)
 	}
 }
 
@@ -107,6 +125,8 @@
 	holds := s.holder.Holds(now)
 	switch {
 	case holds && s.term != s.holder.Term():
+		n.replica.JoinedLease()
+		s.since = now
 		s.term, s.table = s.holder.Term(), hostlist.NewTable(s.number, s.holder.Term())
 		s.limits = quota.NewOwner(n.resumed && now < n.resumedAt+freshOwners, now)
 		n.readAt = now
@@ -117,23 +137,20 @@
 	}
 }
 
-// readHosts reads the list once and hands it to the loop.
-func (n *Node) readHosts(ctx context.Context) {
-	hosts, err := n.reader.Read(ctx)
-	n.do(func() {
-		n.reading = false
-		if err != nil {
-			n.log.Debug("list of hosts not read", "error", err)
-			return
-		}
-		n.takeHosts(hosts)
-	})
-}
-
-func (n *Node) takeHosts(hosts []wire.Host) {
+// HostsRead takes the outcome of a read of the list. One that began before a shard was taken over, or long ago, may be
+// older than what the owner before has fed.
+func (n *Node) HostsRead(hosts []wire.Host, err error) {
+	n.reading = false
+	if err != nil {
+		n.log.Debug("list of hosts not read", "error", err)
+		return
+	}
 	now := n.now()
+	if now > n.readSince+longestRead {
+		return
+	}
 	for _, s := range n.shards {
-		if s.table == nil || !s.holder.Holds(now) {
+		if s.table == nil || !s.holder.Holds(now) || n.readSince < s.since {
 			continue
 		}
 		var own []wire.Host
@@ -160,5 +177,5 @@
 	}
 	granted, wait := s.limits.Take(q.Tenant, quota.LimitOf(tenant, &n.settings.Bounds), q.Need, q.Want, now)
 	from.conn.Send(&wire.Message{QuotaGrant: &wire.QuotaGrant{Router: q.Router, Number: q.Number, Granted: granted,
-		WaitMS: wait.Milliseconds()}})
+		WaitMS: wait.Milliseconds(), Life: q.Life}})
 }
--- a/control/status.go
+++ b/control/status.go
@@ -20,10 +20,12 @@
 	Commit   uint64        `json:"commit"`  // newest one that is known to be committed
 	Revision int64         `json:"revision"`
 	Members  []wire.Member `json:"members"`
-	Changing bool          `json:"changing"` // a change of members is under way
+	Changing bool          `json:"changing"`     // a change of members is under way, or one is missing
+	Borne    int           `json:"losses_borne"` // disks of members that may be lost now without a rest of the group
 	Shards   []ShardStatus `json:"shards"`
 	Agents   int           `json:"agents"`
 	Spoilt   int64         `json:"spoilt_datagrams"`
+	Dropped  Dropped       `json:"dropped"`
 }
 
 // ShardStatus is what a control process tells of one shard.
@@ -37,11 +39,13 @@
 // status collects the state; only the loop calls it.
 func (n *Node) status() Status {
 	now := n.now()
-	s := Status{ID: n.replica.Self().ID, Role: n.replica.Role().String(), Term: n.replica.Term(), Leader: n.replica.Leader().ID,
+	s := Status{ID: n.replica.Self().ID, Role: n.replica.Role().String(), Term: n.replica.Term(), Leader: n.replica.Leader(now).ID,
 		Leading: n.replica.Leading(now), Commit: n.stateAt.Index, Members: n.replica.Members(), Agents: len(n.subscribers),
-		Spoilt: n.peers.Spoilt.Load()}
+		Spoilt: n.env.SpoiltDatagrams(), Dropped: n.dropped}
 	if entry := n.replica.Newest(); entry != nil {
-		s.Entry, s.Changing = entry.Index, len(entry.Outgoing) > 0
+		s.Entry = entry.Index
+		s.Changing = n.replica.Uncommitted() || len(entry.Members) < n.replica.Target()
+		s.Borne = (len(entry.Members) - 1) / 2
 	}
 	if n.state != nil {
 		s.Revision = n.state.Revision
@@ -58,7 +62,7 @@
 
 func (n *Node) handleStatus(w http.ResponseWriter, r *http.Request) {
 	answer := make(chan Status, 1)
-	n.do(func() { answer <- n.status() })
+	n.env.Do(func() { answer <- n.status() })
 	select {
 	case s := <-answer:
 		w.Header().Set("Content-Type", "application/json")
--- a/control/store/files.go
+++ b/control/store/files.go
@@ -6,9 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"io/fs"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 
@@ -24,19 +22,22 @@
 	voteKind     = "vote"
 	entryKind    = "entry"
 	asideSuffix  = ".tmp"
+	spoiltPrefix = "spoilt."
 	filePerm     = 0o600
 	folderPerm   = 0o700
 	checksumSize = 8
 	numberBase   = 10
 )
 
-// ErrDamaged says that a file isn't what was written.
+// ErrDamaged says that a file isn't what was written. A file has its name only once its content is on disk, so this is
+// no write that was cut short: the disk has lost what it had told to keep.
 var ErrDamaged = errors.New("store: damaged file")
 
 // Identity is who a replica is. It is written once, when the disk is new.
 type Identity struct {
-	ID      string `cbor:"1,keyasint"`
-	Founder bool   `cbor:"2,keyasint"`
+	ID       string        `cbor:"1,keyasint"`
+	Founder  bool          `cbor:"2,keyasint"`
+	Founders []wire.Member `cbor:"3,keyasint,omitempty"` // whom a founder founds the group with
 }
 
 type vote struct {
@@ -46,8 +47,8 @@
 
 // Folder is the data folder of one control process. Only one goroutine uses it at a time.
 type Folder struct {
-	path string
-	next uint64 // number of the next file
+	files fileSystem
+	next  uint64 // number of the next file
 }
 
 // Open makes the folder where it is missing.
@@ -55,7 +56,18 @@
 	if err := os.MkdirAll(path, folderPerm); err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	return &Folder{path: path, next: 1}, nil
+	return openFolder(osFolder(path)), nil
+}
+
+// openFolder takes a folder over. What was written aside by an earlier process was never part of the state.
+func openFolder(files fileSystem) *Folder {
+	names, _ := files.names() // what can't be listed now fails at the first read
+	for _, name := range names {
+		if strings.HasSuffix(name, asideSuffix) {
+			_ = files.remove(name)
+		}
+	}
+	return &Folder{files: files, next: 1}
 }
 
 // Identity gives who this disk belongs to; ok is false on an empty disk.
@@ -67,7 +79,7 @@
 // SaveIdentity writes who this disk belongs to.
 func (f *Folder) SaveIdentity(id Identity) error { return f.write(identityKind, id) }
 
-// Load reads what a replica had saved. Damaged files are skipped: they were never acknowledged.
+// Load reads what a replica had saved.
 func (f *Folder) Load() (replica.Disk, error) {
 	var v vote
 	var e wire.Entry
@@ -101,6 +113,29 @@
 	return nil
 }
 
+// SetAside renames all files of a spoilt disk, so that none of them is read again and what is left of them can be looked
+// at. Those that were set aside before go.
+func (f *Folder) SetAside() error {
+	names, err := f.files.names()
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if strings.HasPrefix(name, spoiltPrefix) {
+			_ = f.files.remove(name)
+		}
+	}
+	for _, name := range names {
+		if strings.HasPrefix(name, spoiltPrefix) {
+			continue
+		}
+		if err := f.files.rename(name, spoiltPrefix+name); err != nil {
+			return err
+		}
+	}
+	return f.files.sync()
+}
+
 // write stores a version and then removes the older ones of its kind.
 func (f *Folder) write(kind string, v any) error {
 	body, err := cbor.Marshal(v)
@@ -111,114 +146,83 @@
 	if err != nil {
 		return err
 	}
-	name := filepath.Join(f.path, kind+"-"+strconv.FormatUint(f.next, numberBase))
-	if err := writeSynced(name+asideSuffix, binary.BigEndian.AppendUint64(body, xxhash.Sum64(body))); err != nil {
-		_ = os.Remove(name + asideSuffix)
+	name := fileName(kind, f.next)
+	if err := f.files.write(name+asideSuffix, binary.BigEndian.AppendUint64(body, xxhash.Sum64(body))); err != nil {
+		_ = f.files.remove(name + asideSuffix)
 		return err
 	}
-	if err := os.Rename(name+asideSuffix, name); err != nil {
-		return fmt.Errorf("store: %w", err)
+	if err := f.files.rename(name+asideSuffix, name); err != nil {
+		return err
 	}
 	f.next++
-	if err := syncFolder(f.path); err != nil {
+	if err := f.files.sync(); err != nil {
 		return err
 	}
 	for _, n := range older {
-		_ = os.Remove(filepath.Join(f.path, kind+"-"+strconv.FormatUint(n, numberBase)))
+		_ = f.files.remove(fileName(kind, n)) // it may come back, and is older then
 	}
 	return nil
 }
 
-func writeSynced(path string, data []byte) error {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, filePerm)
-	if err != nil {
-		return fmt.Errorf("store: %w", err)
-	}
-	_, err = file.Write(data)
-	if err == nil {
-		err = file.Sync()
-	}
-	if closing := file.Close(); err == nil {
-		err = closing
-	}
-	if err != nil {
-		return fmt.Errorf("store: %w", err)
-	}
-	return nil
-}
-
-func syncFolder(path string) error {
-	folder, err := os.Open(path)
-	if err != nil {
-		return fmt.Errorf("store: %w", err)
-	}
-	defer folder.Close()
-	if err := folder.Sync(); err != nil {
-		return fmt.Errorf("store: %w", err)
-	}
-	return nil
+func fileName(kind string, number uint64) string {
+	return kind + "-" + strconv.FormatUint(number, numberBase)
 }
 
-// list gives the numbers of a kind's files in rising order and moves f.next past all that are there.
+// list gives the numbers of a kind's files and moves f.next past all that are there.
 func (f *Folder) list(kind string) ([]uint64, error) {
-	entries, err := os.ReadDir(f.path)
+	names, err := f.files.names()
 	if err != nil {
-		return nil, fmt.Errorf("store: %w", err)
+		return nil, err
 	}
 	var numbers []uint64
-	for _, e := range entries {
-		name, number, ok := strings.Cut(strings.TrimSuffix(e.Name(), asideSuffix), "-")
+	for _, name := range names {
+		of, number, ok := strings.Cut(strings.TrimSuffix(name, asideSuffix), "-")
 		n, err := strconv.ParseUint(number, numberBase, 64)
 		if !ok || err != nil {
 			continue
 		}
 		f.next = max(f.next, n+1)
-		if name == kind && !strings.HasSuffix(e.Name(), asideSuffix) {
+		if of == kind && !strings.HasSuffix(name, asideSuffix) {
 			numbers = append(numbers, n)
 		}
 	}
 	return numbers, nil
 }
 
-// newest reads the newest whole file of a kind into v.
+// newest reads the newest file of a kind into v. It reports false where there is none. An older one in its place is no
+// help: a vote that it doesn't know of might be given twice.
 func (f *Folder) newest(kind string, v any) (bool, error) {
 	numbers, err := f.list(kind)
+	if err != nil || len(numbers) == 0 {
+		return false, err
+	}
+	newest := numbers[0]
+	for _, n := range numbers {
+		newest = max(newest, n)
+	}
+	name := fileName(kind, newest)
+	data, err := f.files.read(name)
 	if err != nil {
 		return false, err
 	}
-	for len(numbers) > 0 {
-		at := 0
-		for i, n := range numbers {
-			if n > numbers[at] {
-				at = i
-			}
-		}
-		err := f.read(kind, numbers[at], v)
-		if err == nil {
-			return true, nil
-		}
-		if !errors.Is(err, ErrDamaged) && !errors.Is(err, fs.ErrNotExist) {
-			return false, err
-		}
-		numbers = append(numbers[:at], numbers[at+1:]...)
+	if err := decode(data, v); err != nil {
+		return false, fmt.Errorf("%w: %s: %w", ErrDamaged, name, err)
 	}
-	return false, nil
+	return true, nil
 }
 
-func (f *Folder) read(kind string, number uint64, v any) error {
-	data, err := os.ReadFile(filepath.Join(f.path, kind+"-"+strconv.FormatUint(number, numberBase)))
-	if err != nil {
-		return fmt.Errorf("store: %w", err)
-	}
+var (
+	errShort    = errors.New("too short")
+	errChecksum = errors.New("checksum differs")
+)
+
+func decode(data []byte, v any) error {
 	if len(data) < checksumSize {
-		return ErrDamaged
+		return errShort
 	}
 	body, sum := data[:len(data)-checksumSize], data[len(data)-checksumSize:]
 	if binary.BigEndian.Uint64(sum) != xxhash.Sum64(body) {
-		return ErrDamaged
-	}
-	if err := cbor.Unmarshal(body, v); err != nil {
-		return fmt.Errorf("%w: %w", ErrDamaged, err)
+		return errChecksum
 	}
-	return nil
+	return cbor.Unmarshal(body, v)
 }
--- a/control/store/files_test.go
+++ b/control/store/files_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -40,10 +41,10 @@
 	assert.Equal(t, len(files), 2, "one vote and one entry are kept")
 }
 
-func TestTornVersionIsSkipped(t *testing.T) {
+func TestWhatWasWrittenAsideIsSkipped(t *testing.T) {
 	path := t.TempDir()
 	save(t, open(t, path), 1, 5)
-	for name, data := range map[string]string{"entry-90": "torn", "entry-91": "", "entry-92.tmp": "aside", "entry-x": "odd"} {
+	for name, data := range map[string]string{"entry-90.tmp": "torn", "vote-91.tmp": "", "entry-x": "odd", "other": ""} {
 		assert.NilError(t, os.WriteFile(filepath.Join(path, name), []byte(data), 0o600))
 	}
 	f := open(t, path)
@@ -53,7 +54,39 @@
 	save(t, f, 2, 6)
 	disk, err = open(t, path).Load()
 	assert.NilError(t, err)
-	assert.Equal(t, disk.Entry.Index, uint64(6), "the next version has a higher number than the torn ones")
+	assert.Equal(t, disk.Entry.Index, uint64(6))
+	aside, err := filepath.Glob(filepath.Join(path, "*"+asideSuffix))
+	assert.NilError(t, err)
+	assert.Equal(t, len(aside), 0, "they don't pile up")
+}
+
+// A file that has its name was whole on disk: where the newest is not, no older one is served, and no vote given by it.
+func TestSpoiltVersionIsNamedAndNeverServedFrom(t *testing.T) {
+	for _, name := range []string{"entry-90", "vote-90", "member-90"} {
+		for _, data := range []string{"torn in the middle", ""} {
+			path := t.TempDir()
+			assert.NilError(t, open(t, path).SaveIdentity(Identity{ID: "a"}))
+			save(t, open(t, path), 1, 5)
+			assert.NilError(t, os.WriteFile(filepath.Join(path, name), []byte(data), 0o600))
+			f := open(t, path)
+			_, _, identityErr := f.Identity()
+			_, loadErr := f.Load()
+			err := errors.Join(identityErr, loadErr)
+			assert.ErrorIs(t, err, ErrDamaged)
+			assert.ErrorContains(t, err, name)
+			assert.NilError(t, f.SetAside())
+			_, known, err := f.Identity()
+			assert.NilError(t, err)
+			assert.Assert(t, !known)
+			disk, err := f.Load()
+			assert.NilError(t, err)
+			assert.Assert(t, disk.Entry == nil && disk.Term == 0 && disk.VotedFor == "")
+			kept, err := os.ReadFile(filepath.Join(path, spoiltPrefix+name))
+			assert.NilError(t, err)
+			assert.Equal(t, string(kept), data)
+			assert.NilError(t, f.SetAside(), "a second time leaves room")
+		}
+	}
 }
 
 func TestEveryFlippedByteIsNoticed(t *testing.T) {
@@ -67,9 +100,8 @@
 		spoilt := append([]byte{}, data...)
 		spoilt[i] ^= 1
 		assert.NilError(t, os.WriteFile(entries[0], spoilt, 0o600))
-		disk, err := open(t, path).Load()
-		assert.NilError(t, err)
-		assert.Assert(t, disk.Entry == nil, "byte %d", i)
+		_, err := open(t, path).Load()
+		assert.ErrorIs(t, err, ErrDamaged, "byte %d", i)
 	}
 }
 
@@ -82,7 +114,7 @@
 	id, known, err := open(t, path).Identity()
 	assert.NilError(t, err)
 	assert.Assert(t, known)
-	assert.Equal(t, id, Identity{ID: "a", Founder: true})
+	assert.DeepEqual(t, id, Identity{ID: "a", Founder: true})
 }
 
 func TestStateTakesOnlyTheNextVersion(t *testing.T) {
--- /dev/null
+++ b/control/store/filesystem.go
@@ -0,0 +1,88 @@
+package store
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// fileSystem is one folder of a disk. Names have no path.
+type fileSystem interface {
+	// write makes a file and returns once its content is on disk.
+	write(name string, data []byte) error
+	read(name string) ([]byte, error)
+	rename(from, to string) error
+	remove(name string) error
+	names() ([]string, error)
+	// sync returns once all names of the folder are on disk as they are now.
+	sync() error
+}
+
+// osFolder is a folder of the operating system.
+type osFolder string
+
+func (f osFolder) path(name string) string { return filepath.Join(string(f), name) }
+
+func (f osFolder) write(name string, data []byte) error {
+	file, err := os.OpenFile(f.path(name), os.O_CREATE|os.O_WRONLY|os.O_TRUNC, filePerm)
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if closing := file.Close(); err == nil {
+		err = closing
+	}
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
+func (f osFolder) read(name string) ([]byte, error) {
+	data, err := os.ReadFile(f.path(name))
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	return data, nil
+}
+
+func (f osFolder) rename(from, to string) error {
+	if err := os.Rename(f.path(from), f.path(to)); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
+func (f osFolder) remove(name string) error {
+	if err := os.Remove(f.path(name)); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
+func (f osFolder) names() ([]string, error) {
+	entries, err := os.ReadDir(string(f))
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+func (f osFolder) sync() error {
+	folder, err := os.Open(string(f))
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	defer folder.Close()
+	if err := folder.Sync(); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
--- a/router/limit.go
+++ b/router/limit.go
@@ -46,6 +46,8 @@
 // limiter keeps tenants' limits at this router. It is safe for concurrent use.
 type limiter struct {
 	router   string
+	life     uint64 // of this process; answers to an earlier one are dropped
+	dropped  int64  // such answers, and those that nobody waits for any more
 	start    time.Time
 	send     atomic.Pointer[func(*wire.Message) bool]
 	mu       sync.Mutex
@@ -62,7 +64,7 @@
 }
 
 func newLimiter(s *settings.Settings) *limiter {
-	return &limiter{router: s.NodeName, start: time.Now(), accounts: map[string]*account{},
+	return &limiter{router: s.NodeName, life: wire.NewLife(), start: time.Now(), accounts: map[string]*account{},
 		waiting: map[uint64]chan *wire.QuotaGrant{}}
 }
 
@@ -117,7 +119,7 @@
 	l.waiting[number] = answer
 	want := need + a.demand*prefetchSpan
 	l.mu.Unlock()
-	l.ask(&wire.QuotaRequest{Router: l.router, Shard: shard, Number: number, Tenant: t.Name, Need: need, Want: want})
+	l.ask(&wire.QuotaRequest{Router: l.router, Life: l.life, Shard: shard, Number: number, Tenant: t.Name, Need: need, Want: want})
 	return l.await(ctx, t, number, answer, need, cost)
 }
 
@@ -164,10 +166,13 @@
 func (l *limiter) granted(g *wire.QuotaGrant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if answer := l.waiting[g.Number]; answer != nil && g.Router == l.router {
-		delete(l.waiting, g.Number)
-		answer <- g
+	answer := l.waiting[g.Number]
+	if answer == nil || g.Router != l.router || g.Life != l.life {
+		l.dropped++
+		return
 	}
+	delete(l.waiting, g.Number)
+	answer <- g
 }
 
 // giveBack returns what a request took that has not run.
--- a/router/router.go
+++ b/router/router.go
@@ -35,6 +35,7 @@
 	active   atomic.Int64 // requests that are being served
 	limits   *limiter
 	retries  *retryBudgets
+	agent    atomic.Pointer[wire.Link]
 
 	feed  sync.Mutex // guards what follows
 	hosts [hostlist.Shards]hostlist.Replica
@@ -50,35 +51,42 @@
 
 func (r *Router) now() time.Duration { return time.Since(r.start) }
 
-// followAgent tails the feed of the agent beside this router.
+// followAgent tails the feed of the agent beside this router, until the context ends.
 func (r *Router) followAgent(ctx context.Context) {
-	link := &wire.Link{
-		Address: net.JoinHostPort("127.0.0.1", strconv.Itoa(r.settings.LocalPort())),
-		Hello:   wire.Hello{Role: wire.RoleRouter, Node: r.settings.NodeName, IP: r.settings.IP},
-	}
-	link.Connected = func(send func(*wire.Message) bool) {
-		r.feed.Lock()
-		defer r.feed.Unlock()
-		send(&wire.Message{Subscribe: r.position()})
-	}
-	link.Received = func(m *wire.Message) {
-		switch {
-		case m.Config != nil:
-			r.takeConfig(m.Config)
-		case m.Hosts != nil:
-			if !r.takeHosts(m.Hosts) {
-				r.feed.Lock()
-				link.Send(&wire.Message{Subscribe: r.position()})
-				r.feed.Unlock()
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(r.settings.LocalPort()))
+	hello := wire.Hello{Role: wire.RoleRouter, Node: r.settings.NodeName, IP: r.settings.IP}
+	var feeding sync.Mutex // events come one at a time
+	link := wire.Open(ctx, address, hello, wire.LinkEvents{Subscribe: r.subscribe, Received: r.onAgentMessage}, func(event func()) {
+		feeding.Lock()
+		defer feeding.Unlock()
+		event()
+	})
+	r.limits.connect(link.Send)
+	r.agent.Store(link)
+	<-ctx.Done()
+}
+
+func (r *Router) onAgentMessage(m *wire.Message) {
+	switch {
+	case m.Config != nil:
+		r.takeConfig(m.Config)
+	case m.Hosts != nil:
+		if !r.takeHosts(m.Hosts) {
+			if agent := r.agent.Load(); agent != nil {
+				agent.Send(r.subscribe())
 			}
-		case m.QuotaGrant != nil:
-			r.limits.granted(m.QuotaGrant)
-		case m.Group != nil:
-			r.limits.sawRouters(m.Group.Routers)
 		}
+	case m.QuotaGrant != nil:
+		r.limits.granted(m.QuotaGrant)
+	case m.Group != nil:
+		r.limits.sawRouters(m.Group.Routers)
 	}
-	r.limits.connect(link.Send)
-	link.Run(ctx)
+}
+
+func (r *Router) subscribe() *wire.Message {
+	r.feed.Lock()
+	defer r.feed.Unlock()
+	return &wire.Message{Subscribe: r.position()}
 }
 
 func (r *Router) position() *wire.Subscribe {
--- a/wire/link.go
+++ b/wire/link.go
@@ -18,16 +18,25 @@
 
 // Link keeps a connection to one address up, for as long as its context lives.
 type Link struct {
-	Address string
-	Hello   Hello
-	// Connected is called with each new connection, before anything else is sent on it; may be nil.
-	Connected func(send func(*Message) bool)
-	// Received is called with each message, in order.
-	Received func(m *Message)
-
+	address string
+	hello   Hello
+	events  LinkEvents
+	do      func(event func())
+	stop    context.CancelFunc
 	current atomic.Pointer[Conn]
 }
 
+// Open starts a link. Its events are handed to do, one after the other, until the context ends or the link is closed.
+func Open(ctx context.Context, address string, hello Hello, events LinkEvents, do func(event func())) *Link {
+	ctx, stop := context.WithCancel(ctx)
+	l := &Link{address: address, hello: hello, events: events, do: do, stop: stop}
+	go l.run(ctx)
+	return l
+}
+
+// Close ends the link.
+func (l *Link) Close() { l.stop() }
+
 // Send hands a message to the connection. Without one it is dropped and Send reports false.
 func (l *Link) Send(m *Message) bool {
 	c := l.current.Load()
@@ -37,8 +46,8 @@
 // Up says whether there is a connection.
 func (l *Link) Up() bool { return l.current.Load() != nil }
 
-// Run connects again and again until the context ends.
-func (l *Link) Run(ctx context.Context) {
+// run connects again and again until the context ends.
+func (l *Link) run(ctx context.Context) {
 	pause := firstRedial
 	for ctx.Err() == nil {
 		if l.session(ctx) {
@@ -56,7 +65,7 @@
 // session holds one connection and reports whether it came up.
 func (l *Link) session(ctx context.Context) bool {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp4", l.Address)
+	raw, err := dialer.DialContext(ctx, "tcp4", l.address)
 	if err != nil {
 		return false
 	}
@@ -64,10 +73,10 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	hello := l.Hello
+	hello := l.hello
 	conn.Send(&Message{Hello: &hello})
-	if l.Connected != nil {
-		l.Connected(conn.Send)
+	if l.events.Subscribe != nil {
+		l.subscribe(conn)
 	}
 	l.current.Store(conn)
 	defer l.current.Store(nil)
@@ -76,10 +85,17 @@
 		if err != nil {
 			return true
 		}
-		l.Received(m)
+		l.do(func() { l.events.Received(m) })
 	}
 }
 
+// subscribe sends the first message, as the loop makes it.
+func (l *Link) subscribe(conn *Conn) {
+	first := make(chan *Message, 1)
+	l.do(func() { first <- l.events.Subscribe() })
+	conn.Send(<-first)
+}
+
 // Serve accepts connections until the context ends, and then ends them all. handle is called with each one in a goroutine of its own,
 // once the peer has said who it is.
 func Serve(ctx context.Context, listener net.Listener, handle func(*Conn, Hello)) {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -2,6 +2,8 @@
 // TCP, and connections that notice a silent peer. It knows nothing of what the messages are used for.
 package wire
 
+import "math/rand/v2"
+
 // Role names the program at one end of a connection.
 type Role string
 
@@ -28,6 +30,8 @@
 	Group        *Group        `cbor:"12,keyasint,omitempty"`
 	QuotaRequest *QuotaRequest `cbor:"13,keyasint,omitempty"`
 	QuotaGrant   *QuotaGrant   `cbor:"14,keyasint,omitempty"`
+	LeaveReply   *LeaveReply   `cbor:"15,keyasint,omitempty"`
+	Transfer     *Transfer     `cbor:"16,keyasint,omitempty"`
 
 	frame *[]byte // the message as it goes over a connection, once it is prepared
 }
@@ -45,15 +49,37 @@
 	IP string `cbor:"2,keyasint"`
 }
 
+// Position orders the versions of the replicated state.
+type Position struct {
+	Term  uint64 `cbor:"1,keyasint"`
+	Index uint64 `cbor:"2,keyasint"`
+}
+
+// Less says whether p comes before q.
+func (p Position) Less(q Position) bool {
+	return p.Term < q.Term || p.Term == q.Term && p.Index < q.Index
+}
+
 // Entry is one version of the replicated state. It holds the whole state, so it replaces all earlier ones.
 type Entry struct {
-	Term     uint64   `cbor:"1,keyasint"`
-	Index    uint64   `cbor:"2,keyasint"`
-	Members  []Member `cbor:"3,keyasint"`
-	Outgoing []Member `cbor:"4,keyasint,omitempty"` // the former members, while a change of members is under way
-	Value    []byte   `cbor:"5,keyasint"`
+	Term    uint64   `cbor:"1,keyasint"`
+	Index   uint64   `cbor:"2,keyasint"`
+	Members []Member `cbor:"3,keyasint"`
+	Value   []byte   `cbor:"5,keyasint"`
+}
+
+// Position is where an entry stands in the order; the zero Position for none.
+func (e *Entry) Position() Position {
+	if e == nil {
+		return Position{}
+	}
+	return Position{e.Term, e.Index}
 }
 
+// NewLife draws the number of one life of a process. A request carries it and its answer echoes it, so that an answer
+// to an earlier life of the same process is told apart.
+func NewLife() uint64 { return rand.Uint64() | 1 }
+
 // VoteRequest asks for a vote, or with PreVote whether one would be given.
 type VoteRequest struct {
 	Term      uint64 `cbor:"1,keyasint"`
@@ -61,7 +87,10 @@
 	LastTerm  uint64 `cbor:"3,keyasint"`
 	LastIndex uint64 `cbor:"4,keyasint"`
 	PreVote   bool   `cbor:"5,keyasint,omitempty"`
-	AllFresh  bool   `cbor:"6,keyasint,omitempty"` // all members have restarted, so no lease of a leader is left
+	// FreshRound is set where all members answered the pre-vote of that round that they have just restarted.
+	FreshRound uint64 `cbor:"6,keyasint,omitempty"`
+	Round      uint64 `cbor:"7,keyasint"`           // drawn at random for each request, echoed by the reply
+	Transfer   bool   `cbor:"8,keyasint,omitempty"` // the leader has handed over, and its lease with it
 }
 
 // VoteReply answers a VoteRequest. Term is that of the request where the vote is granted, else the voter's own.
@@ -70,29 +99,27 @@
 	Granted bool   `cbor:"2,keyasint,omitempty"`
 	PreVote bool   `cbor:"3,keyasint,omitempty"`
 	Fresh   bool   `cbor:"4,keyasint,omitempty"` // the voter has heard no leader since it started, and would vote
+	Round   uint64 `cbor:"5,keyasint"`
 }
 
 // Append is the leader's heartbeat; with Entry it also replicates.
 type Append struct {
-	Term        uint64 `cbor:"1,keyasint"`
-	Leader      string `cbor:"2,keyasint"`
-	LeaderIP    string `cbor:"3,keyasint"`
-	Round       uint64 `cbor:"4,keyasint"` // number of the heartbeat, echoed by the reply
-	Entry       *Entry `cbor:"5,keyasint,omitempty"`
-	CommitTerm  uint64 `cbor:"6,keyasint"`
-	CommitIndex uint64 `cbor:"7,keyasint"`
-	AllFresh    bool   `cbor:"8,keyasint,omitempty"` // the leader was elected while all members had just restarted
+	Term     uint64   `cbor:"1,keyasint"`
+	Leader   string   `cbor:"2,keyasint"`
+	LeaderIP string   `cbor:"3,keyasint"`
+	Round    uint64   `cbor:"4,keyasint"` // number of the heartbeat, echoed by the reply
+	Entry    *Entry   `cbor:"5,keyasint,omitempty"`
+	Commit   Position `cbor:"6,keyasint"`
+	// FreshRound is the pre-vote by which the leader was elected while all members had just restarted, else 0.
+	FreshRound uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // AppendReply says which entry the follower has on disk, and which in memory.
 type AppendReply struct {
-	Term        uint64 `cbor:"1,keyasint"`
-	Round       uint64 `cbor:"2,keyasint"`
-	StoredTerm  uint64 `cbor:"3,keyasint"`
-	StoredIndex uint64 `cbor:"4,keyasint"`
-
-	ReceivedTerm  uint64 `cbor:"5,keyasint"`
-	ReceivedIndex uint64 `cbor:"6,keyasint"`
+	Term     uint64   `cbor:"1,keyasint"`
+	Round    uint64   `cbor:"2,keyasint"`
+	Stored   Position `cbor:"3,keyasint"`
+	Received Position `cbor:"5,keyasint"`
 }
 
 // JoinRequest asks the leader to take a replica in. It is sent again until the replica is a member.
@@ -101,6 +128,16 @@
 	Leaving bool   `cbor:"2,keyasint,omitempty"` // the member is about to stop for good or for a while
 }
 
+// LeaveReply tells a member that is about to stop that a majority of those that stay has all that was acknowledged.
+type LeaveReply struct {
+	Term uint64 `cbor:"1,keyasint"`
+}
+
+// Transfer asks a follower to stand at once: the leader of the term has given its lease up.
+type Transfer struct {
+	Term uint64 `cbor:"1,keyasint"`
+}
+
 // LeaseRequest asks a member to grant or renew the lease of a resource.
 type LeaseRequest struct {
 	Resource string `cbor:"1,keyasint"`
@@ -108,6 +145,7 @@
 	Term     uint64 `cbor:"3,keyasint"` // fencing number of the holder
 	Round    uint64 `cbor:"4,keyasint"`
 	Release  bool   `cbor:"5,keyasint,omitempty"`
+	Life     uint64 `cbor:"6,keyasint"` // of the process that asks, echoed by the reply
 }
 
 // LeaseReply answers a LeaseRequest. Term is the highest fencing number that the member knows.
@@ -116,6 +154,7 @@
 	Granted  bool   `cbor:"2,keyasint,omitempty"`
 	Term     uint64 `cbor:"3,keyasint"`
 	Round    uint64 `cbor:"4,keyasint"`
+	Life     uint64 `cbor:"5,keyasint"`
 }
 
 // Subscribe asks for the feed of a control process or agent: all that is newer than what the caller has.
@@ -130,11 +169,17 @@
 	Offset uint64 `cbor:"2,keyasint"`
 }
 
+// Before says whether p is older than q.
+func (p HostsOffset) Before(q HostsOffset) bool {
+	return p.Term < q.Term || p.Term == q.Term && p.Offset < q.Offset
+}
+
 // Config is a committed configuration, whole. Revisions of committed configurations only rise.
 type Config struct {
-	Revision int64  `cbor:"2,keyasint"`
-	Body     []byte `cbor:"3,keyasint,omitempty"` // the operator's JSON, deflated
-	Current  bool   `cbor:"4,keyasint,omitempty"` // the sender knows that no newer one was acknowledged
+	Revision int64    `cbor:"2,keyasint"`
+	Body     []byte   `cbor:"3,keyasint,omitempty"` // the operator's JSON, deflated
+	Current  bool     `cbor:"4,keyasint,omitempty"` // the sender knows that no newer one was acknowledged
+	At       Position `cbor:"5,keyasint"`           // the committed entry that the sender takes it from
 }
 
 // Host is one host of a service as the platform lists it.
@@ -160,6 +205,7 @@
 type Group struct {
 	Members []Member `cbor:"1,keyasint"`
 	Routers int      `cbor:"2,keyasint,omitempty"` // routers that there are, by what the sender knows
+	At      Position `cbor:"3,keyasint"`           // the entry that names the members
 }
 
 // QuotaRequest asks the owner of a shard for part of a tenant's limit, in tokens or requests.
@@ -170,6 +216,7 @@
 	Tenant string  `cbor:"4,keyasint"`
 	Need   float64 `cbor:"5,keyasint"` // for the request at hand
 	Want   float64 `cbor:"6,keyasint"` // with what soon follows
+	Life   uint64  `cbor:"7,keyasint"` // of the router, echoed by the grant
 }
 
 // QuotaGrant answers a QuotaRequest.
@@ -178,4 +225,5 @@
 	Number  uint64  `cbor:"2,keyasint"`
 	Granted float64 `cbor:"3,keyasint"`
 	WaitMS  int64   `cbor:"4,keyasint,omitempty"` // until something is left, where nothing was granted
+	Life    uint64  `cbor:"5,keyasint"`
 }
