The control side is simulated whole: control processes, agents, operators and limits on one virtual clock; a lease is not revived by a late answer

Cause: the simulation covered the replica alone. Change: control and agent run behind Environment in a simulated world; operators' calls are checked for linearizability; a lease that was released or has lapsed ends for good.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 package agent
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -44,7 +45,7 @@
 	confirmedAt time.Duration // when a leader said last that a configuration is current
 	tables      [hostlist.Shards]table
 	fences      [hostlist.Shards]uint64 // highest fencing number that the router or this agent has seen
-	routers     map[wire.Sender]struct{}
+	routers     []wire.Sender
 	dropped     Dropped
 }
 
@@ -62,7 +63,7 @@
 
 // NewAgent makes an agent that has just started.
 func NewAgent(s *settings.Settings, log hclog.Logger, env Environment) *Agent {
-	a := &Agent{settings: s, log: log, env: env, links: map[string]wire.OpenLink{}, routers: map[wire.Sender]struct{}{},
+	a := &Agent{settings: s, log: log, env: env, links: map[string]wire.OpenLink{},
 		confirmedAt: -confirmedFor}
 	a.env.Introduce(s.SeedIPs()...)
 	a.syncLinks()
@@ -95,9 +96,9 @@
 			a.openLink(ip)
 		}
 	}
-	for ip, link := range a.links {
+	for _, ip := range slices.Sorted(maps.Keys(a.links)) { // in a fixed order, so that a simulated run repeats
 		if !slices.Contains(want, ip) {
-			link.Close()
+			a.links[ip].Close()
 			delete(a.links, ip)
 		}
 	}
@@ -232,6 +233,9 @@
 		link.Send(&wire.Message{Subscribe: a.position()}) // the owner learns what was fed, and raises its fencing number
 		return
 	}
+	if c.At.Before(t.At) {
+		return // come late: what is held is newer
+	}
 	if !t.Apply(c) {
 		link.Send(&wire.Message{Subscribe: a.position()})
 		return
@@ -244,13 +248,15 @@
 }
 
 func (a *Agent) toRouters(m *wire.Message) {
-	for router := range a.routers {
+	for _, router := range a.routers {
 		router.Send(m)
 	}
 }
 
 // RouterDisconnected forgets a router's connection.
-func (a *Agent) RouterDisconnected(router wire.Sender) { delete(a.routers, router) }
+func (a *Agent) RouterDisconnected(router wire.Sender) {
+	a.routers = slices.DeleteFunc(a.routers, func(other wire.Sender) bool { return other == router })
+}
 
 // OnRouterMessage takes what the router of this machine says.
 func (a *Agent) OnRouterMessage(router wire.Sender, m *wire.Message) {
@@ -264,7 +270,9 @@
 
 // feedRouter brings a router up to date.
 func (a *Agent) feedRouter(router wire.Sender, q *wire.Subscribe) {
-	a.routers[router] = struct{}{}
+	if !slices.Contains(a.routers, router) {
+		a.routers = append(a.routers, router)
+	}
 	if a.group != nil && a.config != nil {
 		router.Send(&wire.Message{Group: a.group})
 	}
--- a/control/feed.go
+++ b/control/feed.go
@@ -1,6 +1,10 @@
 package control
 
-import "ivybank/wire"
+import (
+	"slices"
+
+	"ivybank/wire"
+)
 
 // subscriber is an agent that tails the feed.
 type subscriber struct {
@@ -8,7 +12,9 @@
 }
 
 // AgentDisconnected forgets an agent's connection.
-func (n *Node) AgentDisconnected(s *subscriber) { delete(n.subscribers, s) }
+func (n *Node) AgentDisconnected(s *subscriber) {
+	n.subscribers = slices.DeleteFunc(n.subscribers, func(other *subscriber) bool { return other == s })
+}
 
 // OnAgentMessage takes what an agent says.
 func (n *Node) OnAgentMessage(s *subscriber, m *wire.Message) {
@@ -22,7 +28,9 @@
 
 // subscribe brings an agent up to date; from then on it gets each change.
 func (n *Node) subscribe(s *subscriber, q *wire.Subscribe) {
-	n.subscribers[s] = struct{}{}
+	if !slices.Contains(n.subscribers, s) {
+		n.subscribers = append(n.subscribers, s)
+	}
 	if group := n.currentGroup(); group != nil {
 		s.conn.Send(&wire.Message{Group: group})
 	}
@@ -66,7 +74,7 @@
 
 func (n *Node) publish(m *wire.Message) {
 	m.Prepare()
-	for s := range n.subscribers {
+	for _, s := range n.subscribers {
 		s.conn.Send(m)
 	}
 }
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -116,9 +116,7 @@
 // Tick gives the request to send to all members, or nil. heldByOther says whether this member has itself granted the
 // resource to another one.
 func (h *Holder) Tick(heldByOther bool, now time.Duration) *wire.LeaseRequest {
-	if h.holding && now >= h.until {
-		h.holding, h.freeAt = false, now
-	}
+	h.lapse(now)
 	if heldByOther {
 		h.freeAt = now
 	}
@@ -141,12 +139,21 @@
 	return &wire.LeaseRequest{Resource: h.resource, Holder: h.self, Term: h.term, Round: h.round, Life: h.life}
 }
 
-// Replied takes a member's answer. It reports false for one to an earlier life of this process, which it drops.
-func (h *Holder) Replied(from string, p *wire.LeaseReply, enough Quorum) bool {
+// lapse ends a lease whose time is over.
+func (h *Holder) lapse(now time.Duration) {
+	if h.holding && now >= h.until {
+		h.holding, h.asking, h.freeAt = false, false, now
+	}
+}
+
+// Replied takes a member's answer. It reports false for one to an earlier life of this process, which it drops. A lease
+// that has lapsed is not revived by an answer that comes late: what was kept under its fencing number is gone.
+func (h *Holder) Replied(from string, p *wire.LeaseReply, enough Quorum, now time.Duration) bool {
 	if p.Life != h.life {
 		return false
 	}
 	h.highest = max(h.highest, p.Term)
+	h.lapse(now)
 	if p.Round != h.round || p.Term != h.term || !p.Granted || !h.asking && !h.holding {
 		return true
 	}
@@ -175,7 +182,7 @@
 	if !h.Holds(now) {
 		return nil
 	}
-	h.holding, h.nextAsk = false, now+Duration
+	h.holding, h.asking, h.nextAsk = false, false, now+Duration // answers that are on their way don't count
 	return &wire.LeaseRequest{Resource: h.resource, Holder: h.self, Term: h.term, Round: h.round, Life: h.life, Release: true}
 }
 
--- a/control/lease/lease_test.go
+++ b/control/lease/lease_test.go
@@ -99,7 +99,7 @@
 		if p.request != nil {
 			g.send(post{from: p.to, to: p.from, reply: g.granters[p.to].Answer(p.request, g.now)})
 		} else {
-			g.holders[p.to].Replied(strconv.Itoa(p.from), p.reply, g.enough)
+			g.holders[p.to].Replied(strconv.Itoa(p.from), p.reply, g.enough, g.now)
 		}
 	}
 	for i, h := range g.holders {
@@ -189,12 +189,47 @@
 	assert.Equal(t, again.Round, asked.Round)
 	assert.Equal(t, again.Term, asked.Term)
 	for _, from := range []string{"a", "b"} {
-		assert.Assert(t, !holder.Replied(from, late, all))
+		assert.Assert(t, !holder.Replied(from, late, all, time.Second))
 	}
 	assert.Assert(t, !holder.Holds(time.Second))
 	own := &wire.LeaseReply{Resource: resource, Granted: true, Term: again.Term, Round: again.Round, Life: again.Life}
 	for _, from := range []string{"a", "b"} {
-		assert.Assert(t, holder.Replied(from, own, all))
+		assert.Assert(t, holder.Replied(from, own, all, time.Second))
 	}
 	assert.Assert(t, holder.Holds(time.Second))
 }
+
+// An answer that comes after the lease has lapsed doesn't bring it back under the same fencing number.
+func TestLapsedLeaseIsNotRevived(t *testing.T) {
+	all := func(has func(string) bool) bool { return has("a") && has("b") }
+	h := NewHolder(resource, "a", 7, 0)
+	answer := func(q *wire.LeaseRequest, now time.Duration) {
+		for _, from := range []string{"a", "b"} {
+			h.Replied(from, &wire.LeaseReply{Resource: resource, Granted: true, Term: q.Term, Round: q.Round, Life: q.Life}, all, now)
+		}
+	}
+	first := h.Tick(false, 0)
+	answer(first, 0)
+	assert.Assert(t, h.Holds(0))
+	renewal := h.Tick(false, Duration-Margin-time.Millisecond)
+	answer(renewal, Duration-Margin+time.Millisecond)
+	assert.Assert(t, !h.Holds(Duration-Margin+time.Millisecond))
+	again := h.Tick(false, 2*Duration)
+	assert.Assert(t, again != nil && again.Term > first.Term)
+}
+
+// An answer to a renewal that was on its way when the lease was given up doesn't bring it back.
+func TestReleasedLeaseIsNotRevived(t *testing.T) {
+	all := func(has func(string) bool) bool { return has("a") && has("b") }
+	h := NewHolder(resource, "a", 7, 0)
+	answer := func(q *wire.LeaseRequest, now time.Duration) {
+		for _, from := range []string{"a", "b"} {
+			h.Replied(from, &wire.LeaseReply{Resource: resource, Granted: true, Term: q.Term, Round: q.Round, Life: q.Life}, all, now)
+		}
+	}
+	answer(h.Tick(false, 0), 0)
+	renewal := h.Tick(false, RenewInterval)
+	assert.Assert(t, h.Release(RenewInterval) != nil)
+	answer(renewal, RenewInterval+time.Millisecond)
+	assert.Assert(t, !h.Holds(RenewInterval+time.Millisecond))
+}
--- a/control/members.go
+++ b/control/members.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 
 	"ivybank/wire"
@@ -24,9 +25,9 @@
 	for _, ip := range slices.Compact(want) {
 		n.openLink(ip)
 	}
-	for ip, link := range n.links {
+	for _, ip := range n.linked() {
 		if !slices.Contains(want, ip) && n.replica.IsMember() {
-			link.Close()
+			n.links[ip].Close()
 			delete(n.links, ip)
 		}
 	}
@@ -52,11 +53,14 @@
 }
 
 func (n *Node) toAllLinks(m *wire.Message) {
-	for _, link := range n.links {
-		link.Send(m)
+	for _, ip := range n.linked() {
+		n.links[ip].Send(m)
 	}
 }
 
+// linked gives the addresses to which there are links, in a fixed order, so that a simulated run repeats.
+func (n *Node) linked() []string { return slices.Sorted(maps.Keys(n.links)) }
+
 // followMembers keeps links, leases and subscribers in step with the members of the newest entry.
 func (n *Node) followMembers() {
 	entry := n.replica.Newest()
--- a/control/node.go
+++ b/control/node.go
@@ -54,7 +54,7 @@
 	memberSince replica.Position          // entry whose members the granter has seen
 	members     []wire.Member             // that it names
 	groupAt     time.Duration
-	subscribers map[*subscriber]struct{}
+	subscribers []*subscriber
 	feed        *wire.Config // the committed configuration as it is fed
 	feedMessage *wire.Message
 
@@ -92,7 +92,7 @@
 func NewNode(from Start, env Environment) *Node {
 	s := from.Settings
 	n := &Node{settings: s, log: from.Log, env: env, life: from.Random.Uint64() | 1, links: map[string]wire.OpenLink{},
-		callers: map[string]int{}, subscribers: map[*subscriber]struct{}{}, validator: &validate.Validator{}}
+		callers: map[string]int{}, validator: &validate.Validator{}}
 	self := wire.Member{ID: from.Identity.ID, IP: s.IP}
 	group := replica.Group{Target: 2*s.Tolerate.Machines + 1, MemberSilence: memberSilence(s)}
 	n.replica = replica.New(self, group, from.Disk, from.Random, n.now())
--- /dev/null
+++ b/control/points_test.go
@@ -0,0 +1,289 @@
+package control
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivybank/wire"
+)
+
+// settledWorld is one whose group and agents are whole and whose first configuration is in force.
+func settledWorld(t *testing.T, seed uint64, tolerate int) *world {
+	t.Helper()
+	w := newWorld(t, seed, tolerate)
+	w.calm = true
+	w.playUntil(4 * time.Second)
+	assert.Equal(t, len(w.members), 2*tolerate+1)
+	assert.Assert(t, w.ackedRevision > 0)
+	return w
+}
+
+func (w *world) playUntil(end time.Duration) {
+	for w.now < end {
+		w.stepDelayed()
+		w.step()
+	}
+}
+
+// ask makes a call at a machine, beside the operators, and gives its answer where there is one at once or within a second.
+func (w *world) ask(m *machine, base int64, body string) (verdict, bool) {
+	var answer *verdict
+	take := func(v verdict) { answer = &v }
+	if body == "" {
+		m.node.handler.get(nil, nil, take)
+	} else {
+		r := httptest.NewRequest(http.MethodPost, pathReplace, strings.NewReader(body))
+		r.Header.Set(baseHeader, fmt.Sprint(base))
+		m.node.handler.replace(httptest.NewRecorder(), r, take)
+	}
+	for end := w.now + callPatience; answer == nil && w.now < end; {
+		w.step()
+	}
+	if answer == nil {
+		return verdict{}, false
+	}
+	return *answer, true
+}
+
+func isUnsure(v verdict) bool {
+	return v.status == http.StatusServiceUnavailable || v.status == http.StatusTemporaryRedirect
+}
+
+// A control machine that is cut off from the others for twenty seconds, while agents and operators reach it, neither
+// confirms nor refuses orders, answers no reads, owns no shard, and gives no agent its first configuration. It is back
+// within a second of being heard.
+func TestCutOffForTwentySeconds(t *testing.T) {
+	const span = 20 * time.Second
+	roles := map[string]func(*world) *machine{
+		"leader": (*world).leaderMachine,
+		"owner":  (*world).ownerMachine,
+		"follower": func(w *world) *machine {
+			for _, m := range w.machines {
+				if m.core && m != w.leaderMachine() && m != w.ownerMachine() {
+					return m
+				}
+			}
+			return w.machines[0]
+		},
+	}
+	for role, pick := range roles {
+		for direction, way := range map[string][2]bool{"both ways": {true, true}, "hears nobody": {true, false}, "is heard by nobody": {false, true}} {
+			for _, replaced := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s %s, replaced %v", role, direction, replaced), func(t *testing.T) {
+					t.Parallel()
+					playLongCut(t, pick, way, replaced, span)
+				})
+			}
+		}
+	}
+}
+
+func playLongCut(t *testing.T, pick func(*world) *machine, way [2]bool, replaced bool, span time.Duration) {
+	w := settledWorld(t, 11, 1)
+	if replaced {
+		w.machineAt(w.addMachine(true).ip).downTill = w.now
+		w.playUntil(w.now + time.Second)
+	}
+	m := pick(w)
+	began := w.now
+	w.isolate(m, span, way[0], way[1], false)
+	w.playUntil(began + 1500*time.Millisecond)
+
+	fresh := w.addMachine(false) // an agent that has just started, and reaches this machine alone
+	w.isolate(fresh, span, true, true, true)
+	w.isolateFromAllBut(fresh, m, span)
+	for w.now < began+span-time.Second {
+		now := m.node.Now()
+		assert.Assert(t, !m.node.node.replica.Leading(now))
+		for _, s := range m.node.node.shards {
+			assert.Assert(t, !s.holder.Holds(now) && s.table == nil && s.limits == nil)
+		}
+		known := m.node.node.state.Revision
+		if v, ok := w.ask(m, known, configText(known+1, "late")); ok {
+			assert.Assert(t, isUnsure(v), "an order is answered %d", v.status)
+		}
+		if v, ok := w.ask(m, 0, ""); ok {
+			assert.Assert(t, isUnsure(v), "a read is answered %d", v.status)
+		}
+		if fresh.agent != nil {
+			assert.Equal(t, fresh.agent.router.revision, int64(0), "an agent acts by what a machine that is cut off has told")
+			assert.Equal(t, fresh.agent.router.groupAt, wire.Position{})
+		}
+		w.playUntil(w.now + 300*time.Millisecond)
+	}
+	w.playUntil(began + span)
+	acked := w.ackedRevision
+	assert.Assert(t, acked > 50, "orders went on meanwhile: %d", acked)
+	heard := w.now
+	for m.node.node.state.Revision < acked {
+		w.step()
+		assert.Assert(t, w.now < heard+1200*time.Millisecond, "not caught up")
+	}
+	for fresh.agent.router.revision < acked {
+		w.step()
+		assert.Assert(t, w.now < heard+3*time.Second, "the agent is not fed")
+	}
+	if replaced {
+		assert.Assert(t, !w.isMember(m) || len(w.members) == 3)
+	}
+	w.finish()
+}
+
+// isolateFromAllBut joins two machines again.
+func (w *world) isolateFromAllBut(one, other *machine, _ time.Duration) {
+	delete(w.cut, [2]string{one.ip, other.ip})
+	delete(w.cut, [2]string{other.ip, one.ip})
+}
+
+// finish ends all trouble, lets the operators end, and checks the whole run.
+func (w *world) finish() {
+	w.settle()
+	w.playUntil(w.now + 3*time.Second)
+	for _, o := range w.opers {
+		o.quiet, o.follow = true, false
+	}
+	w.playUntil(w.now + 5*time.Second)
+	w.checkEnd()
+}
+
+// Two different orders under one number reach two control processes in the same millisecond, on either side of a change of
+// leader, and all acknowledgements are lost: one of them is in force, and stays so.
+func TestTwoOrdersUnderOneNumber(t *testing.T) {
+	for seed := range uint64(40) {
+		w := settledWorld(t, seed, 1)
+		for _, o := range w.opers {
+			o.quiet, o.follow = true, false
+		}
+		w.playUntil(w.now + 2*time.Second)
+		base := w.ackedRevision
+		leader := w.leaderMachine()
+		one, other := configText(base+1, "one"), configText(base+1, "other")
+		if seed%2 == 0 {
+			w.isolate(leader, 2*time.Second, true, true, false)
+		}
+		if seed%4 < 2 {
+			w.later(w.randomSpan(40*time.Millisecond), func() { w.kill(leader, seed%8 < 4) })
+		}
+		sent := map[string]*machine{one: leader, other: w.anyCore()}
+		status := map[string]int{}
+		w.calm = false
+		for end := w.now + 8*time.Second; len(status) < 2 && w.now < end; {
+			for _, body := range []string{one, other} {
+				m := sent[body]
+				if _, done := status[body]; done || m.node == nil {
+					sent[body] = w.anyCore()
+					continue
+				}
+				v, ok := w.ask(m, base, body)
+				if ok && !isUnsure(v) && w.random.IntN(3) > 0 { // else it is lost on its way
+					status[body] = v.status
+				}
+				sent[body] = w.anyCore()
+			}
+			w.playUntil(w.now + 20*time.Millisecond)
+		}
+		accepted := 0
+		for _, s := range status {
+			if s == http.StatusOK {
+				accepted++
+			} else {
+				assert.Equal(t, s, http.StatusPreconditionFailed)
+			}
+		}
+		assert.Equal(t, accepted, 1, "seed %d: %v", seed, status)
+		assert.Equal(t, len(status), 2)
+	}
+}
+
+// An order that was taken is acknowledged whenever it is sent again, or left without a clear answer: after hundreds of
+// others, a restart of all, a lost disk and a machine that was replaced.
+func TestOrderSentAgainMuchLater(t *testing.T) {
+	for seed := range uint64(6) {
+		w := settledWorld(t, 3*seed, 1)
+		base := w.ackedRevision
+		body := w.bodies[base]
+		var first call
+		for _, c := range w.calls {
+			if c.kind == replaceCall && c.outcome == accept && c.order.revision == base {
+				first = c
+			}
+		}
+		w.playUntil(w.now + 25*time.Second)
+		assert.Assert(t, w.counts.acked > 200, "%d orders since", w.counts.acked)
+		trouble := []func(){
+			func() {},
+			func() { w.killAll(true) },
+			func() { w.wipe(w.leaderMachine()) },
+			func() { m := w.anyCore(); w.remove(m); w.arrive(m) },
+			func() { w.killAll(false); w.wipe(w.anyCore()) },
+		}
+		for i, act := range trouble {
+			act()
+			confirmed := 0
+			for end := w.now + 4*time.Second; w.now < end; {
+				m := w.anyCore()
+				if m.node == nil {
+					w.step()
+					continue
+				}
+				v, ok := w.ask(m, first.base, body)
+				if ok && v.status == http.StatusOK {
+					confirmed++
+				} else if ok {
+					assert.Assert(t, isUnsure(v), "seed %d, trouble %d: answered %d", seed, i, v.status)
+				}
+				w.playUntil(w.now + 50*time.Millisecond)
+			}
+			assert.Assert(t, confirmed > 5, "seed %d, trouble %d: confirmed %d times", seed, i, confirmed)
+			assert.Assert(t, w.ackedRevision > base)
+		}
+		w.finish()
+	}
+}
+
+// A machine that was away for hundreds of orders comes back with its old disk as all others restart: it never leads with
+// what it has, and it has all within a second of the group's leader.
+func TestHundredsOfChangesThenARestart(t *testing.T) {
+	for seed := range uint64(8) {
+		w := settledWorld(t, 3*seed, 1+int(seed%2))
+		away := w.leaderMachine()
+		w.kill(away, true)
+		away.downTill = time.Hour
+		old := away.disk.state.Entry.Position()
+		w.playUntil(w.now + 25*time.Second)
+		acked := w.ackedRevision
+		assert.Assert(t, w.counts.acked > 200)
+		w.killAll(true)
+		for _, m := range w.machines {
+			m.downTill = min(m.downTill, w.now+time.Second)
+		}
+		away.downTill = w.now // it is the first to be back
+		for leads := false; !leads; {
+			w.step()
+			for _, m := range w.machines {
+				leads = leads || m.node != nil && m.node.node.replica.Leading(m.node.Now())
+			}
+		}
+		led := w.now
+		for away.node.node.state == nil || away.node.node.state.Revision < acked {
+			w.step()
+			assert.Assert(t, w.now < led+time.Second, "seed %d: not caught up", seed)
+		}
+		assert.Assert(t, old.Less(away.disk.state.Entry.Position()) || away.node.writing != nil)
+		w.finish()
+	}
+}
+
+// The same seed plays the same run.
+func TestARunRepeats(t *testing.T) {
+	for seed := range uint64(12) {
+		one, other := playWorld(t, seed), playWorld(t, seed)
+		assert.Equal(t, one, other)
+	}
+}
--- a/control/shards.go
+++ b/control/shards.go
@@ -111,7 +111,7 @@
 		if s.resource() != p.Resource {
 			continue
 		}
-		if !s.holder.Replied(from, p, enough) {
+		if !s.holder.Replied(from, p, enough, now) {
 			n.dropped.EarlierLife++
 		}
 		n.followOwnership(s, now)
--- /dev/null
+++ b/control/world_callers_test.go
@@ -0,0 +1,407 @@
+package control
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"ivybank/config"
+	"ivybank/control/hostlist"
+	"ivybank/control/store"
+	"ivybank/wire"
+)
+
+// plainParser checks configurations without the CUE schema, which takes milliseconds each.
+type plainParser struct{}
+
+func (plainParser) Parse(body []byte) (*config.Config, error) {
+	c, err := config.Read(body)
+	if err != nil {
+		return nil, err
+	}
+	return c, c.Check()
+}
+
+// configText makes a valid configuration; mark tells two with the same revision apart.
+func configText(revision int64, mark string) string {
+	return fmt.Sprintf(`{"revision":%d,"routes":[{"name":"r-%s","hostname":"a.example","path_prefix":"/a/","route_type":"idempotent",`+
+		`"timeout_ms":1000,"target_ms":100,"backend":"service-0","max_attempts":2,"public":false}],"services":[{"name":"service-0"},`+
+		`{"name":"service-1"}],"limits":{},"tenants":[{"name":"t","api_keys":["k"],"rate_per_s":%d,"burst":%d}]}`, revision, mark, tenantRate, tenantBurst)
+}
+
+const (
+	listLag     = 3 * time.Second // of the list of control machines that operators choose from
+	tenantRate  = 200
+	tenantBurst = 50
+)
+
+// operator sends changes and reads, one at a time, and each again until it has a clear answer.
+type operator struct {
+	world  *world
+	number int
+	made   int
+	known  int64 // revision that it takes for the current one
+	order  *request
+	flying []*flight
+	nextAt time.Duration
+	quiet  bool // no new orders
+	follow bool // reads only
+}
+
+// request is what an operator wants, in as many calls as it takes.
+type request struct {
+	call    call
+	body    string
+	tries   int
+	giveUp  time.Duration
+	replies int
+}
+
+// flight is one HTTP call on its way.
+type flight struct {
+	request   *request
+	index     int // in world.calls
+	to        *machine
+	arrives   time.Duration
+	asked     bool
+	answer    *verdict
+	answerAt  time.Duration
+	redirects int
+	givenUp   bool
+}
+
+func (o *operator) step() {
+	w := o.world
+	for _, f := range o.flying {
+		o.stepFlight(f)
+	}
+	kept := o.flying[:0]
+	for _, f := range o.flying {
+		if !f.givenUp || f.asked && f.answer == nil && f.to.node != nil {
+			kept = append(kept, f)
+		}
+	}
+	clear(o.flying[len(kept):])
+	o.flying = kept
+	if o.order != nil || w.now < o.nextAt || o.quiet && !o.follow {
+		return
+	}
+	if o.follow || w.random.IntN(4) == 0 {
+		o.begin(&request{call: call{kind: readCall, valid: true}})
+		return
+	}
+	if !o.quiet {
+		o.beginChange()
+	}
+}
+
+// beginChange sends a change; now and then both operators send one on the same version in the same moment.
+func (o *operator) beginChange() {
+	w := o.world
+	base := o.known
+	revision := base + 1 + int64(w.random.IntN(3))
+	o.made++
+	mark := fmt.Sprintf("%d-%d", o.number, o.made)
+	other := w.opers[(o.number+1)%len(w.opers)]
+	race := w.random.IntN(4) == 0 && other.order == nil
+	same := race && w.random.IntN(3) == 0 // the very same body
+	body := configText(revision, mark)
+	valid := w.random.IntN(12) > 0
+	if !valid {
+		body = body[:len(body)-1-w.random.IntN(20)]
+	}
+	o.begin(newChange(base, revision, body, valid))
+	if !race {
+		return
+	}
+	if !same {
+		body = configText(revision, mark+"-other")
+		valid = true
+	}
+	other.begin(newChange(base, revision, body, valid))
+}
+
+func newChange(base, revision int64, body string, valid bool) *request {
+	order := version{revision, store.DigestOf(base, []byte(body))}
+	return &request{call: call{kind: replaceCall, base: base, order: order, valid: valid}, body: body}
+}
+
+func (o *operator) begin(r *request) {
+	o.order = r
+	r.giveUp = o.world.now + time.Duration(3+o.world.random.IntN(6))*time.Second
+	o.send(r, nil, 0)
+}
+
+// send makes one call, to the machine that it was redirected to or to any.
+func (o *operator) send(r *request, to *machine, redirects int) {
+	w := o.world
+	for to == nil || !to.core || to.gone && w.now > to.goneAt+listLag {
+		to = w.machines[w.random.IntN(len(w.machines))]
+	}
+	one := r.call
+	one.sent, one.done, one.outcome = w.now, endless, unknown
+	w.calls = append(w.calls, one)
+	r.tries++
+	f := &flight{request: r, index: len(w.calls) - 1, to: to, redirects: redirects,
+		arrives: w.now + time.Duration(w.random.IntN(8))*time.Millisecond}
+	o.flying = append(o.flying, f)
+}
+
+func (o *operator) stepFlight(f *flight) {
+	w := o.world
+	if !f.asked && w.now >= f.arrives && !f.to.gone {
+		if f.to.node == nil {
+			o.unanswered(f, false)
+			return
+		}
+		if f.to.running(w.now) {
+			f.asked = true
+			o.ask(f)
+		}
+	}
+	if f.givenUp {
+		return
+	}
+	if f.answer != nil && w.now >= f.answerAt {
+		o.answered(f)
+		return
+	}
+	if w.now > w.calls[f.index].sent+callPatience {
+		o.unanswered(f, true)
+	}
+}
+
+// ask hands a call to the operator's handler of a control process.
+func (o *operator) ask(f *flight) {
+	w, node := o.world, f.to.node
+	answer := func(v verdict) {
+		lost := node.dead || w.random.Float64() < w.ackLoss
+		if !lost && f.answer == nil {
+			f.answer, f.answerAt = &v, w.now+time.Duration(w.random.IntN(8))*time.Millisecond
+		}
+	}
+	if f.request.call.kind == readCall {
+		node.handler.get(nil, nil, answer)
+		return
+	}
+	r := httptest.NewRequest(http.MethodPost, pathReplace, strings.NewReader(f.request.body))
+	r.Header.Set(baseHeader, fmt.Sprint(f.request.call.base))
+	node.handler.replace(httptest.NewRecorder(), r, answer)
+}
+
+// unanswered tries again elsewhere, or lets a request go. A call that was sent may still have its effect.
+func (o *operator) unanswered(f *flight, sent bool) {
+	if f.givenUp {
+		return
+	}
+	f.givenUp = true
+	if !sent {
+		o.world.calls[f.index].outcome = nothing
+	}
+	o.again(f)
+}
+
+func (o *operator) again(f *flight) {
+	w := o.world
+	if o.order != f.request {
+		return
+	}
+	if w.now > f.request.giveUp && !w.calm {
+		w.counts.unknown++
+		o.finish()
+		return
+	}
+	o.send(f.request, nil, 0)
+	last := o.flying[len(o.flying)-1]
+	pause := time.Duration(20+w.random.IntN(150)) * time.Millisecond
+	last.arrives += pause
+	w.calls[last.index].sent += pause
+}
+
+func (o *operator) finish() {
+	w := o.world
+	o.order = nil
+	longest := []int{30, 150, 600}[w.seed%3]
+	o.nextAt = w.now + time.Duration(w.random.IntN(longest))*time.Millisecond
+}
+
+func (o *operator) answered(f *flight) {
+	w := o.world
+	f.givenUp = true
+	one := &w.calls[f.index]
+	one.done = w.now
+	v := *f.answer
+	switch {
+	case v.status == http.StatusOK && one.kind == readCall:
+		one.outcome = accept
+		o.readBack(one, v)
+	case v.status == http.StatusOK:
+		one.outcome = accept
+		w.counts.acked++
+		w.ackedRevision = max(w.ackedRevision, one.order.revision)
+		w.noteBody(one.order.revision, f.request.body)
+		o.known = max(o.known, one.order.revision)
+		o.finish()
+	case v.status == http.StatusNotFound && one.kind == readCall:
+		one.outcome = accept
+		o.finish()
+	case v.status == http.StatusPreconditionFailed, v.status == http.StatusBadRequest:
+		one.outcome = conflict
+		if v.status == http.StatusBadRequest {
+			one.outcome = invalid
+		}
+		w.counts.refused++
+		o.finish()
+	case v.status == http.StatusTemporaryRedirect:
+		one.outcome = nothing
+		w.counts.redirected++
+		o.redirected(f, v)
+	default:
+		one.done = endless
+		o.again(f)
+	}
+}
+
+func (o *operator) redirected(f *flight, v verdict) {
+	ip := strings.TrimPrefix(v.location, "http://")
+	ip, _, _ = strings.Cut(ip, ":")
+	if to := o.world.machineAt(ip); to != nil && f.redirects < 2 {
+		o.send(f.request, to, f.redirects+1)
+		return
+	}
+	o.again(f)
+}
+
+// readBack takes a configuration that was read. Its order is found by its body.
+func (o *operator) readBack(one *call, v verdict) {
+	w := o.world
+	w.counts.reads++
+	c, err := config.Read(v.body)
+	if err != nil {
+		w.fail("a read gave %q", v.body)
+	}
+	o.known = c.Revision
+	w.noteBody(c.Revision, string(v.body))
+	found := false
+	for _, sent := range w.calls {
+		if sent.kind == replaceCall && sent.order.revision == c.Revision && store.DigestOf(sent.base, v.body) == sent.order.digest {
+			one.read, found = sent.order, true
+			break
+		}
+	}
+	if !found {
+		w.fail("a read gave revision %d, which nobody sent", c.Revision)
+	}
+	o.finish()
+}
+
+// noteBody checks that a revision that is in force has one body everywhere.
+func (w *world) noteBody(revision int64, body string) {
+	if had, ok := w.bodies[revision]; ok && had != body {
+		w.fail("revision %d is %q and %q", revision, had, body)
+	}
+	w.bodies[revision] = body
+}
+
+// routerStub stands for the router beside an agent: it checks what it is fed, and draws from a tenant's limit.
+type routerStub struct {
+	agent    *agentProcess
+	life     uint64
+	number   uint64
+	asked    map[uint64]time.Duration
+	askAt    time.Duration
+	revision int64
+	groupAt  wire.Position
+	hosts    [hostlist.Shards]wire.HostsOffset
+	ackedAt  int64 // newest revision that was acknowledged when the agent started
+}
+
+type grantTaken struct {
+	at     time.Duration
+	amount float64
+}
+
+func newRouterStub(p *agentProcess) *routerStub {
+	r := &routerStub{agent: p, asked: map[uint64]time.Duration{}, ackedAt: p.world.ackedRevision, life: p.world.random.Uint64()}
+	p.agent.OnRouterMessage(r, &wire.Message{Subscribe: &wire.Subscribe{}})
+	return r
+}
+
+// restart is the end of a router and the start of the next, beside the same agent.
+func (r *routerStub) restart() {
+	r.agent.agent.RouterDisconnected(r)
+	next := &routerStub{agent: r.agent, asked: map[uint64]time.Duration{}, life: r.agent.world.random.Uint64(), revision: r.revision,
+		groupAt: r.groupAt, hosts: r.hosts, ackedAt: r.ackedAt}
+	r.agent.router = next
+	r.agent.agent.OnRouterMessage(next, &wire.Message{Subscribe: &wire.Subscribe{}})
+}
+
+// step draws now and then; requests of an earlier life are numbered alike.
+func (r *routerStub) step() {
+	w := r.agent.world
+	if w.now < r.askAt || r.revision == 0 {
+		return
+	}
+	r.askAt = w.now + time.Duration(20+w.random.IntN(120))*time.Millisecond
+	r.number++
+	r.asked[r.number] = w.now
+	ask := &wire.QuotaRequest{Router: r.agent.machine.ip, Shard: hostlist.ShardOf("t"), Number: r.number, Tenant: "t", Need: 5, Want: 20, Life: r.life}
+	r.agent.agent.OnRouterMessage(r, &wire.Message{QuotaRequest: ask})
+}
+
+// Send takes what the agent feeds.
+func (r *routerStub) Send(m *wire.Message) bool {
+	w := r.agent.world
+	switch {
+	case m.Config != nil:
+		r.onConfig(m.Config)
+	case m.Group != nil:
+		if m.Group.At.Less(r.groupAt) {
+			w.fail("%s is fed the members of %v after %v", r.agent.machine.ip, m.Group.At, r.groupAt)
+		}
+		r.groupAt = m.Group.At
+	case m.Hosts != nil:
+		if m.Hosts.At.Before(r.hosts[m.Hosts.Shard]) {
+			w.fail("%s is fed hosts of %v after %v", r.agent.machine.ip, m.Hosts.At, r.hosts[m.Hosts.Shard])
+		}
+		r.hosts[m.Hosts.Shard] = m.Hosts.At
+	case m.QuotaGrant != nil:
+		r.onGrant(m.QuotaGrant)
+	}
+	return true
+}
+
+func (r *routerStub) onConfig(c *wire.Config) {
+	w := r.agent.world
+	if c.Revision < r.revision {
+		w.fail("%s is fed revision %d after %d", r.agent.machine.ip, c.Revision, r.revision)
+	}
+	if r.revision == 0 {
+		w.counts.firstConfigs++
+		if c.Revision < r.ackedAt {
+			w.fail("%s begins with revision %d; %d had been acknowledged when it started", r.agent.machine.ip, c.Revision, r.ackedAt)
+		}
+	}
+	r.revision = c.Revision
+	body, err := wire.Inflate(c.Body)
+	if err != nil {
+		w.fail("%s is fed a spoilt body", r.agent.machine.ip)
+	}
+	w.noteBody(c.Revision, string(body))
+}
+
+func (r *routerStub) onGrant(g *wire.QuotaGrant) {
+	w := r.agent.world
+	if g.Life != r.life {
+		w.counts.crossed++
+		return
+	}
+	if _, ok := r.asked[g.Number]; !ok {
+		w.fail("%s is granted what it did not ask for, or twice", r.agent.machine.ip)
+	}
+	delete(r.asked, g.Number)
+	w.counts.grants++
+	w.grants = append(w.grants, grantTaken{w.now, g.Granted})
+}
