--- a/router/forward.go
+++ b/router/forward.go
@@ -236,7 +236,9 @@
 	}
 	stopWatch := x.watchHead(a, conn)
 	answer, err := conn.Do(x.outgoing(a), x.deadline)
-	stopWatch()
+	if !stopWatch() {
+		conn.Retire() // the watch is closing it, perhaps only now
+	}
 	if err != nil {
 		conn.Close()
 		outcome = x.blame(a)
--- a/router/upstream/pool.go
+++ b/router/upstream/pool.go
@@ -59,8 +59,12 @@
 	rested  time.Time
 	rest    time.Duration // for which it may rest
 	release func() bool   // ends the bond to the request that it is used for; see bind
+	retired bool          // it serves no further request
 }
 
+// Retire has a connection serve no further request. Only the request that uses it may say so.
+func (c *Conn) Retire() { c.retired = true }
+
 // Pool keeps connections at rest, by address. It is safe for concurrent use.
 type Pool struct {
 	mu   sync.Mutex
@@ -118,7 +122,7 @@
 
 // Put gives a connection back after a whole answer. It is closed where the host said so, or sent more than that.
 func (p *Pool) Put(c *Conn, answer *http.Response) {
-	if !c.release() || answer.Close || c.reader.Buffered() > 0 {
+	if !c.release() || c.retired || answer.Close || c.reader.Buffered() > 0 {
 		c.raw.Close()
 		return
 	}
--- a/router/watchdog.go
+++ b/router/watchdog.go
@@ -86,10 +86,10 @@
 			return
 		}
 		next := x.open(last.get())
-		s.ready <- next
 		if next != nil {
-			from.conn.Close()
+			from.conn.Close() // before it could be given back, and serve another request
 		}
+		s.ready <- next
 	})
 	return s
 }
