--- a/router/crossing_test.go
+++ b/router/crossing_test.go
@@ -89,6 +89,7 @@
 			h.mu.Lock()
 			h.connections++
 			h.mu.Unlock()
+			_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10) // what it doesn't read stays with the sender
 			go h.serve(conn.(*net.TCPConn))
 		}
 	}()
@@ -223,11 +224,11 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			first := newRawHost(t, "h1", bad)
-			_, server := newCrossing(t, first)
+			first, other := newRawHost(t, "h1", bad), newRawHost(t, "h2", bad)
+			_, server := newCrossing(t, first, other)
 			got := post(t, t.Context(), server, "/unsafe/x", "u1", []byte("body"))
 			assert.Equal(t, got.status, http.StatusBadGateway, "it may have run: no promise")
-			assert.Equal(t, first.ran("u1"), 1)
+			assert.Equal(t, first.ran("u1")+other.ran("u1"), 1)
 			assert.Assert(t, !strings.Contains(got.body, "bytes"))
 
 			broken := newRawHost(t, "h1", bad)
@@ -332,7 +333,7 @@
 // A host may reject a long request before it has read it. What it says counts, and nothing else goes over the connection
 // on which the rest of the body is due.
 func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
-	long := bytes.Repeat([]byte("x"), 3<<20)
+	long := bytes.Repeat([]byte("x"), 4<<20)
 	for name, after := range map[string]func(*turn) earlyTurn{
 		"and it ends the connection": func(q *turn) earlyTurn {
 			_ = q.conn.CloseWrite()
@@ -502,3 +503,38 @@
 func tenantWith(rate float64) *config.Tenant {
 	return &config.Tenant{Name: "t", RatePerS: rate, Burst: rate}
 }
+
+// A stream ends well just as its successor begins. Its connection is closed by the watch then, and must not serve others.
+func TestStreamThatEndsAsItsSuccessorBegins(t *testing.T) {
+	for round := range 10 {
+		asked := make(chan struct{}, 1)
+		first := newRawHost(t, "h1", nil)
+		second := newRawHost(t, "h2", nil)
+		slowly := func(q *turn) bool {
+			if !strings.HasPrefix(q.request.URL.Path, "/stream/") {
+				time.Sleep(15 * time.Millisecond)
+				return serveWell(q)
+			}
+			if q.request.Header.Get("Last-Event-Id") != "" { // it is the successor
+				asked <- struct{}{}
+				time.Sleep(20 * time.Millisecond)
+				return streamAll(q)
+			}
+			q.write(fmt.Sprintf(streamHead, q.id(), q.host.id) + chunk(eventsFrom(1, 3)))
+			<-asked
+			q.write(chunk(eventsFrom(3, 7)) + "0\r\n\r\n")
+			return true
+		}
+		first.handle, second.handle = slowly, slowly
+		_, server := newCrossing(t, first, second)
+		assert.Equal(t, post(t, t.Context(), server, "/stream/x", "r", nil), reply{status: http.StatusOK, body: eventsFrom(1, 7)})
+		var all sync.WaitGroup
+		for i := range 8 {
+			all.Go(func() {
+				id := fmt.Sprintf("u%d-%d", round, i)
+				assert.Check(t, post(t, t.Context(), server, "/unsafe/x", id, nil).body == "answer to "+id)
+			})
+		}
+		all.Wait()
+	}
+}
--- a/router/upstream/pool_test.go
+++ b/router/upstream/pool_test.go
@@ -47,3 +47,15 @@
 	pool.Put(c, answer)
 	assert.Equal(t, len(pool.idle), 0)
 }
+
+func TestRetiredConnectionIsNotKept(t *testing.T) {
+	host := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer host.Close()
+	pool := NewPool()
+	c, err := pool.Get(t.Context(), host.Listener.Addr().String())
+	assert.NilError(t, err)
+	answer := exchange(t, c)
+	c.Retire()
+	pool.Put(c, answer)
+	assert.Equal(t, len(pool.idle), 0)
+}
