--- a/cmd/ivybank/plan_test.go
+++ b/cmd/ivybank/plan_test.go
@@ -38,11 +38,10 @@
 
 // mechanics restart each server that any proxy says is out, once, and note what was out at once. They are the operators, not the proxies.
 type mechanics struct {
-	mu      sync.Mutex
-	worked  map[string]int
-	down    int
-	most    int
-	touched []string // servers to which a dispatch came while they were worked on
+	mu     sync.Mutex
+	worked map[string]int
+	down   int
+	most   int
 }
 
 // plans is what a proxy tells of a plan at its door.
--- a/config/validate/validate.go
+++ b/config/validate/validate.go
@@ -23,9 +23,10 @@
 
 // Validator checks configurations, one at a time. It is safe for concurrent use.
 type Validator struct {
-	mu     sync.Mutex
-	schema cue.Value
-	uses   int
+	mu      sync.Mutex
+	context *cue.Context
+	schema  cue.Value
+	uses    int
 }
 
 // Parse reads and checks a configuration. The error names the field and the cause.
@@ -44,14 +45,15 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.uses%renewAfter == 0 {
-		v.schema = cuecontext.New().CompileString(schemaText, cue.Filename("schema.cue")).LookupPath(cue.ParsePath("#Config"))
+		v.context = cuecontext.New()
+		v.schema = v.context.CompileString(schemaText, cue.Filename("schema.cue")).LookupPath(cue.ParsePath("#Config"))
 	}
 	v.uses++
 	expression, err := json.Extract("configuration", body)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", firstOf(err))
 	}
-	value := v.schema.Unify(v.schema.Context().BuildExpr(expression))
+	value := v.schema.Unify(v.context.BuildExpr(expression))
 	if err := value.Validate(cue.Concrete(true)); err != nil {
 		return fmt.Errorf("configuration: %w", firstOf(err))
 	}
--- a/control/world_callers_test.go
+++ b/control/world_callers_test.go
@@ -52,11 +52,10 @@
 
 // request is what an operator wants, in as many calls as it takes.
 type request struct {
-	call    call
-	body    string
-	tries   int
-	giveUp  time.Duration
-	replies int
+	call   call
+	body   string
+	tries  int
+	giveUp time.Duration
 }
 
 // flight is one HTTP call on its way.
--- a/fleet/quota/timeline_test.go
+++ b/fleet/quota/timeline_test.go
@@ -39,7 +39,6 @@
 type timeline struct {
 	t       *testing.T
 	w       *world
-	begun   time.Time
 	wants   []want
 	greedy  []int64
 	edition uint64
--- a/fleet/quota/world_test.go
+++ b/fleet/quota/world_test.go
@@ -36,7 +36,6 @@
 	life        uint64
 	effects     map[int64]int64 // by window, what ran or may have; grown for the length of a test
 	early, late int64           // furthest that a req counted in a window was from its true time
-	told        []string
 	added       map[string]Pair
 }
 
--- a/keys/ledger/ledger_test.go
+++ b/keys/ledger/ledger_test.go
@@ -181,10 +181,9 @@
 // sick is a file whose disk fails on command.
 type sick struct {
 	*os.File
-	room    int // bytes left on the disk
-	syncs   error
-	cuts    error
-	written int
+	room  int // bytes left on the disk
+	syncs error
+	cuts  error
 }
 
 func (s *sick) Write(b []byte) (int, error) {
--- a/rehearse/simwire/simwire.go
+++ b/rehearse/simwire/simwire.go
@@ -129,6 +129,7 @@
 				return f.Err
 			}
 			if n >= uint64(len(a.lists)) || a.lists[n] == nil {
+				//lint:ignore ST1005 the text begins with the name of a field
 				return fmt.Errorf("Ref=%d: expected a list that was sent", n)
 			}
 			list = a.lists[n]
@@ -193,6 +194,7 @@
 		return f.Err
 	}
 	if n >= uint64(len(a.lists)) {
+		//lint:ignore ST1005 the text begins with the name of a field
 		return fmt.Errorf("Ref=%d: expected a list number from 0 to 15", n)
 	}
 	list := []balance.Server{}
