--- a/agent/agent.go
+++ b/agent/agent.go
@@ -51,8 +51,9 @@
 
 // Dropped counts messages that were not taken, by cause.
 type Dropped struct {
-	OldGroups int64 // members under an older position than is known
-	OldHosts  int64 // hosts under an older fencing number than is known
+	OldGroups  int64 // members under an older position than is known
+	OldHosts   int64 // hosts under an older fencing number than is known
+	OtherFleet int64 // connections to control processes of another fleet
 }
 
 // table is one shard's hosts and the control process that they come from.
@@ -147,10 +148,13 @@
 	return s
 }
 
-func (a *Agent) onControl(ip string, link wire.Sender, m *wire.Message) {
+func (a *Agent) onControl(ip string, link wire.OpenLink, m *wire.Message) {
+	if a.links[ip] != link {
+		return // it has been closed
+	}
 	switch {
 	case m.Group != nil:
-		a.onGroup(ip, m)
+		a.onGroup(ip, link, m)
 	case m.Config != nil:
 		a.onConfig(link, m.Config)
 	case m.Hosts != nil:
@@ -162,7 +166,14 @@
 
 // onGroup takes the members, and the number of routers, unless they come from an older entry than those that are known:
 // a control process that was replaced while it was cut off tells the members of long ago.
-func (a *Agent) onGroup(ip string, m *wire.Message) {
+func (a *Agent) onGroup(ip string, link wire.OpenLink, m *wire.Message) {
+	if a.config != nil && a.group != nil && m.Group.Fleet != a.group.Fleet {
+		a.log.Warn("a control process of another fleet is at an address of this one", "ip", ip)
+		a.dropped.OtherFleet++
+		link.Close() // whatever else it says is of that fleet
+		delete(a.links, ip)
+		return
+	}
 	if a.group != nil && m.Group.At.Less(a.group.At) {
 		a.dropOldGroup(ip, m.Group)
 		return
--- a/agent/process.go
+++ b/agent/process.go
@@ -55,7 +55,7 @@
 	defer p.peers.Close()
 	p.agent = NewAgent(p.settings, p.log, p)
 	go p.peers.Run(ctx)
-	go wire.Serve(ctx, local, p.acceptRouter)
+	go wire.Serve(ctx, local, p.acceptRouter, p.spoilt)
 	p.loop(stopped, reloads)
 	return nil
 }
@@ -98,6 +98,9 @@
 	return wire.Open(p.ctx, address, hello, events, p.do)
 }
 
+// spoilt tells of a connection over loopback that is no router's.
+func (p *Process) spoilt(err error) { p.log.Warn("connection not taken", "error", err) }
+
 func (p *Process) do(event func()) { p.events <- event }
 
 // acceptRouter serves the router of this machine.
--- a/control/feed.go
+++ b/control/feed.go
@@ -94,7 +94,7 @@
 	if entry == nil {
 		return nil
 	}
-	group := &wire.Group{Members: entry.Members, Routers: len(n.subscribers), At: entry.Position()}
+	group := &wire.Group{Members: entry.Members, Routers: len(n.subscribers), At: entry.Position(), Fleet: entry.Fleet}
 	if n.state != nil {
 		group.Routers = max(group.Routers, n.state.Routers)
 	}
--- a/control/members.go
+++ b/control/members.go
@@ -38,7 +38,7 @@
 		return
 	}
 	self := n.replica.Self()
-	hello := wire.Hello{Role: wire.RoleControl, Node: self.ID, IP: self.IP}
+	hello := wire.Hello{Role: wire.RoleControl, Node: self.ID, IP: self.IP, Fleet: n.replica.Fleet()}
 	n.links[ip] = n.env.OpenLink(ip, hello, wire.LinkEvents{Received: n.onGroup})
 }
 
@@ -77,6 +77,16 @@
 	}
 }
 
+// IsStranger says whether a process that has connected belongs to another fleet, whose address is this machine's now.
+func (n *Node) IsStranger(hello wire.Hello) bool {
+	own := n.replica.Fleet()
+	strange := hello.Fleet != 0 && own != 0 && hello.Fleet != own
+	if strange {
+		n.dropped.OtherFleet++
+	}
+	return strange
+}
+
 // PeerConnected tells that another control process has connected, and how it is reached over that connection.
 func (n *Node) PeerConnected(from wire.Member, back wire.Sender) {
 	n.callers[from.IP]++
--- a/control/node.go
+++ b/control/node.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -86,6 +87,25 @@
 type Dropped struct {
 	EarlierLife int64 `json:"earlier_life"` // answers to requests of an earlier life of this process
 	NotMember   int64 `json:"not_member"`   // requests for leases of processes that are no members
+	OtherFleet  int64 `json:"other_fleet"`  // connections of processes of other fleets
+	Oversized   int64 `json:"oversized"`    // frames that are too long,
+	UnknownKind int64 `json:"unknown_kind"` // hold no message that is known,
+	NoGreeting  int64 `json:"no_greeting"`  // come from one that has not said who it is,
+	Malformed   int64 `json:"malformed"`    // or can't be read; each ends its connection
+}
+
+// FrameSpoilt counts a frame that ended its connection. Connections that just end are none.
+func (n *Node) FrameSpoilt(err error) {
+	switch {
+	case errors.Is(err, wire.ErrOversized):
+		n.dropped.Oversized++
+	case errors.Is(err, wire.ErrUnknownKind):
+		n.dropped.UnknownKind++
+	case errors.Is(err, wire.ErrNoGreeting):
+		n.dropped.NoGreeting++
+	case errors.Is(err, wire.ErrFrame):
+		n.dropped.Malformed++
+	}
 }
 
 // NewNode makes a node from what its disk held.
--- a/control/points_test.go
+++ b/control/points_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"ivybank/control/store"
 	"ivybank/wire"
 )
 
@@ -280,6 +283,122 @@
 	}
 }
 
+// The orders of an operator may be large, come faster than a link carries them, and some replicas be away: what a leader
+// holds of them stays bounded.
+func TestMemoryIsBoundedUnderLargeOrders(t *testing.T) {
+	const (
+		size   = 4 << 20
+		orders = 30
+	)
+	w := settledWorld(t, 2, 1)
+	for _, o := range w.opers {
+		o.quiet = true
+	}
+	w.playUntil(w.now + 2*time.Second)
+	leader := w.leaderMachine()
+	away := w.machines[0]
+	for _, m := range w.machines {
+		if m.core && m != leader {
+			away = m
+		}
+	}
+	w.isolate(away, time.Hour, true, true, false)
+	padding := strings.Repeat(" ", size)
+	most := uint64(0)
+	for i := range orders {
+		base := leader.node.node.state.Revision
+		v, ok := w.ask(leader, base, configText(base+1, fmt.Sprint(i))+padding)
+		assert.Assert(t, ok && v.status == http.StatusOK, "order %d: %d", i, v.status)
+		clear(w.bodies) // the test's own
+		if i%10 == 9 {
+			most = max(most, heapInUse())
+		}
+	}
+	// Three machines with the newest entry and the committed one, its state and the feed, and what is on its way.
+	assert.Assert(t, most < 20*size, "%d MB after %d orders of %d MB", most>>20, orders, size>>20)
+	clear(w.cut)
+	healed := w.now
+	for away.node.node.state.Revision < leader.node.node.state.Revision {
+		w.step()
+		assert.Assert(t, w.now < healed+1200*time.Millisecond, "one that was away has not caught up")
+	}
+	v, ok := w.ask(leader, 0, strings.Repeat(" ", maxOrderBytes+1))
+	assert.Assert(t, ok && v.status == http.StatusRequestEntityTooLarge)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// The largest order, in the largest state, fits in a frame: one that didn't would never be replicated, nor any after it.
+func TestLargestOrderFitsInAFrame(t *testing.T) {
+	state := &store.State{Revision: 1 << 60, Body: make([]byte, maxOrderBytes), Orders: make([]store.Digest, 4096), Routers: 1 << 20}
+	value, err := state.Encode()
+	assert.NilError(t, err)
+	members := make([]wire.Member, 16)
+	for i := range members {
+		members[i] = wire.Member{ID: strings.Repeat("m", 64), IP: "255.255.255.255"}
+	}
+	m := &wire.Message{Append: &wire.Append{Entry: &wire.Entry{Members: members, Value: value}}}
+	body, err := cbor.Marshal(m)
+	assert.NilError(t, err)
+	assert.Assert(t, len(body) < wire.MaxFrame, "%d bytes", len(body))
+}
+
+// Orders that can't be taken get their 4xx from the leader and change nothing; one that isn't sure refuses none.
+func TestBadOrdersChangeNothing(t *testing.T) {
+	w := settledWorld(t, 5, 1)
+	for _, o := range w.opers {
+		o.quiet = true
+	}
+	w.playUntil(w.now + 2*time.Second)
+	leader := w.leaderMachine()
+	before := leader.node.node.state
+	next := before.Revision + 1
+	for name, one := range map[string]struct {
+		base   int64
+		body   string
+		status int
+	}{
+		"cut short":       {before.Revision, configText(next, "x")[:150], http.StatusBadRequest},
+		"nothing":         {before.Revision, " ", http.StatusBadRequest},
+		"same revision":   {before.Revision, configText(before.Revision, "x"), http.StatusBadRequest},
+		"older revision":  {before.Revision, configText(1, "x"), http.StatusBadRequest},
+		"older base":      {before.Revision - 1, configText(next, "x"), http.StatusPreconditionFailed},
+		"base to come":    {next, configText(next+1, "x"), http.StatusPreconditionFailed},
+		"unknown service": {before.Revision, strings.Replace(configText(next, "x"), `"backend":"service-0"`, `"backend":"other"`, 1), http.StatusBadRequest},
+	} {
+		v, ok := w.ask(leader, one.base, one.body)
+		assert.Assert(t, ok && v.status == one.status, "%s: %d", name, v.status)
+		for _, m := range w.machines {
+			if m.core && m != leader {
+				v, ok := w.ask(m, one.base, one.body)
+				assert.Assert(t, ok && isUnsure(v), "%s: %d from one that doesn't lead", name, v.status)
+			}
+		}
+	}
+	assert.Equal(t, leader.node.node.state.Revision, before.Revision)
+	assert.Equal(t, string(leader.node.node.state.Body), string(before.Body))
+}
+
+// A process of another fleet that comes to an address of this one, with all that it knows, is not let in.
+func TestProcessOfAnotherFleetIsLeftOut(t *testing.T) {
+	w := settledWorld(t, 4, 1)
+	node := w.leaderMachine().node.node
+	stranger := wire.Hello{Role: wire.RoleControl, Node: "10.7.0.1/founder", IP: "10.7.0.1", Fleet: node.replica.Fleet() + 2}
+	assert.Assert(t, node.IsStranger(stranger))
+	assert.Equal(t, node.dropped.OtherFleet, int64(1))
+	stranger.Fleet = 0 // one with an empty disk knows of no fleet
+	assert.Assert(t, !node.IsStranger(stranger))
+	stranger.Fleet = node.replica.Fleet()
+	assert.Assert(t, !node.IsStranger(stranger))
+	w.playUntil(w.now + 5*time.Second)
+	assert.Equal(t, w.leaderMachine().node.node.replica.Fleet(), stranger.Fleet, "it stays through changes of leader and members")
+}
+
 // The same seed plays the same run.
 func TestARunRepeats(t *testing.T) {
 	for seed := range uint64(12) {
--- a/control/process.go
+++ b/control/process.go
@@ -88,7 +88,7 @@
 	p.node = NewNode(p.from, p)
 	p.peers.Introduce(true, p.settings.SeedIPs()...)
 	go p.peers.Run(ctx)
-	go wire.Serve(ctx, internal, p.accept)
+	go wire.Serve(ctx, internal, p.accept, p.spoilt)
 	go newOperatorHandler(p.node).serve(operator)
 	go p.writeSaves(ctx)
 	p.loop(stopped, reloads)
@@ -180,8 +180,13 @@
 	}
 }
 
-// accept serves one incoming connection.
+// accept serves one incoming connection, unless it comes from another fleet.
 func (p *Process) accept(conn *wire.Conn, hello wire.Hello) {
+	strange := make(chan bool, 1)
+	p.Do(func() { strange <- p.node.IsStranger(hello) })
+	if <-strange {
+		return
+	}
 	if hello.Role == wire.RoleControl {
 		p.acceptPeer(conn, wire.Member{ID: hello.Node, IP: hello.IP})
 		return
@@ -192,23 +197,25 @@
 func (p *Process) acceptPeer(conn *wire.Conn, from wire.Member) {
 	p.Do(func() { p.node.PeerConnected(from, conn) })
 	defer p.Do(func() { p.node.PeerDisconnected(from) })
-	for {
-		m, err := conn.Receive()
-		if err != nil {
-			return
-		}
-		p.Do(func() { p.node.OnPeerMessage(from, m) })
-	}
+	p.receive(conn, func(m *wire.Message) { p.node.OnPeerMessage(from, m) })
 }
 
 func (p *Process) acceptAgent(conn *wire.Conn) {
 	s := &subscriber{conn: conn}
 	defer p.Do(func() { p.node.AgentDisconnected(s) })
+	p.receive(conn, func(m *wire.Message) { p.node.OnAgentMessage(s, m) })
+}
+
+// receive hands a connection's messages to the loop until it ends.
+func (p *Process) receive(conn *wire.Conn, take func(*wire.Message)) {
 	for {
 		m, err := conn.Receive()
 		if err != nil {
+			p.spoilt(err)
 			return
 		}
-		p.Do(func() { p.node.OnAgentMessage(s, m) })
+		p.Do(func() { take(m) })
 	}
 }
+
+func (p *Process) spoilt(err error) { p.Do(func() { p.node.FrameSpoilt(err) }) }
--- a/control/replica/members.go
+++ b/control/replica/members.go
@@ -213,7 +213,7 @@
 }
 
 // handOver gives the lease up once a majority of the others has the newest entry, and has the one of them that was heard
-// last stand at once.
+// last, and doesn't leave too, stand at once.
 func (r *Replica) handOver(now time.Duration) {
 	if len(r.Members()) == 1 {
 		r.leave.done = true
@@ -224,7 +224,8 @@
 	}
 	var next *peer
 	for _, id := range sortedIDs(r.peers) {
-		if p := r.peers[id]; p.stored == r.disk.Entry.Position() && (next == nil || p.heard > next.heard) {
+		p := r.peers[id]
+		if p.stored == r.disk.Entry.Position() && !p.leaves(now) && (next == nil || p.heard > next.heard) {
 			next = p
 		}
 	}
--- a/control/replica/members_test.go
+++ b/control/replica/members_test.go
@@ -142,6 +142,30 @@
 	}
 }
 
+func TestLeavingLeaderHandsOverToOneThatStays(t *testing.T) {
+	for seed := range uint64(30) {
+		s := calmSim(t, seed)
+		leader := s.leader()
+		var other *simNode
+		for _, n := range s.nodes {
+			if n != leader {
+				other = n
+			}
+		}
+		other.replica.StartLeaving(s.now) // and it is still there for a while
+		for !leader.replica.peers[other.member().ID].leaves(s.now) {
+			s.step()
+		}
+		began := s.now
+		s.leave(leader)
+		for s.leader() == nil || s.leader() == leader {
+			s.step()
+			assert.Assert(t, s.now < began+LeaseDuration, "seed %d: nobody leads after %v", seed, s.now-began)
+		}
+		assert.Assert(t, s.leader() != other)
+	}
+}
+
 // What a member held when it was let go stands on a majority of the others: the loss of its disk and of another one
 // loses nothing that was acknowledged.
 func TestLeavingMemberWaitsForThoseThatStay(t *testing.T) {
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -13,6 +13,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ivybank/wire"
 )
 
@@ -134,7 +136,11 @@
 
 // Found makes the entry that a new group starts from. All founders make the same one.
 func Found(members []wire.Member, value []byte) *wire.Entry {
-	return &wire.Entry{Term: 0, Index: 1, Members: members, Value: value}
+	h := xxhash.New()
+	for _, m := range members {
+		_, _ = h.WriteString(m.ID + "\n") // a hash takes all
+	}
+	return &wire.Entry{Term: 0, Index: 1, Members: members, Value: value, Fleet: h.Sum64() | 1}
 }
 
 // scheduleElection sets when this replica stands, unless it hears a leader before.
@@ -176,6 +182,14 @@
 // Newest gives the newest entry, committed or not; nil before the first.
 func (r *Replica) Newest() *wire.Entry { return r.disk.Entry }
 
+// Fleet gives the number of the fleet; 0 before the first entry.
+func (r *Replica) Fleet() uint64 {
+	if r.disk.Entry == nil {
+		return 0
+	}
+	return r.disk.Entry.Fleet
+}
+
 // Members gives the members of the newest entry.
 func (r *Replica) Members() []wire.Member {
 	if r.disk.Entry == nil {
@@ -227,7 +241,8 @@
 
 // appendEntry makes the leader's next entry.
 func (r *Replica) appendEntry(members []wire.Member, value []byte, now time.Duration) Position {
-	e := &wire.Entry{Term: r.disk.Term, Index: r.disk.Entry.Index + 1, Members: members, Value: value}
+	last := r.disk.Entry
+	e := &wire.Entry{Term: r.disk.Term, Index: last.Index + 1, Members: members, Value: value, Fleet: last.Fleet}
 	r.storeEntry(e)
 	r.made[e.Index] = now
 	delete(r.made, e.Index-entriesTimed)
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,15 +19,24 @@
 // Limits of a connection.
 const (
 	MaxFrame          = 16 << 20 // bytes of one frame
-	sendQueue         = 256      // messages that wait for a slow peer
+	sendQueue         = 256      // messages that wait for a slow peer,
+	sendQueueBytes    = 24 << 20 // and bytes of them
 	heartbeatInterval = 300 * time.Millisecond
 	silenceLimit      = 1200 * time.Millisecond // without a byte from the peer
 	writeChunk        = 32 << 10                // bytes for which a peer has silenceLimit
 	frameHeader       = 4
 )
 
-// ErrFrame says that a peer sent something that is no frame of this protocol.
-var ErrFrame = errors.New("wire: malformed frame")
+// What a peer can send that is no frame of this protocol. Each is an ErrFrame.
+var (
+	ErrFrame       = errors.New("wire: malformed frame")
+	ErrOversized   = fmt.Errorf("%w: oversized", ErrFrame)
+	ErrUnknownKind = fmt.Errorf("%w: unknown kind", ErrFrame)
+	ErrNoGreeting  = fmt.Errorf("%w: no greeting", ErrFrame)
+)
+
+// emptyFrame is the size of a heartbeat's body, an empty CBOR map.
+const emptyFrame = 1
 
 // decoder refuses deep nesting and duplicate keys, which no peer of ours sends.
 var decoder = func() cbor.DecMode {
@@ -42,6 +52,7 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	queue  chan *Message
+	queued atomic.Int64 // bytes in the queue, about
 	done   chan struct{}
 	once   sync.Once
 }
@@ -57,6 +68,11 @@
 
 // Send queues a message. A peer that falls too far behind is disconnected; Send then reports false.
 func (c *Conn) Send(m *Message) bool {
+	size := m.size()
+	if had := c.queued.Add(size) - size; had > 0 && had+size > sendQueueBytes {
+		c.Close()
+		return false
+	}
 	select {
 	case <-c.done:
 		return false
@@ -68,6 +84,20 @@
 	}
 }
 
+// size is about what a message takes while it waits: that of its frame, or of the one part that may be large.
+func (m *Message) size() int64 {
+	switch {
+	case m.frame != nil:
+		return int64(len(*m.frame))
+	case m.Append != nil && m.Append.Entry != nil:
+		return int64(len(m.Append.Entry.Value))
+	case m.Config != nil:
+		return int64(len(m.Config.Body))
+	default:
+		return 0
+	}
+}
+
 // Receive waits for the next message that isn't a heartbeat.
 func (c *Conn) Receive() (*Message, error) {
 	for {
@@ -106,6 +136,7 @@
 		case <-idle.C:
 			m = &Message{}
 		}
+		c.queued.Add(-m.size())
 		idle.Reset(heartbeatInterval)
 		frame, err := m.encoded()
 		if err != nil || c.writeFrame(frame) != nil {
@@ -157,7 +188,7 @@
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size > MaxFrame {
-		return nil, fmt.Errorf("%w: %d bytes", ErrFrame, size)
+		return nil, fmt.Errorf("%w: %d bytes", ErrOversized, size)
 	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(r, body); err != nil {
@@ -167,6 +198,9 @@
 	if err := decoder.Unmarshal(body, m); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrFrame, err)
 	}
+	if *m == (Message{}) && size > emptyFrame {
+		return nil, ErrUnknownKind
+	}
 	return m, nil
 }
 
--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -43,11 +43,12 @@
 
 func TestSpoiltFramesEndTheConnectionAlone(t *testing.T) {
 	for name, bytes := range map[string][]byte{
-		"too long":  {0xff, 0xff, 0xff, 0xff},
-		"no cbor":   {0, 0, 0, 2, 0xff, 0xff},
-		"no map":    {0, 0, 0, 1, 0x07},
-		"cut":       {0, 0, 0, 9, 1},
-		"odd types": {0, 0, 0, 4, 0xa1, 0x01, 0x61, 0x61},
+		"too long":     {0xff, 0xff, 0xff, 0xff},
+		"no cbor":      {0, 0, 0, 2, 0xff, 0xff},
+		"no map":       {0, 0, 0, 1, 0x07},
+		"cut":          {0, 0, 0, 9, 1},
+		"odd types":    {0, 0, 0, 4, 0xa1, 0x01, 0x61, 0x61},
+		"unknown kind": {0, 0, 0, 4, 0xa1, 0x18, 0x63, 0x01},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c, peer := pair(t)
@@ -71,3 +72,38 @@
 	_, err = Inflate([]byte("spoilt"))
 	assert.Assert(t, err != nil)
 }
+
+// A peer that doesn't read is disconnected before what waits for it takes much memory; one that reads gets all.
+func TestQueueOfASlowPeerIsBoundedInBytes(t *testing.T) {
+	c, _ := pair(t)
+	large := &Message{Config: &Config{Revision: 1, Body: make([]byte, 8<<20)}}
+	sent := 0
+	for c.Send(large) {
+		sent++
+		assert.Assert(t, sent < 10, "%d messages of 8 MB wait for a peer that doesn't read", sent)
+	}
+	reader, peer := pair(t)
+	other := NewConn(peer)
+	defer other.Close()
+	for range 8 {
+		assert.Assert(t, reader.Send(large))
+		m, err := other.Receive()
+		assert.NilError(t, err)
+		assert.Equal(t, len(m.Config.Body), 8<<20)
+	}
+}
+
+// Each cause of a spoilt frame is told apart.
+func TestCausesOfSpoiltFrames(t *testing.T) {
+	for want, bytes := range map[error][]byte{
+		ErrOversized:   {0xff, 0xff, 0xff, 0xff},
+		ErrUnknownKind: {0, 0, 0, 4, 0xa1, 0x18, 0x63, 0x01},
+		ErrFrame:       {0, 0, 0, 2, 0xff, 0xff},
+	} {
+		c, peer := pair(t)
+		_, err := peer.Write(bytes)
+		assert.NilError(t, err)
+		_, err = c.Receive()
+		assert.ErrorIs(t, err, want)
+	}
+}
--- a/wire/link.go
+++ b/wire/link.go
@@ -96,9 +96,9 @@
 	conn.Send(<-first)
 }
 
-// Serve accepts connections until the context ends, and then ends them all. handle is called with each one in a goroutine of its own,
-// once the peer has said who it is.
-func Serve(ctx context.Context, listener net.Listener, handle func(*Conn, Hello)) {
+// Serve accepts connections until the context ends, and then ends them all. handle is called with each one in a goroutine
+// of its own, once the peer has said who it is; spoilt with what came from one that has not.
+func Serve(ctx context.Context, listener net.Listener, handle func(*Conn, Hello), spoilt func(error)) {
 	defer context.AfterFunc(ctx, func() { listener.Close() })()
 	for {
 		raw, err := listener.Accept()
@@ -117,7 +117,11 @@
 			defer conn.Close()
 			defer context.AfterFunc(ctx, conn.Close)()
 			m, err := conn.Receive()
-			if err != nil || m.Hello == nil {
+			if err == nil && m.Hello == nil {
+				err = ErrNoGreeting
+			}
+			if err != nil {
+				spoilt(err)
 				return
 			}
 			handle(conn, *m.Hello)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -41,6 +41,8 @@
 	Role Role   `cbor:"1,keyasint"`
 	Node string `cbor:"2,keyasint"` // identity: of a control process its member id, else the node's name
 	IP   string `cbor:"3,keyasint"` // address of the machine
+	// Fleet is the number of the fleet that the process belongs to; 0 where it doesn't know yet.
+	Fleet uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Member is one replica of the control state. A replica that lost its disk returns under a new ID.
@@ -66,6 +68,7 @@
 	Index   uint64   `cbor:"2,keyasint"`
 	Members []Member `cbor:"3,keyasint"`
 	Value   []byte   `cbor:"5,keyasint"`
+	Fleet   uint64   `cbor:"6,keyasint"` // drawn from the founders; tells processes of other fleets apart
 }
 
 // Position is where an entry stands in the order; the zero Position for none.
@@ -206,6 +209,7 @@
 	Members []Member `cbor:"1,keyasint"`
 	Routers int      `cbor:"2,keyasint,omitempty"` // routers that there are, by what the sender knows
 	At      Position `cbor:"3,keyasint"`           // the entry that names the members
+	Fleet   uint64   `cbor:"4,keyasint"`           // the fleet that they are of
 }
 
 // QuotaRequest asks the owner of a shard for part of a tenant's limit, in tokens or requests.
