--- a/control/node.go
+++ b/control/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -201,6 +202,9 @@
 		return
 	}
 	before := n.state
+	if before != nil && state.Revision < before.Revision {
+		panic(fmt.Sprintf("control: revision %d is committed after %d", state.Revision, before.Revision))
+	}
 	n.state, n.stateAt = state, committed.Position()
 	if before == nil || before.Revision != state.Revision {
 		n.log.Info("configuration committed", "revision", state.Revision, "entry", committed.Index)
