Only answers to the newest requests of a connection are skipped as surplus

Cause: any whole answer with a foreign id was skipped, so where a host gave another request's answer in the place of its own, the client was held until its deadline (TestWholePath: 504 after 1.5 s for 502 at once). Change: a connection knows the ids of its last four requests; an answer to any other one is spoilt, at once. Tests: TestWholePath, TestSurplusAnswers, TestErrorsOfHosts.

--- a/router/upstream/exchange.go
+++ b/router/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -28,14 +29,15 @@
 	writtenAside   = 16 << 10
 	mostInterim    = 8        // interim answers to one request
 	mostSurplus    = 2        // answers to earlier requests that are skipped
+	requestsKept   = 4        // requests of a connection, answers to which are known to be surplus
 	largestSurplus = 64 << 10 // bytes of one
 )
 
 // Do sends a request and reads the head of the answer. An error is always an *Error. The answer's body has to be read
 // by the caller, until the deadline that is set here.
 //
-// An answer belongs to the request whose id it echoes. One to an earlier request, which came late or twice, is skipped;
-// one without the id may be anybody's.
+// An answer belongs to the request whose id it echoes. One to an earlier request on this connection, which came late or
+// twice, is skipped; any other one, and one without the id, may be anybody's.
 func (c *Conn) Do(q *Request, deadline time.Time) (*http.Response, error) {
 	if err := c.raw.SetDeadline(deadline); err != nil {
 		return nil, &Error{NotSent, err}
@@ -45,6 +47,7 @@
 		return nil, err
 	}
 	answer, err := c.readAnswer(q)
+	c.served = append(c.served[max(0, len(c.served)+1-requestsKept):], q.Header.Get(IDHeader))
 	if written != nil && !written.isDone() {
 		c.Retire() // the host has not read the whole request, so the next one can't follow on this connection
 	}
@@ -104,7 +107,7 @@
 			return answer, nil
 		case id == "":
 			return nil, spoilt("no request id")
-		case surplus >= mostSurplus || !skip(answer):
+		case surplus >= mostSurplus || !slices.Contains(c.served, id) || !skip(answer):
 			return nil, spoilt("of request %q", id)
 		default:
 			surplus++
--- a/router/upstream/pool.go
+++ b/router/upstream/pool.go
@@ -60,6 +60,7 @@
 	rest    time.Duration // for which it may rest
 	release func() bool   // ends the bond to the request that it is used for; see bind
 	retired bool          // it serves no further request
+	served  []string      // ids of the newest requests that it has served
 }
 
 // Retire has a connection serve no further request. Only the request that uses it may say so.
