--- a/router/crossing_test.go
+++ b/router/crossing_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -507,6 +508,40 @@
 	return &config.Tenant{Name: "t", RatePerS: rate, Burst: rate}
 }
 
+// A host begins its answer just as the watch gives it up, and no other one takes the request: the client gets a whole
+// answer or an error in its place, but never the beginning of one.
+func TestAnswerThatBeginsAsItsHostIsGivenUp(t *testing.T) {
+	const routers, requests = 64, 10
+	var all sync.WaitGroup
+	for router := range routers {
+		var turns atomic.Int64
+		handle := func(q *turn) bool {
+			if turns.Add(1) > 1 {
+				q.write("HTTP/1.1 503 Full\r\nRequest-Id: " + q.id() + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+				return true
+			}
+			// About when the watch ends, which is 250 ms after the request.
+			time.Sleep(250*time.Millisecond + time.Duration(router-routers/2)*20*time.Microsecond)
+			q.write(fmt.Sprintf(streamHead, q.id(), q.host.id))
+			time.Sleep(5 * time.Millisecond)
+			q.write(chunk(eventsFrom(1, 7)) + "0\r\n\r\n")
+			return true
+		}
+		_, server := newCrossing(t, newRawHost(t, "h1", handle), newRawHost(t, "h2", handle))
+		all.Go(func() {
+			for i := range requests {
+				got := post(t, t.Context(), server, "/stream/x", fmt.Sprint("r", i), nil)
+				if got.broken || got.status == http.StatusOK && got.body != eventsFrom(1, 7) {
+					t.Errorf("router %d, request %d: %+v", router, i, got)
+				}
+				time.Sleep(110 * time.Millisecond) // the one that was full is passed over for a moment
+				turns.Store(0)
+			}
+		})
+	}
+	all.Wait()
+}
+
 // A stream ends well just as its successor begins. Its connection is closed by the watch then, and must not serve others.
 func TestStreamThatEndsAsItsSuccessorBegins(t *testing.T) {
 	for round := range 10 {
--- a/router/forward.go
+++ b/router/forward.go
@@ -43,6 +43,9 @@
 	contentTypeHeader = "Content-Type"
 )
 
+// errGivenUp says that a silent host began its answer just as another one was to be tried.
+var errGivenUp = errors.New("router: the host was given up as its answer began")
+
 // exchange is one client's request on its way.
 type exchange struct {
 	router   *Router
@@ -236,8 +239,9 @@
 	}
 	stopWatch := x.watchHead(a, conn)
 	answer, err := conn.Do(x.outgoing(a), x.deadline)
-	if !stopWatch() {
-		conn.Retire() // the watch is closing it, perhaps only now
+	if !stopWatch() && err == nil {
+		// The watch is closing the connection, perhaps only now: the rest of the answer would not come.
+		err = &upstream.Error{Verdict: upstream.MayHaveRun, Err: errGivenUp}
 	}
 	if err != nil {
 		conn.Close()
