--- a/control/node.go
+++ b/control/node.go
@@ -86,13 +86,14 @@
 
 // Dropped counts messages that were not taken, by cause.
 type Dropped struct {
-	EarlierLife int64 `json:"earlier_life"` // answers to requests of an earlier life of this process
-	NotMember   int64 `json:"not_member"`   // requests for leases of processes that are no members
-	OtherFleet  int64 `json:"other_fleet"`  // connections of processes of other fleets
-	Oversized   int64 `json:"oversized"`    // frames that are too long,
-	UnknownKind int64 `json:"unknown_kind"` // hold no message that is known,
-	NoGreeting  int64 `json:"no_greeting"`  // come from one that has not said who it is,
-	Malformed   int64 `json:"malformed"`    // or can't be read; each ends its connection
+	EarlierLife   int64 `json:"earlier_life"`    // answers to requests of an earlier life of this process
+	NotMember     int64 `json:"not_member"`      // requests for leases of processes that are no members
+	QuotaNotOwned int64 `json:"quota_not_owned"` // draws from limits of other owners or unknown tenants
+	OtherFleet    int64 `json:"other_fleet"`     // connections of processes of other fleets
+	Oversized     int64 `json:"oversized"`       // frames that are too long,
+	UnknownKind   int64 `json:"unknown_kind"`    // hold no message that is known,
+	NoGreeting    int64 `json:"no_greeting"`     // come from one that has not said who it is,
+	Malformed     int64 `json:"malformed"`       // or can't be read; each ends its connection
 }
 
 // FrameSpoilt counts a frame that ended its connection. Connections that just end are none.
--- a/control/shards.go
+++ b/control/shards.go
@@ -173,6 +173,9 @@
 	s, now := n.shards[q.Shard], n.now()
 	tenant := n.tenants[q.Tenant]
 	if s.limits == nil || !s.holder.Holds(now) || tenant == nil {
+		n.dropped.QuotaNotOwned++
+		n.log.Info("limit not answered for", "shard", q.Shard, "tenant", q.Tenant, "owner", s.limits != nil && s.holder.Holds(now),
+			"known", tenant != nil)
 		return
 	}
 	granted, wait := s.limits.Take(q.Tenant, quota.LimitOf(tenant, &n.settings.Bounds), q.Need, q.Want, now)
--- a/router/limit.go
+++ b/router/limit.go
@@ -56,6 +56,7 @@
 	number   uint64
 	awayTill [hostlist.Shards]time.Duration // owners that didn't answer aren't asked until then
 	routers  []routersSeen
+	figures  map[string]*limitFigures // by tenant, since they were taken last
 }
 
 type routersSeen struct {
@@ -65,7 +66,7 @@
 
 func newLimiter(s *settings.Settings) *limiter {
 	return &limiter{router: s.NodeName, life: wire.NewLife(), start: time.Now(), accounts: map[string]*account{},
-		waiting: map[uint64]chan *wire.QuotaGrant{}}
+		waiting: map[uint64]chan *wire.QuotaGrant{}, figures: map[string]*limitFigures{}}
 }
 
 // connect tells how owners are reached.
@@ -97,23 +98,27 @@
 	now := l.now()
 	a := l.account(t, now)
 	a.demand += cost / demandSpan
+	f := l.figuresOf(t.Name)
 	if a.held >= cost {
 		a.held -= cost
+		f.AheadUse += cost
 		l.mu.Unlock()
 		return true, 0
 	}
 	if now < a.emptyTill {
 		wait := a.emptyTill - now
+		f.RefusedOwner++
 		l.mu.Unlock()
 		return false, min(max(wait, shortestRetry), longestRetry)
 	}
 	need := cost - a.held
 	if now < l.awayTill[shard] {
-		ok := a.withoutOwner(cost)
+		ok := a.withoutOwner(cost, f)
 		l.mu.Unlock()
 		return ok, unownedRetry
 	}
 	a.held = 0
+	f.Asked++
 	l.number++
 	number, answer := l.number, make(chan *wire.QuotaGrant, 1)
 	l.waiting[number] = answer
@@ -144,17 +149,21 @@
 	defer l.mu.Unlock()
 	delete(l.waiting, number)
 	now := l.now()
-	a := l.account(t, now)
+	a, f := l.account(t, now), l.figuresOf(t.Name)
 	switch {
 	case grant == nil:
+		f.Unanswered++
 		a.held += cost - need
 		l.awayTill[hostlist.ShardOf(t.Name)] = now + ownerPause
-		return a.withoutOwner(cost), unownedRetry
+		return a.withoutOwner(cost, f), unownedRetry
 	case grant.Granted >= need:
 		a.held += grant.Granted - need
 		a.heldUntil = now + heldFor
+		f.OwnerUse += need
+		f.AheadUse += cost - need
 		return true, 0
 	default:
+		f.RefusedOwner++
 		a.held += cost - need
 		wait := time.Duration(grant.WaitMS) * time.Millisecond
 		a.emptyTill = now + wait
@@ -186,6 +195,7 @@
 	a := l.account(t, now)
 	a.held += cost
 	a.heldUntil = now + heldFor
+	l.figuresOf(t.Name).GivenBack += cost
 }
 
 // account gives a tenant's account, brought up to now.
@@ -216,11 +226,13 @@
 }
 
 // withoutOwner takes from the part of the limit that needs no owner; it may fall below 0 by one request.
-func (a *account) withoutOwner(cost float64) bool {
+func (a *account) withoutOwner(cost float64, f *limitFigures) bool {
 	if a.unowned <= 0 {
+		f.RefusedAbsent++
 		return false
 	}
 	a.unowned -= cost
+	f.LocalUse += cost
 	return true
 }
 
