Owners that follow one long in office begin with a start amount; a larger part of the tolerance for the time without an owner

Change: members remember, over restarts on their disks, that a holder was long in office, and vouch for the next one once; a majority of vouches within the first second lets its buckets begin with a start amount, which so comes once in a window at most. Spare amounts come from a bucket of their own at the owner.

--- a/control/environment.go
+++ b/control/environment.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ivybank/control/lease"
 	"ivybank/control/replica"
 	"ivybank/wire"
 )
@@ -16,6 +17,9 @@
 	Do(event func())
 	// Save starts a write; Node.Saved is called once it is on disk. There is one at a time.
 	Save(s *replica.Save)
+	// SaveTenures starts a write of what the leases' granter remembers; Node.TenuresSaved is called with its outcome. There is
+	// one at a time.
+	SaveTenures(t lease.Tenures)
 	// OpenLink keeps a connection to the control process at an address.
 	OpenLink(ip string, hello wire.Hello, events wire.LinkEvents) wire.OpenLink
 	// ReadHosts reads the platform's list; Node.HostsRead is called with the outcome.
--- a/control/identity.go
+++ b/control/identity.go
@@ -16,39 +16,50 @@
 // loadDisk gives who this process is and what it has stored. At the very first start the machines of the seeds found the
 // group; any other process with an empty disk is new, also one at a founder's address. A disk on which a file is spoilt
 // that was whole once counts as lost: what it held can't be told, so this is a new process.
-func loadDisk(s *settings.Settings, folder *store.Folder, random *rand.Rand, log hclog.Logger) (store.Identity, replica.Disk, error) {
+func loadDisk(s *settings.Settings, folder *store.Folder, random *rand.Rand, log hclog.Logger) (stored, error) {
 	bootstrap := s.Bootstrap
-	identity, disk, err := readDisk(folder)
+	disk, err := readDisk(folder)
 	if errors.Is(err, store.ErrDamaged) {
 		log.Error("disk spoilt, its files are set aside and a new identity is taken", "error", err)
 		if err := folder.SetAside(); err != nil {
-			return identity, disk, err
+			return disk, err
 		}
 		bootstrap = false // it may have voted as a founder
-		identity, disk, err = readDisk(folder)
+		disk, err = readDisk(folder)
 	}
 	if err != nil {
-		return identity, disk, err
+		return disk, err
 	}
-	if identity.ID == "" {
-		identity = newIdentity(s, bootstrap, random)
-		if err := folder.SaveIdentity(identity); err != nil {
-			return identity, disk, err
+	if disk.identity.ID == "" {
+		disk.identity = newIdentity(s, bootstrap, random)
+		if err := folder.SaveIdentity(disk.identity); err != nil {
+			return disk, err
 		}
 	}
-	if disk.Entry == nil && len(identity.Founders) > 0 {
-		disk.Entry = replica.Found(identity.Founders, nil)
+	if disk.replica.Entry == nil && len(disk.identity.Founders) > 0 {
+		disk.replica.Entry = replica.Found(disk.identity.Founders, nil)
 	}
-	return identity, disk, nil
+	return disk, nil
 }
 
-func readDisk(folder *store.Folder) (store.Identity, replica.Disk, error) {
-	identity, _, err := folder.Identity()
-	if err != nil {
-		return store.Identity{}, replica.Disk{}, err
+// stored is what a control process finds on its disk.
+type stored struct {
+	identity store.Identity
+	replica  replica.Disk
+	tenures  []string
+}
+
+func readDisk(folder *store.Folder) (disk stored, err error) {
+	if disk.identity, _, err = folder.Identity(); err != nil {
+		return stored{}, err
+	}
+	if disk.replica, err = folder.Load(); err != nil {
+		return stored{}, err
+	}
+	if disk.tenures, err = folder.Tenures(); err != nil {
+		return stored{}, err
 	}
-	disk, err := folder.Load()
-	return identity, disk, err
+	return disk, nil
 }
 
 // newIdentity is that of a process with an empty disk.
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -15,12 +15,14 @@
 	Margin        = 100 * time.Millisecond
 	RenewInterval = 150 * time.Millisecond
 	saltBits      = 16                     // of a fencing number, which tell holders apart whose members had forgotten the last one
+	firstRenewal  = 30 * time.Millisecond  // after the lease was won: by then members may vouch
 	rankDelay     = 150 * time.Millisecond // by which each further candidate waits longer for a free resource
 )
 
 type grant struct {
 	holder  string
 	term    uint64
+	since   time.Duration
 	expires time.Duration
 }
 
@@ -28,11 +30,13 @@
 type Granter struct {
 	grants   map[string]*grant
 	notUntil time.Duration
+	tenures  tenures
 }
 
-// NewGranter makes a granter that has just started.
-func NewGranter(now time.Duration) *Granter {
-	return &Granter{grants: map[string]*grant{}, notUntil: now + Duration}
+// NewGranter makes a granter that has just started. A holder is long in office after the span; long are the resources of
+// which its disk says so.
+func NewGranter(span time.Duration, long []string, now time.Duration) *Granter {
+	return &Granter{grants: map[string]*grant{}, notUntil: now + Duration, tenures: newTenures(span, long)}
 }
 
 // Pause keeps new holders out for as long as a lease that others granted may last.
@@ -57,12 +61,13 @@
 		}
 	case same && now < held.expires:
 		held.expires, reply.Granted = now+Duration, true
-	case held.holder == q.Holder && q.Term > held.term && now < held.expires:
-		held.term, held.expires, reply.Granted = q.Term, now+Duration, true
-	case now >= held.expires && now >= g.notUntil && q.Term > held.term:
-		*held, reply.Granted = grant{q.Holder, q.Term, now + Duration}, true
+		g.tenures.renew(q.Resource, now-held.since)
+	case held.holder == q.Holder && q.Term > held.term && now < held.expires,
+		now >= held.expires && now >= g.notUntil && q.Term > held.term:
+		*held, reply.Granted = grant{holder: q.Holder, term: q.Term, since: now, expires: now + Duration}, true
+		g.tenures.begin(q.Resource)
 	}
-	reply.Term = held.term
+	reply.Term, reply.Vouches = held.term, reply.Granted && g.tenures.vouchesFor(q.Resource)
 	return reply
 }
 
@@ -92,7 +97,8 @@
 	askedAt  time.Duration
 	nextAsk  time.Duration
 	granted  map[string]bool
-	freeAt   time.Duration // since when it seems free; for the delay by rank
+	vouched  map[string]bool // members that do so for this term
+	freeAt   time.Duration   // since when it seems free; for the delay by rank
 }
 
 // NewHolder makes the side of one candidate in one life of its process. Lives differ, as by chance; so do the low bits of
@@ -132,6 +138,7 @@
 	if !h.holding || h.term < h.floor {
 		h.term = (max(h.highest, h.floor)>>saltBits+1)<<saltBits | h.salt
 		h.highest = h.term
+		h.vouched = map[string]bool{}
 	}
 	h.asking = true
 	h.round++
@@ -158,12 +165,23 @@
 		return true
 	}
 	h.granted[from] = true
+	if p.Vouches {
+		h.vouched[from] = true
+	}
 	if enough(func(id string) bool { return h.granted[id] }) {
+		if !h.holding {
+			h.nextAsk = min(h.nextAsk, now+firstRenewal)
+		}
 		h.holding, h.asking, h.until = true, false, h.askedAt+Duration-Margin
 	}
 	return true
 }
 
+// FollowsLongTenure says whether enough members vouch that no other holder of late has followed one long in office.
+func (h *Holder) FollowsLongTenure(enough Quorum) bool {
+	return enough(func(id string) bool { return h.vouched[id] })
+}
+
 // concede frees what members granted in a round that wasn't won, so that another candidate may win.
 func (h *Holder) concede(now time.Duration) *wire.LeaseRequest {
 	h.asking, h.freeAt, h.nextAsk = false, now, now+RenewInterval
--- a/control/lease/lease_test.go
+++ b/control/lease/lease_test.go
@@ -22,8 +22,21 @@
 	cut      [][]time.Duration
 	owners   map[uint64]int
 	late     bool // messages may be held up for long
+	disks    []*tenureDisk
 }
 
+// tenureDisk is where a granter's tenures are kept.
+type tenureDisk struct {
+	kept    []string
+	writing *Tenures
+	doneAt  time.Duration
+}
+
+const (
+	testSpan    = 4 * time.Second // after which a holder is long in office
+	startWithin = time.Second     // of its first moment, in which one may be told that it follows such a holder
+)
+
 type post struct {
 	due      time.Duration
 	from, to int
@@ -36,8 +49,9 @@
 func newGroup(seed uint64, size int) *group {
 	g := &group{random: rand.New(rand.NewPCG(seed, 3)), owners: map[uint64]int{}}
 	for i := range size {
-		g.granters = append(g.granters, NewGranter(0))
+		g.granters = append(g.granters, NewGranter(testSpan, nil, 0))
 		g.holders = append(g.holders, g.holder(i))
+		g.disks = append(g.disks, &tenureDisk{})
 		g.cut = append(g.cut, make([]time.Duration, size))
 	}
 	g.down = make([]time.Duration, size)
@@ -73,8 +87,26 @@
 	}
 }
 
+// writeDisks has tenures kept some milliseconds after they have changed.
+func (g *group) writeDisks() {
+	for i, d := range g.disks {
+		if g.down[i] > g.now {
+			continue
+		}
+		if d.writing != nil && g.now >= d.doneAt {
+			d.kept = d.writing.Long
+			g.granters[i].TenuresSaved(*d.writing)
+			d.writing = nil
+		}
+		if unsaved, ok := g.granters[i].UnsavedTenures(); ok && d.writing == nil {
+			d.writing, d.doneAt = &unsaved, g.now+time.Duration(1+g.random.IntN(200))*time.Millisecond
+		}
+	}
+}
+
 func (g *group) step() (holding []int) {
 	g.now += 5 * time.Millisecond
+	g.writeDisks()
 	for i, h := range g.holders {
 		if g.down[i] > g.now {
 			continue
@@ -110,14 +142,26 @@
 	return holding
 }
 
+func (g *group) kill(i int, until time.Duration) {
+	d := g.disks[i]
+	if d.writing != nil && g.random.IntN(2) == 0 {
+		d.kept = d.writing.Long
+	}
+	d.writing = nil
+	if g.random.IntN(5) == 0 {
+		d.kept = nil // a lost disk
+	}
+	g.down[i] = until
+	g.granters[i] = NewGranter(testSpan, d.kept, until)
+	g.holders[i] = g.holder(i)
+}
+
 func (g *group) harm() {
 	i, j := g.random.IntN(len(g.holders)), g.random.IntN(len(g.holders))
 	until := g.now + time.Duration(g.random.IntN(2500))*time.Millisecond
 	switch g.random.IntN(3) {
-	case 0: // killed: it forgets all
-		g.down[i] = until
-		g.granters[i] = NewGranter(until)
-		g.holders[i] = g.holder(i)
+	case 0: // killed: it forgets all but what its disk has kept
+		g.kill(i, until)
 	case 1:
 		g.cut[i][j] = until
 	case 2:
--- /dev/null
+++ b/control/lease/tenure_test.go
@@ -0,0 +1,129 @@
+package lease
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivybank/wire"
+)
+
+// TestStartsAreFarApart has holders follow each other in all ways, over kills of some and of all, lost disks, cuts and late
+// messages. Two that are told within their first second that they follow one long in office are that far apart.
+func TestStartsAreFarApart(t *testing.T) {
+	told := 0
+	for seed := range uint64(120) {
+		g := newGroup(seed, 3+2*int(seed%2))
+		g.late = seed%4 > 1
+		began := map[uint64]time.Duration{} // by term, when it was held first
+		starts := map[uint64]bool{}
+		last := -time.Minute
+		for g.now < 60*time.Second {
+			if g.random.IntN(1500) == 0 {
+				for range 1 + g.random.IntN(4) {
+					g.harm()
+				}
+				if g.random.IntN(3) == 0 {
+					for i := range g.holders {
+						g.kill(i, g.now+time.Duration(g.random.IntN(1500))*time.Millisecond)
+					}
+				}
+			}
+			for _, i := range g.step() {
+				h := g.holders[i]
+				if _, had := began[h.Term()]; !had {
+					began[h.Term()] = g.now
+				}
+				if starts[h.Term()] || g.now > began[h.Term()]+startWithin || !h.FollowsLongTenure(g.enough) {
+					continue
+				}
+				starts[h.Term()] = true
+				apart := testSpan - startWithin - Duration
+				assert.Assert(t, g.now-last >= apart, "seed %d at %v: a start %v after the one before", seed, g.now, g.now-last)
+				last = g.now
+				told++
+			}
+		}
+	}
+	assert.Assert(t, told > 60, "%d starts in all", told)
+}
+
+// TestStartAfterALongTenure follows one holder through its loss, over what members remember and what their disks have kept.
+func TestStartAfterALongTenure(t *testing.T) {
+	for name, lose := range map[string]func(g *group, holder int){
+		"one is killed": func(g *group, holder int) { g.kill(holder, g.now+time.Second) },
+		"all are killed": func(g *group, _ int) {
+			for i := range g.granters {
+				kept := g.disks[i].kept
+				g.kill(i, g.now+time.Second)
+				g.granters[i] = NewGranter(testSpan, kept, g.now+time.Second)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(3, 3)
+			for g.now < 2*testSpan {
+				g.step()
+			}
+			holder := g.step()[0]
+			lose(g, holder)
+			began := g.now
+			holding := []int{}
+			for len(holding) == 0 && g.now < began+5*time.Second {
+				holding = g.step()
+			}
+			next := g.holders[holding[0]]
+			won := g.now
+			for !next.FollowsLongTenure(g.enough) && g.now < won+startWithin {
+				g.step()
+			}
+			assert.Assert(t, g.now < won+startWithin, "it is told within the first second")
+			g.kill(holding[0], g.now+100*time.Millisecond) // and lost at once
+			for holding = nil; len(holding) == 0; {
+				holding = g.step()
+			}
+			for won = g.now; g.now < won+startWithin; g.step() {
+				assert.Assert(t, !g.holders[holding[0]].FollowsLongTenure(g.enough), "the one before was not long in office")
+			}
+		})
+	}
+}
+
+// TestMemberVouchesOnceItsDiskHasForgotten asks one member.
+func TestMemberVouchesOnceItsDiskHasForgotten(t *testing.T) {
+	g := NewGranter(testSpan, []string{resource}, 0)
+	ask := func(term uint64, now time.Duration) *wire.LeaseReply {
+		return g.Answer(&wire.LeaseRequest{Resource: resource, Holder: strconv.FormatUint(term, 10), Term: term}, now)
+	}
+	_, unsaved := g.UnsavedTenures()
+	assert.Assert(t, !unsaved)
+	now := Duration
+	reply := ask(1, now)
+	assert.Assert(t, reply.Granted && !reply.Vouches)
+	change, unsaved := g.UnsavedTenures()
+	assert.Assert(t, unsaved && len(change.Long) == 0)
+	assert.Assert(t, !ask(1, now).Vouches, "as long as its disk would say so again")
+	g.TenuresSaved(change)
+	assert.Assert(t, ask(1, now).Vouches)
+	assert.Assert(t, !ask(2, now).Vouches, "another one, which is refused")
+	now += 2 * Duration
+	reply = ask(3, now)
+	assert.Assert(t, reply.Granted && !reply.Vouches, "the one before was not long in office")
+	for end := now + testSpan; now < end; now += RenewInterval {
+		reply = ask(3, now)
+		assert.Assert(t, reply.Granted && !reply.Vouches)
+	}
+	ask(3, now)
+	change, unsaved = g.UnsavedTenures()
+	assert.Assert(t, unsaved)
+	assert.DeepEqual(t, change.Long, []string{resource})
+	later := ask(4, now+2*Duration)
+	assert.Assert(t, later.Granted && !later.Vouches)
+	g.TenuresSaved(change) // the older write is no word of the newer change
+	assert.Assert(t, !ask(4, now+2*Duration).Vouches)
+	change, _ = g.UnsavedTenures()
+	g.TenuresSaved(change)
+	assert.Assert(t, ask(4, now+2*Duration).Vouches)
+}
--- a/control/node.go
+++ b/control/node.go
@@ -28,6 +28,7 @@
 	// that replaces one has sync_s from its start, which is no earlier than the silence: the rest is left for the change.
 	silenceShare    = 0.5
 	shortestSilence = 1200 * time.Millisecond
+	tenurePause     = 500 * time.Millisecond // after a write that failed
 )
 
 // parser reads and checks an operator's configuration.
@@ -62,6 +63,8 @@
 	feedMessage *wire.Message
 
 	granter   *lease.Granter
+	tenuresOn bool          // a write of what it remembers is under way
+	tenuresAt time.Duration // none is tried before
 	shards    [hostlist.Shards]*shard
 	reading   bool
 	readAt    time.Duration
@@ -81,6 +84,7 @@
 	Log      hclog.Logger
 	Identity store.Identity
 	Disk     replica.Disk
+	Tenures  []string // resources whose holder was long in office
 	Random   *rand.Rand
 }
 
@@ -118,7 +122,7 @@
 	self := wire.Member{ID: from.Identity.ID, IP: s.IP}
 	group := replica.Group{Target: 2*s.Tolerate.Machines + 1, MemberSilence: memberSilence(s)}
 	n.replica = replica.New(self, group, from.Disk, from.Random, n.now())
-	n.granter = lease.NewGranter(n.now())
+	n.granter = lease.NewGranter(longTenure(s), from.Tenures, n.now())
 	for i := range n.shards {
 		n.shards[i] = newShard(uint32(i), self.ID, n.life, n.now())
 	}
@@ -170,6 +174,7 @@
 			n.env.Save(s)
 		}
 	}
+	n.saveTenures()
 	n.followMembers()
 	n.followCommit()
 	n.sendMessages() // of what was proposed upon the commit
@@ -182,6 +187,27 @@
 	n.replica.Saved(s, n.now())
 }
 
+// saveTenures writes what the granter remembers, where it isn't on disk.
+func (n *Node) saveTenures() {
+	if n.tenuresOn || n.now() < n.tenuresAt {
+		return
+	}
+	if t, unsaved := n.granter.UnsavedTenures(); unsaved {
+		n.tenuresOn = true
+		n.env.SaveTenures(t)
+	}
+}
+
+// TenuresSaved tells how that write ended. One that failed is tried again after a while.
+func (n *Node) TenuresSaved(t lease.Tenures, err error) {
+	n.tenuresOn = false
+	if err != nil {
+		n.tenuresAt = n.now() + tenurePause
+		return
+	}
+	n.granter.TenuresSaved(t)
+}
+
 // sendMessages sends what the replica has to say to others.
 func (n *Node) sendMessages() {
 	for _, e := range n.replica.TakeMessages() {
--- a/control/process.go
+++ b/control/process.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"ivybank/control/hostlist"
+	"ivybank/control/lease"
 	"ivybank/control/replica"
 	"ivybank/control/store"
 	"ivybank/membership"
@@ -22,6 +23,7 @@
 const (
 	tickInterval   = 25 * time.Millisecond
 	eventQueue     = 1024
+	writeQueue     = 2 // one of each kind
 	saveRetryPause = 100 * time.Millisecond
 	// leaveShare is the part of the time before the platform's SIGKILL for which a process waits, once it has to stop,
 	// until the others have what was acknowledged.
@@ -38,7 +40,7 @@
 	start    time.Time
 	events   chan func()
 	folder   *store.Folder
-	saves    chan *replica.Save
+	writes   chan func() // to the disk, one at a time
 	reader   *hostlist.Reader
 	from     Start
 	node     *Node
@@ -56,13 +58,13 @@
 		return nil, err
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	identity, disk, err := loadDisk(s, folder, random, log)
+	disk, err := loadDisk(s, folder, random, log)
 	if err != nil {
 		return nil, err
 	}
 	return &Process{settings: s, log: log, start: time.Now(), events: make(chan func(), eventQueue), folder: folder,
-		saves: make(chan *replica.Save, 1), reader: hostlist.NewReader(s.Cloud.Address),
-		from: Start{Settings: s, Log: log, Identity: identity, Disk: disk, Random: random}}, nil
+		writes: make(chan func(), writeQueue), reader: hostlist.NewReader(s.Cloud.Address),
+		from: Start{Settings: s, Log: log, Identity: disk.identity, Disk: disk.replica, Tenures: disk.tenures, Random: random}}, nil
 }
 
 // Run serves until the context ends, then gives up what it holds. Settings that come over reloads replace the old.
@@ -90,7 +92,7 @@
 	go p.peers.Run(ctx)
 	go wire.Serve(ctx, internal, p.accept, p.spoilt)
 	go newOperatorHandler(p.node).serve(operator)
-	go p.writeSaves(ctx)
+	go p.writeToDisk(ctx)
 	p.loop(stopped, reloads)
 	return nil
 }
@@ -133,7 +135,20 @@
 func (p *Process) Do(event func()) { p.events <- event }
 
 // Save hands a write to the writer.
-func (p *Process) Save(s *replica.Save) { p.saves <- s }
+func (p *Process) Save(s *replica.Save) {
+	p.writes <- func() {
+		p.writeUntilDone(s)
+		p.Do(func() { p.node.Saved(s) })
+	}
+}
+
+// SaveTenures hands a write to the writer.
+func (p *Process) SaveTenures(t lease.Tenures) {
+	p.writes <- func() {
+		err := p.folder.SaveTenures(t.Long)
+		p.Do(func() { p.node.TenuresSaved(t, err) })
+	}
+}
 
 // KnownControls gives the control processes that peers have told of.
 func (p *Process) KnownControls() []string { return p.peers.ControlIPs() }
@@ -154,15 +169,14 @@
 	}()
 }
 
-// writeSaves writes to the disk, one save at a time, until each is done.
-func (p *Process) writeSaves(ctx context.Context) {
+// writeToDisk carries out writes, one at a time.
+func (p *Process) writeToDisk(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case s := <-p.saves:
-			p.writeUntilDone(s)
-			p.Do(func() { p.node.Saved(s) })
+		case write := <-p.writes:
+			write()
 		}
 	}
 }
--- a/control/quota/owner.go
+++ b/control/quota/owner.go
@@ -33,25 +33,36 @@
 }
 
 type bucket struct {
-	level    float64 // never below 0
-	at       time.Duration
-	capacity float64
-	largest  float64 // request of late
+	limit   Limit   // by which it was filled last
+	level   float64 // never below 0
+	spare   float64 // likewise, of what routers may use while no owner answers
+	at      time.Duration
+	largest float64 // request of late
 }
 
 // Owner keeps the buckets of one shard's limits.
 type Owner struct {
 	buckets map[string]*bucket
 	since   time.Duration
-	sweepAt int // number of buckets
+	started bool // buckets have got their start amount
+	sweepAt int  // number of buckets
 }
 
 // NewOwner makes an owner that has just taken over. Its buckets are empty, as what the one before it gave out is not
-// known: so any number of owners in a row grant no more than one would.
+// known: so any number of owners in a row grant no more than one would, but for the start amounts.
 func NewOwner(now time.Duration) *Owner {
 	return &Owner{buckets: map[string]*bucket{}, since: now, sweepAt: leastSweep}
 }
 
+// AddStart puts the start amount of each limit in. To be called once at most, for an owner that follows one long in office.
+func (o *Owner) AddStart(now time.Duration) {
+	o.started = true
+	for name, b := range o.buckets {
+		o.bucket(name, b.limit, now)
+		b.level = min(b.level+b.limit.Start, b.limit.Capacity)
+	}
+}
+
 // Take draws from a bucket: all that is needed, and up to what is wanted where there is plenty; or nothing. A
 // request is let in once the bucket holds as much as the largest ones of late, so that small ones don't keep it too empty
 // for them.
@@ -68,7 +79,9 @@
 	ahead := min(max(0, ask.Want-ask.Need), (b.level-ask.Need)*aheadPart)
 	amount := ask.Need + ahead
 	b.level -= amount
-	return Grant{Amount: amount, Spare: l.SparePart * amount, Valid: l.Validity}
+	spare := min(sparePart*amount, b.spare)
+	b.spare -= spare
+	return Grant{Amount: amount, Spare: spare, Valid: l.Validity}
 }
 
 // wait is how long a bucket takes to gain an amount.
@@ -85,12 +98,16 @@
 	if b == nil {
 		o.sweep()
 		b = &bucket{at: o.since}
+		if o.started {
+			b.level = l.Start
+		}
 		o.buckets[name] = b
 	}
 	passed := max(0, (now - b.at).Seconds())
 	b.level = min(b.level+l.Rate*passed, l.Capacity)
+	b.spare = min(b.spare+l.SpareRate*passed, l.SpareCapacity)
 	b.largest = min(b.largest*math.Exp(-passed/costMemory.Seconds()), l.Capacity/2)
-	b.at, b.capacity = max(b.at, now), l.Capacity
+	b.at, b.limit = max(b.at, now), l
 	return b
 }
 
@@ -100,7 +117,7 @@
 		return
 	}
 	for name, b := range o.buckets {
-		if b.level >= b.capacity {
+		if b.level >= b.limit.Capacity {
 			delete(o.buckets, name)
 		}
 	}
--- a/control/quota/owner_test.go
+++ b/control/quota/owner_test.go
@@ -29,13 +29,13 @@
 				for _, slack := range []float64{0, 50, 110_000} {
 					b := settings.Bounds{QuotaWindowS: window.Seconds(), QuotaOverage: overage, QuotaSlack: slack}
 					l := LimitOf(tenant(rate, burst), &b)
-					owners := l.Capacity + rate*(window+l.Validity).Seconds()
-					spare := l.SparePart * (l.Capacity + rate*(window+l.Validity+SpareLife).Seconds())
+					owners := l.Capacity + l.Start + rate*(window+l.Validity).Seconds()
+					spare := l.SpareCapacity + l.SpareRate*(window+l.Validity+SpareLife).Seconds()
 					allowed := (rate*window.Seconds()+burst)*(1+overage) + slack
 					name := fmt.Sprintf("rate %v, burst %v, overage %v, slack %v: %+v", rate, burst, overage, slack, l)
 					assert.Assert(t, owners+spare <= allowed*(1+1e-9), "%s: %v + %v of %v", name, owners, spare, allowed)
 					assert.Assert(t, math.Abs(l.Allowance-allowed) <= allowed*1e-9, name)
-					assert.Assert(t, l.Capacity >= 0 && l.SparePart >= 0 && l.Validity > 0, name)
+					assert.Assert(t, l.Capacity >= 0 && l.Start >= 0 && l.SpareRate >= 0 && l.Validity > 0, name)
 					if overage >= 0.1 {
 						assert.Assert(t, l.Capacity >= burst, "%s: a burst within the limit is usable", name)
 					}
@@ -46,6 +46,8 @@
 }
 
 func TestLimitWithoutRulesInTheSettings(t *testing.T) {
+	repeats := RepeatLimit(&settings.Bounds{RetrySlack: 100})
+	assert.Assert(t, repeats.Capacity+repeats.Start+repeats.Rate*10 <= 90+1e-9)
 	l := LimitOf(tenant(1, 2), &settings.Bounds{})
 	assert.Assert(t, l.Capacity >= 2 && l.Capacity < 3, "%+v", l)
 }
@@ -76,7 +78,7 @@
 		for seed := range uint64(20) {
 			random := rand.New(rand.NewPCG(seed, 5))
 			limit := LimitOf(tenant(30_000+300_000*random.Float64(), 300_000*random.Float64()), &bounds)
-			var all []drawn
+			var all, spare []drawn
 			owner, now, next := NewOwner(0), 20*time.Second, 20*time.Second+pace
 			for range 4000 {
 				now += time.Duration(random.IntN(10)) * time.Millisecond
@@ -87,17 +89,43 @@
 				grant := owner.Take("t", limit, Ask{Need: need, Want: 3 * need}, now)
 				assert.Assert(t, grant.Amount == 0 || grant.Amount >= need && grant.Amount <= 3*need)
 				assert.Assert(t, (grant.Amount > 0) == (grant.Wait == 0))
-				assert.Assert(t, grant.Spare <= limit.SparePart*grant.Amount)
-				all = append(all, drawn{now, grant.Amount})
+				all, spare = append(all, drawn{now, grant.Amount}), append(spare, drawn{now, grant.Spare})
 			}
 			for _, span := range []time.Duration{0, time.Second, window, window + limit.Validity} {
 				sum, bound := most(all, max(span, 1)), limit.Capacity+limit.Rate*span.Seconds()
 				assert.Assert(t, sum <= bound*(1+1e-9), "pace %v, seed %d: %v within %v, %v is the bound", pace, seed, sum, span, bound)
+				sum, bound = most(spare, max(span, 1)), limit.SpareCapacity+limit.SpareRate*span.Seconds()
+				assert.Assert(t, sum <= bound*(1+1e-9), "pace %v, seed %d: spare %v within %v, %v is the bound", pace, seed, sum, span, bound)
 			}
 		}
 	}
 }
 
+// TestStartAmountIsPutInOnce gives an owner its start amount before and after it has met a tenant.
+func TestStartAmountIsPutInOnce(t *testing.T) {
+	limit := LimitOf(tenant(100_000, 100_000), &bounds)
+	all := func(o *Owner, now time.Duration) (sum float64) {
+		for grant := (Grant{Amount: 1}); grant.Amount > 0; sum += grant.Amount {
+			grant = o.Take("t", limit, Ask{Need: 10, Want: 10}, now)
+		}
+		return sum
+	}
+	before, after, never := NewOwner(0), NewOwner(0), NewOwner(0)
+	before.AddStart(0)
+	after.Take("t", limit, Ask{Need: 10, Want: 10}, 0)
+	after.AddStart(0)
+	for _, owner := range []*Owner{before, after} {
+		assert.Assert(t, math.Abs(all(owner, 0)-limit.Start) <= 20)
+		assert.Assert(t, all(owner, 0) == 0)
+		assert.Assert(t, math.Abs(all(owner, 100*time.Millisecond)-0.1*limit.Rate) <= 20)
+	}
+	assert.Assert(t, all(never, 0) == 0)
+	full := NewOwner(0)
+	full.Take("t", limit, Ask{Need: 10, Want: 10}, time.Hour)
+	full.AddStart(time.Hour)
+	assert.Assert(t, all(full, time.Hour) <= limit.Capacity, "a bucket holds no more than that")
+}
+
 // TestNoRequestTakesABucketBelowZero asks for amounts of any size, each of which a request may cost.
 func TestNoRequestTakesABucketBelowZero(t *testing.T) {
 	limit := LimitOf(tenant(1000, 1000), &bounds)
--- a/control/shards.go
+++ b/control/shards.go
@@ -11,6 +11,7 @@
 	"ivybank/control/lease"
 	"ivybank/control/quota"
 	"ivybank/control/replica"
+	"ivybank/settings"
 	"ivybank/wire"
 )
 
@@ -18,7 +19,12 @@
 	readsPerDrain  = 4.5 // reads of the platform's list within the time in which a drain has to be known
 	shortestPeriod = 250 * time.Millisecond
 	longestPeriod  = time.Second
-	longestRead    = 2 * time.Second // age of a read of the list, beyond which it is not used
+	// startWithin is how soon after it took a shard over an owner has to know that it follows one that was long in office.
+	startWithin = time.Second
+	// tenureMargin is what a long tenure lasts beyond a window of limits: what passes between a member's first grant to an
+	// owner and the last moment at which that owner's buckets get their start amount, and what is granted and used late.
+	tenureMargin = 3 * time.Second
+	longestRead  = 2 * time.Second // age of a read of the list, beyond which it is not used
 )
 
 // shard is one part of the services and tenants, and this node's claim to own it.
@@ -29,6 +35,7 @@
 	table  *hostlist.Table
 	limits *quota.Owner
 	since  time.Duration // when it was taken over
+	began  bool          // its limits have got their start amounts
 	whole  *wire.Message // the whole table as it was last sent
 }
 
@@ -74,6 +81,11 @@
 	}
 }
 
+// longTenure is how long an owner has to have been in office for the next one to begin with a start amount in its buckets.
+func longTenure(s *settings.Settings) time.Duration {
+	return quota.Window(&s.Bounds) + tenureMargin
+}
+
 func (n *Node) readPeriod() time.Duration {
 	period := time.Duration(n.settings.Bounds.DrainMS / readsPerDrain * float64(time.Millisecond))
 	return min(max(period, shortestPeriod), longestPeriod)
@@ -125,7 +137,7 @@
 	switch {
 	case holds && s.term != s.holder.Term():
 		n.replica.JoinedLease()
-		s.since = now
+		s.since, s.began = now, false
 		s.term, s.table = s.holder.Term(), hostlist.NewTable(s.number, s.holder.Term())
 		s.limits = quota.NewOwner(now)
 		n.readAt = now
@@ -134,6 +146,11 @@
 		s.term, s.table, s.limits, s.whole = 0, nil, nil, nil
 		n.log.Info("no longer owns shard", "shard", s.number)
 	}
+	enough := func(has func(string) bool) bool { return replica.Quorum(n.replica.Members(), has) }
+	if holds && !s.began && now <= s.since+startWithin && s.holder.FollowsLongTenure(enough) {
+		s.began = true
+		s.limits.AddStart(now)
+	}
 }
 
 // HostsRead takes the outcome of a read of the list. One that began before a shard was taken over, or long ago, may be
--- a/control/store/files.go
+++ b/control/store/files.go
@@ -21,6 +21,7 @@
 	identityKind = "member"
 	voteKind     = "vote"
 	entryKind    = "entry"
+	tenureKind   = "tenure"
 	asideSuffix  = ".tmp"
 	spoiltPrefix = "spoilt."
 	filePerm     = 0o600
@@ -113,6 +114,15 @@
 	return nil
 }
 
+// Tenures gives the resources whose holder was long in office, by the newest file.
+func (f *Folder) Tenures() (long []string, err error) {
+	_, err = f.newest(tenureKind, &long)
+	return long, err
+}
+
+// SaveTenures writes them.
+func (f *Folder) SaveTenures(long []string) error { return f.write(tenureKind, long) }
+
 // SetAside renames all files of a spoilt disk, so that none of them is read again and what is left of them can be looked
 // at. Those that were set aside before go.
 func (f *Folder) SetAside() error {
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -13,6 +13,7 @@
 
 	"ivybank/agent"
 	"ivybank/control/hostlist"
+	"ivybank/control/lease"
 	"ivybank/control/replica"
 	"ivybank/control/store"
 	"ivybank/settings"
@@ -57,6 +58,7 @@
 type coreDisk struct {
 	identity store.Identity
 	state    replica.Disk
+	tenures  []string
 }
 
 func (m *machine) running(now time.Duration) bool {
@@ -207,7 +209,7 @@
 	}
 	p := &nodeProcess{process: life, world: w}
 	m.node = p
-	p.node = NewNode(Start{Settings: s, Log: hclog.NewNullLogger(), Identity: m.disk.identity, Disk: state, Random: random}, p)
+	p.node = NewNode(Start{Settings: s, Log: hclog.NewNullLogger(), Identity: m.disk.identity, Disk: state, Tenures: m.disk.tenures, Random: random}, p)
 	p.node.validator = plainParser{}
 	p.handler = newOperatorHandler(p.node)
 }
@@ -229,6 +231,20 @@
 	p.writing, p.doneAt = s, p.world.now+time.Duration(1+p.world.random.IntN(longest))*time.Millisecond
 }
 
+// SaveTenures has the disk keep them after a while, or not at all where the process ends before.
+func (p *nodeProcess) SaveTenures(t lease.Tenures) {
+	w, m := p.world, p.machine
+	long := slices.Clone(t.Long)
+	w.delayed = append(w.delayed, delayed{w.now + time.Duration(1+w.random.IntN(30))*time.Millisecond, func() {
+		if m.node != p {
+			return
+		}
+		m.disk.tenures = long
+		p.node.TenuresSaved(t, nil)
+		p.node.Flush()
+	}, true})
+}
+
 func (p *nodeProcess) OpenLink(ip string, hello wire.Hello, events wire.LinkEvents) wire.OpenLink {
 	l := &link{world: p.world, owner: &p.process, to: ip, hello: hello, events: events}
 	p.links = append(p.links, l)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -158,6 +158,8 @@
 	Term     uint64 `cbor:"3,keyasint"`
 	Round    uint64 `cbor:"4,keyasint"`
 	Life     uint64 `cbor:"5,keyasint"`
+	// Vouches says that the holder before was long in office, and that the member has vouched for nobody since.
+	Vouches bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Subscribe asks for the feed of a control process or agent: all that is newer than what the caller has.
