Requests wait up to 100 ms for a bucket that is being filled; Retry-After by what was refused before and by how long an owner is away

Cause: after all had lost power buckets began empty and the clients that came back at once were refused, while their tokens came in over the next tenths of a second. Change: an owner grants with a delay what its bucket will hold then, in order; the delays of one owner are over before the next one begins. Refused requests are told to come back later the more were refused before them.

--- a/control/node.go
+++ b/control/node.go
@@ -15,6 +15,7 @@
 	"ivybank/config/validate"
 	"ivybank/control/hostlist"
 	"ivybank/control/lease"
+	"ivybank/control/quota"
 	"ivybank/control/replica"
 	"ivybank/control/store"
 	"ivybank/settings"
@@ -70,12 +71,15 @@
 	readAt    time.Duration
 	readSince time.Duration // when the read that is under way began
 	resumed   bool          // leases are granted again, as all members had restarted
+	resumedAt time.Duration
 
 	validator parser
 	proposal  *proposal
 	queue     []*proposal
 	queued    int // bytes
 	stopping  bool
+	releases  []*wire.Message // of leases that have been given up, to be told at releaseAt
+	releaseAt time.Duration
 }
 
 // Start is what a node starts from.
@@ -154,6 +158,7 @@
 		n.toAllLinks(&wire.Message{JoinRequest: &wire.JoinRequest{Member: n.replica.Self()}})
 	}
 	n.tickShards(now)
+	n.tellReleases(now)
 	n.tickProposals(now)
 	if now >= n.groupAt {
 		n.groupAt = now + groupInterval
@@ -263,7 +268,7 @@
 		return
 	}
 	now := n.now()
-	n.resumed = true
+	n.resumed, n.resumedAt = true, now
 	n.granter.Resume(now)
 	for _, s := range n.shards {
 		s.holder.Hurry(now)
@@ -277,13 +282,25 @@
 	now := n.now()
 	for _, s := range n.shards {
 		if q := s.holder.Release(now); q != nil {
-			n.toAllLinks(&wire.Message{LeaseRequest: q})
+			n.releases = append(n.releases, &wire.Message{LeaseRequest: q})
 		}
 		n.followOwnership(s, now)
 	}
+	n.releaseAt = now + quota.LongestDelay // by then all that was granted has begun to be used
 	n.replica.StartLeaving(now)
 	n.Flush()
 }
 
 // MayStop says whether the others have all that this node had a part in.
-func (n *Node) MayStop() bool { return n.replica.LeaveDone() }
+func (n *Node) MayStop() bool { return n.replica.LeaveDone() && len(n.releases) == 0 }
+
+// tellReleases tells members that leases are free.
+func (n *Node) tellReleases(now time.Duration) {
+	if len(n.releases) == 0 || now < n.releaseAt {
+		return
+	}
+	for _, m := range n.releases {
+		n.toAllLinks(m)
+	}
+	n.releases = nil
+}
--- a/control/quota/limit.go
+++ b/control/quota/limit.go
@@ -7,15 +7,16 @@
 	"ivybank/settings"
 )
 
-// The parts of the rules' tolerance, which is what they allow within a window beyond rate and burst. What is left of it
-// goes to the bucket, beside the burst.
+// delayShare is the most of the rules' tolerance (what they allow within a window beyond rate and burst) that use may come
+// late by: a grant may be used for as long as the rate takes to fill this part.
+const delayShare = 0.3
+
+// Of the rest of the tolerance these go to what follows, and what is left to the bucket, beside the burst.
 const (
-	// delayShare is the most that use may come late by: a grant may be used for as long as the rate takes to fill this part.
-	delayShare = 0.3
 	// spareShare is the part that routers may use while no owner answers them.
-	spareShare = 0.35
+	spareShare = 0.33
 	// startShare is the part that the bucket of an owner holds at once which follows one that was long in office.
-	startShare = 0.3
+	startShare = 0.33
 	// spareAtOnce is the part of the spare amount that routers may be given at once; the rest comes in the course of its life.
 	spareAtOnce = 0.4
 	// sparePart is the part of a grant that comes on top as spare, as long as there is some.
@@ -74,8 +75,8 @@
 		l.Validity = min(longestValidity, max(shortest, seconds(delayShare*tolerance/rate)))
 	}
 	rest := max(0, tolerance-rate*l.Validity.Seconds())
-	l.Start = startShare / (1 - delayShare) * rest
-	spare := spareShare / (1 - delayShare) * rest
+	l.Start = startShare * rest
+	spare := spareShare * rest
 	l.SpareCapacity = spareAtOnce * spare
 	l.SpareRate = (spare - l.SpareCapacity) / (window + l.Validity.Seconds() + SpareLife.Seconds())
 	l.Capacity = max(0, burst+tolerance-rate*l.Validity.Seconds()-l.Start-spare)
--- a/control/quota/owner.go
+++ b/control/quota/owner.go
@@ -9,7 +9,11 @@
 
 const (
 	// aheadPart of what a bucket holds beyond a request may be drawn ahead of need at once.
-	aheadPart    = 0.25
+	aheadPart = 0.25
+	// LongestDelay is how long a request may have to wait until the bucket has filled for it, and longestQueue how much of
+	// that may be for others before it. Between the last grant of one owner and the first of the next at least as long passes.
+	LongestDelay = 100 * time.Millisecond
+	longestQueue = 50 * time.Millisecond
 	shortestWait = 20 * time.Millisecond
 	longestWait  = 2 * time.Second
 	// costMemory is the time in which a bucket forgets how large its requests were.
@@ -28,16 +32,19 @@
 type Grant struct {
 	Amount float64       // 0, or at least what was needed
 	Spare  float64       // what the router may use on top, while no owner answers it
-	Valid  time.Duration // for which the amount may be used, from the question on
-	Wait   time.Duration // until it is worth to ask again, where nothing was granted
+	Delay  time.Duration // before which the amount may not be used, from when the answer is made
+	Valid  time.Duration // for which it may be used then, counted from the question and the delay
+	Empty  time.Duration // until the bucket holds enough for a request like this one, where nothing was granted
+	Wait   time.Duration // and until it may have served those that were refused before
 }
 
 type bucket struct {
 	limit   Limit   // by which it was filled last
-	level   float64 // never below 0
+	level   float64 // below 0 by what is granted for later
 	spare   float64 // likewise, of what routers may use while no owner answers
 	at      time.Duration
 	largest float64 // request of late
+	refused float64 // amount of those refused that the rate has not filled since
 }
 
 // Owner keeps the buckets of one shard's limits.
@@ -63,25 +70,36 @@
 	}
 }
 
-// Take draws from a bucket: all that is needed, and up to what is wanted where there is plenty; or nothing. A
-// request is let in once the bucket holds as much as the largest ones of late, so that small ones don't keep it too empty
-// for them.
+// Take draws from a bucket: all that is needed, and up to what is wanted where there is plenty; or nothing. What the
+// bucket doesn't hold yet is granted with a delay, so that what is used by any moment has been filled by then. Requests are
+// let in by what the largest ones of late need, so that small ones don't keep the bucket too empty for them.
 func (o *Owner) Take(name string, l Limit, ask Ask, now time.Duration) Grant {
 	if !(ask.Need >= 0 && ask.Need <= l.Capacity) { // not a number, or more than there ever is
-		return Grant{Wait: longestWait}
+		return Grant{Empty: longestWait, Wait: longestWait}
 	}
 	b := o.bucket(name, l, now)
 	b.largest = max(min(ask.Need, l.Capacity/2), b.largest)
-	enough := max(ask.Need, b.largest)
-	if b.level < enough {
-		return Grant{Wait: l.wait(enough - b.level)}
+	if enough := l.enough(max(ask.Need, b.largest)); b.level < enough {
+		missing := enough - b.level
+		grant := Grant{Empty: l.wait(missing), Wait: l.wait(missing + b.refused)}
+		b.refused = min(b.refused+ask.Need, l.Rate*longestWait.Seconds())
+		return grant
 	}
-	ahead := min(max(0, ask.Want-ask.Need), (b.level-ask.Need)*aheadPart)
+	ahead := max(0, min(ask.Want-ask.Need, (b.level-ask.Need)*aheadPart))
 	amount := ask.Need + ahead
 	b.level -= amount
 	spare := min(sparePart*amount, b.spare)
 	b.spare -= spare
-	return Grant{Amount: amount, Spare: spare, Valid: l.Validity}
+	grant := Grant{Amount: amount, Spare: spare, Valid: l.Validity}
+	if b.level < 0 {
+		grant.Delay = seconds(-b.level / l.Rate)
+	}
+	return grant
+}
+
+// enough is how full a bucket has to be for requests of a size to be let in.
+func (l *Limit) enough(size float64) float64 {
+	return max(size-l.Rate*LongestDelay.Seconds(), -l.Rate*longestQueue.Seconds())
 }
 
 // wait is how long a bucket takes to gain an amount.
@@ -99,13 +117,14 @@
 		o.sweep()
 		b = &bucket{at: o.since}
 		if o.started {
-			b.level = l.Start
+			b.level += l.Start
 		}
 		o.buckets[name] = b
 	}
 	passed := max(0, (now - b.at).Seconds())
 	b.level = min(b.level+l.Rate*passed, l.Capacity)
 	b.spare = min(b.spare+l.SpareRate*passed, l.SpareCapacity)
+	b.refused = max(0, b.refused-l.Rate*passed)
 	b.largest = min(b.largest*math.Exp(-passed/costMemory.Seconds()), l.Capacity/2)
 	b.at, b.limit = max(b.at, now), l
 	return b
--- a/control/shards.go
+++ b/control/shards.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// newLimits makes the buckets of a shard that this node takes over. A lease that has run out, or was given up, is granted
+// anew only once the delays of what its holder granted are over; one that is granted at once, as all processes have
+// restarted, may be not.
+func (n *Node) newLimits(now time.Duration) *quota.Owner {
+	if n.resumed && now < n.resumedAt+lease.Duration {
+		now += quota.LongestDelay
+	}
+	return quota.NewOwner(now)
+}
+
 // longTenure is how long an owner has to have been in office for the next one to begin with a start amount in its buckets.
 func longTenure(s *settings.Settings) time.Duration {
 	return quota.Window(&s.Bounds) + tenureMargin
@@ -137,9 +147,11 @@
 	switch {
 	case holds && s.term != s.holder.Term():
 		n.replica.JoinedLease()
-		s.since, s.began = now, false
+		s.since = now
 		s.term, s.table = s.holder.Term(), hostlist.NewTable(s.number, s.holder.Term())
-		s.limits = quota.NewOwner(now)
+		if s.limits == nil { // else it is held on under a higher term
+			s.limits, s.began = n.newLimits(now), false
+		}
 		n.readAt = now
 		n.log.Info("owns shard", "shard", s.number, "term", s.term)
 	case !holds && s.table != nil:
@@ -196,7 +208,8 @@
 	}
 	grant := s.limits.Take(name, limit, quota.Ask{Need: q.Need, Want: q.Want}, now)
 	from.conn.Send(&wire.Message{QuotaGrant: &wire.QuotaGrant{Router: q.Router, Number: q.Number, Life: q.Life, ReplyTo: q.ReplyTo,
-		Granted: grant.Amount, Spare: grant.Spare, ValidMS: grant.Valid.Milliseconds(), WaitMS: grant.Wait.Milliseconds()}})
+		Granted: grant.Amount, Spare: grant.Spare, ValidMS: grant.Valid.Milliseconds(),
+		DelayMS: wire.CeilMS(grant.Delay), EmptyMS: grant.Empty.Milliseconds(), WaitMS: grant.Wait.Milliseconds()}})
 }
 
 // limitOf gives the limit that a request draws from, by the committed configuration, and its bucket's name.
--- a/router/limit/charge.go
+++ b/router/limit/charge.go
@@ -10,10 +10,27 @@
 type Charge struct {
 	limiter *Limiter
 	demand  demand
+	from    time.Duration // when it may be used first
 	until   time.Duration // by when it has to be used
 	used    bool
 }
 
+// waitForStart waits until a charge may be used, and reports false where the context ends before.
+func (c *Charge) waitForStart(ctx context.Context) bool {
+	wait := c.from - c.limiter.now()
+	if wait <= 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Use is called right before the request goes to a host. A charge that is spent or has become too old is replaced by a new
 // one; it reports false where the limit has none left, and the request must not be sent.
 func (c *Charge) Use(ctx context.Context) bool {
--- a/router/limit/figures.go
+++ b/router/limit/figures.go
@@ -24,7 +24,7 @@
 
 // isNoteworthy says whether something happened without an owner, or did not run.
 func (f *figures) isNoteworthy() bool {
-	return f.Unanswered > 0 || f.LocalUse > 0 || f.RefusedAbsent > 0 || f.RefusedOwner > 0
+	return f.Unanswered > 0 || f.LocalUse > 0 || f.RefusedAbsent > 0
 }
 
 // figuresOf gives the figures of a limit in this interval. The caller holds l.mu.
--- a/router/limit/limiter.go
+++ b/router/limit/limiter.go
@@ -23,7 +23,7 @@
 	relayedFor    = 1500 * time.Millisecond // questions take that way; by then the agent knows whether its link is up
 	absencePause  = 300 * time.Millisecond  // after no answer that way either, before an owner is asked again
 	shortestRetry = 100 * time.Millisecond
-	absenceRetry  = 600 * time.Millisecond // by then there should be an owner again
+	absenceRetry  = 600 * time.Millisecond // by then there should be an owner again; later where it has been away for longer
 	longestRetry  = 2 * time.Second
 
 	aheadGrain = 20 * time.Millisecond // by which amounts drawn ahead are told apart
@@ -44,6 +44,7 @@
 type shardState struct {
 	relayTill  time.Duration // questions go by way of another machine until then
 	absentTill time.Duration // none are asked until then
+	absentFrom time.Duration // first question without an answer either way since the last answer; 0 for none
 }
 
 // Limiter keeps tenants' limits at this router. It is safe for concurrent use.
@@ -104,6 +105,9 @@
 		}
 		grant := l.ask(ctx, question)
 		charge, wait, again := l.finish(d, question, grant)
+		if charge != nil && !charge.waitForStart(ctx) {
+			return nil, 0 // its client has gone
+		}
 		if !again || ctx.Err() != nil {
 			return charge, wait
 		}
@@ -175,21 +179,26 @@
 	delete(l.waiting, q.message.Number)
 	now := l.now()
 	a, f := l.account(d), l.figuresOf(d.subject)
-	if grant == nil {
+	if grant != nil {
+		l.shards[q.shard].absentFrom = 0
+	} else {
 		f.Unanswered++
 		return l.unanswered(d, a, q, now)
 	}
 	if grant.Granted < d.cost {
 		f.RefusedOwner++
+		a.emptyTill = now + time.Duration(grant.EmptyMS)*time.Millisecond
 		wait = time.Duration(grant.WaitMS) * time.Millisecond
-		a.emptyTill = now + wait
 		return nil, min(max(wait, shortestRetry), longestRetry), false
 	}
-	until := q.asked + time.Duration(grant.ValidMS)*time.Millisecond
+	delay := time.Duration(grant.DelayMS) * time.Millisecond
+	until := q.asked + delay + time.Duration(grant.ValidMS)*time.Millisecond
 	a.ahead.Add(grant.Granted-d.cost, until, aheadGrain)
 	a.spare.Add(grant.Spare, q.asked+quota.SpareLife, spareGrain)
 	f.OwnerUse += d.cost
-	return l.charge(d, until), 0, false
+	c = l.charge(d, until)
+	c.from = now + delay
+	return c, 0, false
 }
 
 // unanswered decides on a request whose owner is silent. The first silence has others of this machine's fleet asked.
@@ -200,6 +209,9 @@
 		return nil, absenceRetry, now < s.relayTill
 	}
 	s.absentTill = max(s.absentTill, q.asked+absencePause)
+	if s.absentFrom == 0 {
+		s.absentFrom = q.asked
+	}
 	charge, wait := l.withoutOwner(d, a, now)
 	return charge, wait, false
 }
@@ -211,12 +223,18 @@
 	until, ok := a.spare.Take(d.cost)
 	if !ok {
 		f.RefusedAbsent++
-		return nil, absenceRetry
+		return nil, l.absenceRetry(d, now)
 	}
 	f.LocalUse += d.cost
 	return l.charge(d, until), 0
 }
 
+// absenceRetry is when to come back while no owner answers: what has lasted for long may last for as long again.
+func (l *Limiter) absenceRetry(d demand, now time.Duration) time.Duration {
+	away := now - l.shards[hostlist.ShardOf(d.subject.String())].absentFrom
+	return min(max(away, absenceRetry), longestRetry)
+}
+
 func (l *Limiter) charge(d demand, until time.Duration) *Charge {
 	return &Charge{limiter: l, demand: d, until: until}
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -2,7 +2,10 @@
 // TCP, and connections that notice a silent peer. It knows nothing of what the messages are used for.
 package wire
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Role names the program at one end of a connection.
 type Role string
@@ -235,9 +238,14 @@
 	Router  string  `cbor:"1,keyasint"`
 	Number  uint64  `cbor:"2,keyasint"`
 	Granted float64 `cbor:"3,keyasint"`           // 0, or at least what was needed
-	WaitMS  int64   `cbor:"4,keyasint,omitempty"` // until something is left, where nothing was granted
+	EmptyMS int64   `cbor:"9,keyasint,omitempty"` // until there is enough for such a request, where nothing was granted
+	WaitMS  int64   `cbor:"4,keyasint,omitempty"` // and until it is worth to come back
 	Life    uint64  `cbor:"5,keyasint"`
-	ValidMS int64   `cbor:"6,keyasint,omitempty"` // for which it may be used, from the question on
-	Spare   float64 `cbor:"7,keyasint,omitempty"` // that may be used on top, while no owner answers
+	DelayMS int64   `cbor:"10,keyasint,omitempty"` // before which it may not be used, from the answer on
+	ValidMS int64   `cbor:"6,keyasint,omitempty"`  // for which it may be used, from the question and the delay on
+	Spare   float64 `cbor:"7,keyasint,omitempty"`  // that may be used on top, while no owner answers
 	ReplyTo string  `cbor:"8,keyasint,omitempty"`
 }
+
+// CeilMS gives a time in whole milliseconds that is no shorter.
+func CeilMS(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
