--- /dev/null
+++ b/rehearse/soak/clients_test.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"ivybank/config"
+)
+
+const (
+	unsafePath = "/unsafe/"
+	againPath  = "/again/"
+	streamPath = "/stream/"
+
+	clientDeadline = 1500 * time.Millisecond
+	clientPatience = 3 * time.Second
+	clientsOfOne   = 8 // of each tenant
+)
+
+// tenant is a customer, what it may use and what it sends.
+type tenant struct {
+	name    string
+	unit    string
+	rate    float64 // of its first limit
+	demand  float64 // that it sends, as a part of that
+	largest float64 // request
+	below   bool    // it never sends more than it may
+}
+
+func (t *tenant) key() string { return "key-" + t.name }
+
+// draw gives the cost of a request.
+func (t *tenant) draw(random *rand.Rand) float64 {
+	if t.unit != config.TokenUnit {
+		return 1
+	}
+	return float64(1 + random.IntN(int(t.largest)))
+}
+
+// client sends requests of one tenant to one router, over one connection, for as long as that lasts.
+type client struct {
+	fleet  *fleet
+	tenant *tenant
+	random *rand.Rand
+	number int
+	sent   int
+	http   *http.Client
+	to     *machine
+}
+
+var requestsSent atomic.Int64
+
+// run sends until the context ends.
+func (c *client) run(ctx context.Context) {
+	pace := float64(clientsOfOne) / (c.tenant.demand * c.tenant.rate) // seconds for each unit
+	for ctx.Err() == nil {
+		cost := c.tenant.draw(c.random)
+		began := time.Now()
+		c.one(ctx, cost)
+		wait := time.Duration(cost*pace*(0.5+c.random.Float64())*float64(time.Second)) - time.Since(began)
+		select {
+		case <-ctx.Done():
+		case <-time.After(max(time.Millisecond, wait)):
+		}
+	}
+	c.leave()
+}
+
+func (c *client) leave() {
+	if c.http != nil {
+		c.http.CloseIdleConnections()
+		c.http = nil
+	}
+}
+
+// one sends one request.
+func (c *client) one(ctx context.Context, cost float64) {
+	if c.http == nil || c.to.gone {
+		c.leave()
+		c.to = c.fleet.anyFront(c.random)
+		c.http = &http.Client{Timeout: clientPatience, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	}
+	c.sent++
+	path := []string{unsafePath, unsafePath, againPath, streamPath}[c.random.IntN(4)]
+	r := &request{id: fmt.Sprintf("%s-%d-%d", c.tenant.name, c.number, c.sent), tenant: c.tenant, cost: cost, path: path, sent: time.Now(),
+		router: c.to.processes[routerRole]}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addressOf(c.to.number, servicePort)+path, strings.NewReader("body"))
+	if err != nil {
+		panic(err)
+	}
+	q.Host = "soak.example"
+	q.Header.Set("Request-Id", r.id)
+	q.Header.Set("Deadline-Ms", fmt.Sprint(clientDeadline.Milliseconds()))
+	q.Header.Set("Authorization", "Bearer "+c.tenant.key())
+	if c.tenant.unit == config.TokenUnit {
+		q.Header.Set("Token-Usage", fmt.Sprintf("%d,%d", int(cost)/2, int(cost)-int(cost)/2))
+	}
+	c.fleet.ledger.send(r)
+	requestsSent.Add(1)
+	answer, err := c.http.Do(q)
+	if err != nil {
+		if ctx.Err() == nil {
+			c.fleet.ledger.end(r, 0, false)
+		}
+		c.leave()
+		return
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	answer.Body.Close()
+	c.fleet.ledger.end(r, answer.StatusCode, err == nil)
+	if err != nil {
+		c.leave()
+	}
+}
--- /dev/null
+++ b/rehearse/soak/fleet_test.go
@@ -0,0 +1,304 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivybank/config"
+	"ivybank/rehearse/system"
+)
+
+// The rules that hold in the soak.
+const (
+	window  = 4 * time.Second
+	overage = 0.1
+	slack   = 0.0
+	graceS  = 3
+	seeds   = 3
+)
+
+// limitChange is a limit of a tenant that was sent to the fleet.
+type limitChange struct {
+	rate, burst float64
+	sent        time.Time
+	acked       time.Time // zero as long as it isn't
+}
+
+// fleet is the processes, the stand-ins around them, and the operator's view.
+type fleet struct {
+	t        *testing.T
+	folder   string
+	binaries string
+	network  *network
+	platform *system.Platform
+	ledger   *ledger
+	tenants  []*tenant
+
+	mu       sync.Mutex
+	machines []*machine
+	hosts    []*host
+	nextHost int
+	seeds    []int // machines
+	revision int64
+	pace     map[*tenant]*limitChange
+	limits   map[*tenant][]*limitChange
+	reads    int
+	older    []string // reads that brought an older configuration than was acknowledged
+}
+
+func newFleet(t *testing.T, binaries string, controls, fronts int) *fleet {
+	f := &fleet{t: t, folder: t.TempDir(), binaries: binaries, network: newNetwork(), platform: system.NewPlatform(), ledger: newLedger(),
+		pace: map[*tenant]*limitChange{}, limits: map[*tenant][]*limitChange{}}
+	f.tenants = []*tenant{
+		{name: "far-over", unit: config.TokenUnit, rate: 20_000, demand: 5, largest: 1_000},
+		{name: "large-requests", unit: config.TokenUnit, rate: 40_000, demand: 3, largest: 9_000},
+		{name: "by-requests", rate: 50, demand: 4},
+		{name: "below", unit: config.TokenUnit, rate: 20_000, demand: 0.5, largest: 1_000, below: true},
+	}
+	t.Cleanup(f.close)
+	for range 4 {
+		f.addHost()
+	}
+	for i := range seeds {
+		f.seeds = append(f.seeds, i)
+	}
+	for i := range controls + fronts {
+		f.addMachine(i < controls, true)
+	}
+	return f
+}
+
+func (f *fleet) close() {
+	var all sync.WaitGroup
+	for _, m := range f.machines {
+		for _, p := range m.processes {
+			all.Go(p.stop)
+		}
+	}
+	all.Wait()
+	f.network.close()
+	f.platform.Close()
+	for _, h := range f.hosts {
+		h.server.Close()
+	}
+}
+
+// addMachine starts a further machine.
+func (f *fleet) addMachine(control, first bool) *machine {
+	f.mu.Lock()
+	number := len(f.machines)
+	f.mu.Unlock()
+	m := &machine{number: number, control: control, bootstrap: first, folder: filepath.Join(f.folder, fmt.Sprint("machine-", number)),
+		processes: map[role]*process{}}
+	assert.NilError(f.t, os.MkdirAll(m.folder, 0o700))
+	isControl := func(i int) bool { return i == number && control || i < len(f.machines) && f.machines[i].control }
+	assert.NilError(f.t, f.network.add(number, isControl))
+	assert.NilError(f.t, m.writeSettings(f.seedAddresses(), f.platform.Address()))
+	for _, r := range m.roles() {
+		output, err := os.Create(filepath.Join(m.folder, string(r)+".log"))
+		assert.NilError(f.t, err)
+		p := &process{machine: m, role: r, binary: f.binaries, wanted: true, pause: 200 * time.Millisecond, ended: make(chan struct{}), output: output}
+		m.processes[r] = p
+		go p.run()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.machines = append(f.machines, m)
+	return m
+}
+
+// seedAddresses gives the seeds. Of an address only the machine is used: it is dialled at the port of the one that dials.
+func (f *fleet) seedAddresses() []string {
+	var addresses []string
+	for _, i := range f.seeds {
+		addresses = append(addresses, addressOf(i, servicePort))
+	}
+	return addresses
+}
+
+// remove takes a machine away for good.
+func (f *fleet) remove(m *machine) {
+	f.mu.Lock()
+	m.gone = true
+	f.mu.Unlock()
+	for _, p := range m.processes {
+		p.stop()
+	}
+}
+
+// alive gives the machines of a kind that there are.
+func (f *fleet) alive(control bool) []*machine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*machine
+	for _, m := range f.machines {
+		if m.control == control && !m.gone {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+func (f *fleet) anyFront(random *rand.Rand) *machine {
+	all := f.alive(false)
+	return all[random.IntN(len(all))]
+}
+
+func (f *fleet) addHost() {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := &host{id: fmt.Sprint("host-", f.nextHost), ledger: f.ledger}
+	f.nextHost++
+	h.listed = system.Instance{ID: h.id, Backend: service, Address: listener.Addr().String(), Slots: 64, State: "ready"}
+	h.server = &http.Server{Handler: h}
+	go func() { _ = h.server.Serve(listener) }()
+	f.hosts = append(f.hosts, h)
+	f.list()
+}
+
+// list tells the platform of all hosts. The caller holds f.mu.
+func (f *fleet) list() {
+	var listed []system.Instance
+	for _, h := range f.hosts {
+		listed = append(listed, h.listed)
+	}
+	f.platform.Set(listed...)
+}
+
+// replaceHost drains the oldest host and starts a new one.
+func (f *fleet) replaceHost() {
+	f.addHost()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.hosts[0]
+	f.hosts[0].listed.State = "draining"
+	f.list()
+	time.AfterFunc(4*time.Second, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for i, h := range f.hosts {
+			if h == old {
+				f.hosts = append(f.hosts[:i:i], f.hosts[i+1:]...)
+				break
+			}
+		}
+		f.list()
+		time.AfterFunc(2*time.Second, func() { _ = old.server.Close() })
+	})
+}
+
+// configuration is the one of a revision, with limits as they are to be.
+func (f *fleet) configuration(revision int64, limits map[*tenant]*limitChange) []byte {
+	route := func(name, prefix, kind string, attempts int) map[string]any {
+		return map[string]any{"name": name, "hostname": "soak.example", "path_prefix": prefix, "route_type": kind, "timeout_ms": 2000,
+			"target_ms": 400, "backend": service, "max_attempts": attempts}
+	}
+	var tenants []any
+	for _, t := range f.tenants {
+		tenants = append(tenants, map[string]any{"name": t.name, "api_keys": []any{t.key()}, "unit": t.unit, "plain_tokens": 200,
+			"rate_per_s": limits[t].rate, "burst": limits[t].burst})
+	}
+	body, err := json.Marshal(map[string]any{"revision": revision, "tenants": tenants, "limits": map[string]any{},
+		"services": []any{map[string]any{"name": service, "max_conns": 1000}},
+		"routes":   []any{route("u", unsafePath, "unsafe", 2), route("i", againPath, "idempotent", 2), route("s", streamPath, "streaming", 2)}})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+var operatorClient = &http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// call sends one call of the operator to a control process; status 0 for no answer.
+func call(ctx context.Context, m *machine, method, path string, base int64, body []byte) (int, []byte) {
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+addressOf(m.number, servicePort)+path, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	q.Header.Set("Base-Version", strconv.FormatInt(base, 10))
+	answer, err := operatorClient.Do(q)
+	if err != nil {
+		return 0, nil
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return answer.StatusCode, text
+}
+
+// change puts limits in force: it sends the order to one control process after the other until the answer is clear.
+func (f *fleet) change(ctx context.Context, limits map[*tenant]*limitChange) bool {
+	f.mu.Lock()
+	base := f.revision
+	next := base + 1
+	for t, l := range limits {
+		l.sent = time.Now()
+		f.limits[t] = append(f.limits[t], l)
+	}
+	f.mu.Unlock()
+	body := f.configuration(next, limits)
+	for ctx.Err() == nil {
+		for _, m := range f.alive(true) {
+			status, text := call(ctx, m, http.MethodPost, "/v1/Config.Replace", base, body)
+			if status == http.StatusOK {
+				f.acknowledged(next, limits)
+				return true
+			}
+			if status >= 400 && status < 500 {
+				f.t.Errorf("order %d on %d: %d %s", next, base, status, text)
+				return false
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+func (f *fleet) acknowledged(revision int64, limits map[*tenant]*limitChange) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = revision
+	for t, l := range limits {
+		l.acked = time.Now()
+		f.pace[t] = l
+	}
+}
+
+// read asks one control process for the configuration, and notes an older one than was acknowledged before.
+func (f *fleet) read(ctx context.Context, m *machine) int64 {
+	f.mu.Lock()
+	before := f.revision
+	f.mu.Unlock()
+	status, body := call(ctx, m, http.MethodGet, "/v1/Config.Get", 0, nil)
+	if status != http.StatusOK {
+		return 0
+	}
+	var got struct {
+		Revision int64 `json:"revision"`
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	if err := json.Unmarshal(body, &got); err != nil || got.Revision < before {
+		f.older = append(f.older, fmt.Sprintf("%s shows %d after %d was acknowledged (%v)", m, got.Revision, before, err))
+	}
+	return got.Revision
+}
--- /dev/null
+++ b/rehearse/soak/hosts_test.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"ivybank/rehearse/system"
+)
+
+// use is one run of a request at a host.
+type use struct {
+	at   time.Time
+	cost float64
+}
+
+// request is what one client sent, and what became of it.
+type request struct {
+	id     string
+	tenant *tenant
+	cost   float64
+	path   string
+	sent   time.Time
+	ended  time.Time
+	status int  // 0 where the connection ended without an answer
+	whole  bool // the answer is
+	router *process
+	ran    int
+	spoilt bool // a host broke off
+}
+
+// ledger is all that clients sent and hosts ran. It is safe for concurrent use.
+type ledger struct {
+	mu       sync.Mutex
+	requests map[string]*request
+	uses     map[*tenant][]use
+	unknown  []string // requests that hosts ran and nobody sent, or under another tenant
+}
+
+func newLedger() *ledger {
+	return &ledger{requests: map[string]*request{}, uses: map[*tenant][]use{}}
+}
+
+func (l *ledger) send(r *request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests[r.id] = r
+}
+
+func (l *ledger) end(r *request, status int, whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.ended, r.status, r.whole = time.Now(), status, whole
+}
+
+// run counts a run of a request, at the moment at which it came to the host.
+func (l *ledger) run(id, tenant string, at time.Time) *request {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.requests[id]
+	if r == nil || r.tenant.name != tenant {
+		l.unknown = append(l.unknown, id+" of "+tenant)
+		return nil
+	}
+	r.ran++
+	l.uses[r.tenant] = append(l.uses[r.tenant], use{at, r.cost})
+	return r
+}
+
+func (l *ledger) spoil(r *request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.spoilt = true
+}
+
+// The parts of requests, in thousand, that hosts treat otherwise than by serving them.
+const (
+	refusedOf1000 = 20
+	brokenOf1000  = 5
+	longWork      = 60 * time.Millisecond
+	events        = 3
+	service       = "model"
+)
+
+// host stands in for one host of the service.
+type host struct {
+	id     string
+	ledger *ledger
+	server *http.Server
+	listed system.Instance
+}
+
+func (h *host) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	arrived := time.Now()
+	id := q.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if target := q.Header.Get("Target-Instance"); target != "" && target != h.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	chance := rand.IntN(1000)
+	if chance < refusedOf1000 {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r := h.ledger.run(id, q.Header.Get("Tenant"), arrived)
+	time.Sleep(rand.N(longWork))
+	w.Header().Set("Response-Seal", system.Seal(h.id, id))
+	broken := chance < refusedOf1000+brokenOf1000
+	if broken && r != nil {
+		h.ledger.spoil(r)
+	}
+	if strings.HasPrefix(q.URL.Path, streamPath) {
+		h.stream(w, broken)
+		return
+	}
+	if broken {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write([]byte("answer to " + id))
+}
+
+func (h *host) stream(w http.ResponseWriter, broken bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range events {
+		if broken && i == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte("id: " + string(rune('1'+i)) + "\ndata: event\n\n"))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(time.Millisecond)
+	}
+}
--- /dev/null
+++ b/rehearse/soak/process_test.go
@@ -0,0 +1,159 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// role is a program of the fleet.
+type role string
+
+const (
+	controlRole role = "control"
+	agentRole   role = "agent"
+	routerRole  role = "router"
+)
+
+// machine is one machine of the fleet: a control process, or an agent and a router.
+type machine struct {
+	number    int
+	control   bool
+	gone      bool // for good
+	folder    string
+	bootstrap bool
+	processes map[role]*process
+	troubled  time.Time // until when something has been done to it
+}
+
+func (m *machine) String() string {
+	if m.control {
+		return fmt.Sprint("core-", m.number)
+	}
+	return fmt.Sprint("front-", m.number)
+}
+
+func (m *machine) roles() []role {
+	if m.control {
+		return []role{controlRole}
+	}
+	return []role{agentRole, routerRole}
+}
+
+// process is one program of a machine. It is started again whenever it ends, as long as it is wanted.
+type process struct {
+	mu      sync.Mutex
+	machine *machine
+	role    role
+	binary  string
+	command *exec.Cmd
+	wanted  bool
+	frozen  bool
+	pause   time.Duration // before it is started again
+	lives   int
+	ended   chan struct{}
+	harmed  []time.Time // when it was killed or frozen
+	output  *os.File
+}
+
+// run starts the program again and again.
+func (p *process) run() {
+	defer close(p.ended)
+	for {
+		p.mu.Lock()
+		if !p.wanted {
+			p.mu.Unlock()
+			return
+		}
+		var args []string
+		binary := filepath.Join(p.binary, "ivyfleet")
+		switch p.role {
+		case controlRole:
+			binary, args = filepath.Join(p.binary, "ivycontrol"), []string{"serve"}
+		default:
+			args = []string{string(p.role)}
+		}
+		p.command = exec.Command(binary, args...)
+		p.command.Env = append(os.Environ(), "IVYBANK_CONFIG="+p.machine.settingsPath(), "GOMAXPROCS=2")
+		p.command.Stdout, p.command.Stderr = p.output, p.output
+		err := p.command.Start()
+		p.lives++
+		p.mu.Unlock()
+		if err == nil {
+			_ = p.command.Wait()
+		}
+		p.mu.Lock()
+		pause := p.pause
+		p.frozen = false
+		p.mu.Unlock()
+		time.Sleep(pause)
+	}
+}
+
+// signal sends a signal; those that end or stop the process are noted as harm.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s == syscall.SIGKILL || s == syscall.SIGSTOP || s == syscall.SIGCONT {
+		p.harmed = append(p.harmed, time.Now())
+	}
+	if p.command != nil && p.command.Process != nil {
+		_ = p.command.Process.Signal(s)
+	}
+}
+
+// harmedWithin says whether the process was killed, stopped or frozen within a span.
+func (p *process) harmedWithin(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, at := range p.harmed {
+		if at.After(from) && at.Before(to) {
+			return true
+		}
+	}
+	return false
+}
+
+// stop ends the process for good.
+func (p *process) stop() {
+	p.mu.Lock()
+	p.wanted = false
+	p.mu.Unlock()
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+func (m *machine) settingsPath() string { return filepath.Join(m.folder, "settings.toml") }
+
+func (m *machine) dataFolder() string { return filepath.Join(m.folder, "data") }
+
+// writeSettings writes the settings file of a machine.
+func (m *machine) writeSettings(seeds []string, platform string) error {
+	var b strings.Builder
+	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	line("node_name = %q", m.String())
+	line("ip = %q", ipOf(m.number))
+	line("port_range = [%d,%d]", portOf(m.number), portOf(m.number)+portsOfOne-1)
+	line(`seeds = ["%s"]`, strings.Join(seeds, `","`))
+	line("bootstrap = %v", m.bootstrap)
+	if m.control {
+		line("data_dir = %q", m.dataFolder())
+	}
+	line("[listen]")
+	if m.control {
+		line("control = %q", addressOf(m.number, servicePort))
+	} else {
+		line("front = %q\nready = %q", addressOf(m.number, servicePort), addressOf(m.number, servicePort+1))
+	}
+	line("[tolerate]\nmachines = 1")
+	line("[cloud]\naddress = %q\nrate_per_s = 100.0", platform)
+	line("[bounds]\ndrain_ms = 2000\ngrace_s = %v\nconfig_ms = 2000\nsync_s = 4\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 56", graceS)
+	line("quota_window_s = %v\nquota_overage = %v\nquota_slack = %v", window.Seconds(), overage, slack)
+	return os.WriteFile(m.settingsPath(), []byte(b.String()), 0o600)
+}
--- /dev/null
+++ b/rehearse/soak/soak_test.go
@@ -0,0 +1,279 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os/exec"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	seedFlag    = flag.Uint64("seed", 1, "seed of the first run")
+	runsFlag    = flag.Int("runs", 1, "runs, with seeds that follow each other")
+	secondsFlag = flag.Int("seconds", 40, "seconds of trouble in each run")
+	frontsFlag  = flag.Int("fronts", 6, "front machines")
+	slotFlag    = flag.Int("slot", 0, "0 to 15: runs at the same time need different ones")
+)
+
+const (
+	controls   = 3
+	calmBefore = 8 * time.Second
+	calmAfter  = 6 * time.Second
+	// limitLag is how long a lower limit may take to be in force at the owner.
+	limitLag = 3 * time.Second
+	// Too little played fails a run: so much for each second of trouble.
+	leastRuns     = 40
+	leastRefusals = 20
+	leastTroubles = 0.8
+	leastKinds    = 9
+	// harmSpan around a request in which harm to its router explains a broken connection.
+	harmSpan = 500 * time.Millisecond
+)
+
+// TestSoak plays troubles against real processes and holds what their hosts ran against the limits.
+func TestSoak(t *testing.T) {
+	binaries := t.TempDir()
+	build := exec.Command("go", "build", "-o", binaries, "ivybank/cmd/ivycontrol", "ivybank/cmd/ivyfleet")
+	output, err := build.CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	for i := range *runsFlag {
+		seed := *seedFlag + uint64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, binaries, seed) })
+	}
+}
+
+func soak(t *testing.T, binaries string, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2026))
+	f := newFleet(t, binaries, controls, *frontsFlag)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	first := map[*tenant]*limitChange{}
+	for _, tenant := range f.tenants {
+		first[tenant] = &limitChange{rate: tenant.rate, burst: tenant.rate}
+	}
+	assert.Assert(t, f.change(ctx, first), "the first configuration")
+	f.awaitReady(t)
+	var clients sync.WaitGroup
+	for _, tenant := range f.tenants {
+		for i := range clientsOfOne {
+			c := &client{fleet: f, tenant: tenant, number: i, random: rand.New(rand.NewPCG(seed, random.Uint64()))}
+			clients.Go(func() { c.run(ctx) })
+		}
+	}
+	clients.Go(func() { f.readAgainAndAgain(ctx) })
+
+	began := time.Now()
+	time.Sleep(calmBefore)
+	calm := [2]time.Time{began.Add(calmBefore / 4), time.Now()}
+	troubled, end := context.WithTimeout(ctx, time.Duration(*secondsFlag)*time.Second)
+	defer end()
+	played := newSeries(troubled, f)
+	played.run(random)
+	f.network.heal()
+	f.thaw()
+	settled := time.Now().Add(calmAfter)
+	f.awaitNewest(t, settled)
+	time.Sleep(time.Until(settled))
+	stop()
+	clients.Wait()
+	f.report(t, played, calm)
+	f.check(t, calm)
+}
+
+// awaitReady waits until all routers are ready.
+func (f *fleet) awaitReady(t *testing.T) {
+	t.Helper()
+	until := time.Now().Add(20 * time.Second)
+	for _, m := range f.alive(false) {
+		for {
+			answer, err := operatorClient.Get("http://" + addressOf(m.number, servicePort+1) + "/v1/ready")
+			if err == nil {
+				answer.Body.Close()
+				if answer.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			assert.Assert(t, time.Now().Before(until), "%s is not ready", m)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// awaitNewest waits until a control process shows the newest acknowledged configuration.
+func (f *fleet) awaitNewest(t *testing.T, until time.Time) {
+	t.Helper()
+	for time.Now().Before(until) {
+		for _, m := range f.alive(true) {
+			if f.read(t.Context(), m) >= f.revision {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Errorf("nobody shows revision %d once all is calm", f.revision)
+}
+
+func (f *fleet) readAgainAndAgain(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, m := range f.alive(true) {
+			f.read(ctx, m)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// thaw lets all go on that stands still.
+func (f *fleet) thaw() {
+	for _, m := range append(f.alive(true), f.alive(false)...) {
+		for _, p := range m.processes {
+			p.signal(18) // SIGCONT
+		}
+	}
+}
+
+// allowed is what the rules let a tenant use in the window that ends at a moment: by the largest limit that was in force in
+// it anywhere.
+func (f *fleet) allowed(t *tenant, end time.Time) float64 {
+	most := 0.0
+	changes := f.limits[t]
+	for i, c := range changes {
+		over := i+1 < len(changes) && !changes[i+1].acked.IsZero() && changes[i+1].acked.Add(limitLag).Before(end.Add(-window))
+		if over || c.sent.After(end) {
+			continue
+		}
+		most = max(most, (c.rate*window.Seconds()+c.burst)*(1+overage)+slack)
+	}
+	return most
+}
+
+// fullest gives the window in which a tenant used the largest part of what it was allowed.
+func (f *fleet) fullest(t *tenant) (part, used, allowed float64, end time.Time) {
+	uses := f.ledger.uses[t]
+	slices.SortFunc(uses, func(a, b use) int { return a.at.Compare(b.at) })
+	sum, first := 0.0, 0
+	for _, u := range uses {
+		sum += u.cost
+		for !uses[first].at.After(u.at.Add(-window)) {
+			sum -= uses[first].cost
+			first++
+		}
+		if most := f.allowed(t, u.at); sum/most > part {
+			part, used, allowed, end = sum/most, sum, most, u.at
+		}
+	}
+	return part, used, allowed, end
+}
+
+// tally is what became of a tenant's requests.
+type tally struct {
+	sent, served, beyond, refused, broken, failed int
+	calmSent, calmBeyond                          int
+	calmUse                                       float64
+}
+
+func (f *fleet) tallyOf(t *tenant, calm [2]time.Time) (n tally) {
+	for _, r := range f.ledger.requests {
+		if r.tenant != t || r.ended.IsZero() {
+			continue
+		}
+		inCalm := r.sent.After(calm[0]) && r.ended.Before(calm[1])
+		n.sent++
+		if inCalm {
+			n.calmSent++
+		}
+		switch {
+		case r.status == http.StatusOK && r.whole:
+			n.served++
+			if inCalm {
+				n.calmUse += r.cost
+			}
+		case r.status == http.StatusTooManyRequests:
+			n.beyond++
+			if inCalm {
+				n.calmBeyond++
+			}
+		case r.status == http.StatusServiceUnavailable:
+			n.refused++
+		case r.status == 0 || !r.whole:
+			n.broken++
+		default:
+			n.failed++
+		}
+	}
+	return n
+}
+
+func (f *fleet) report(t *testing.T, played *series, calm [2]time.Time) {
+	t.Helper()
+	t.Logf("played: %s", played)
+	for _, tenant := range f.tenants {
+		n := f.tallyOf(tenant, calm)
+		part, used, allowed, end := f.fullest(tenant)
+		t.Logf("%-14s sent %d, served %d, beyond the limit %d, refused %d, broken %d, failed %d; calm: %d sent, %d refused, %.2f of the rate used; "+
+			"fullest window %.3f: %.0f of %.0f, ends %v after the calm", tenant.name, n.sent, n.served, n.beyond, n.refused, n.broken, n.failed,
+			n.calmSent, n.calmBeyond, n.calmUse/(tenant.rate*calm[1].Sub(calm[0]).Seconds()), part, used, allowed,
+			end.Sub(calm[1]).Round(time.Millisecond))
+	}
+	lives := 0
+	for _, m := range f.machines {
+		for _, p := range m.processes {
+			lives += p.lives
+		}
+	}
+	t.Logf("%d machines, %d lives of processes, %d reads of the configuration, revision %d", len(f.machines), lives, f.reads, f.revision)
+	f.checkPlayed(t, played, calm)
+}
+
+// checkPlayed fails a run in which too little happened to show anything.
+func (f *fleet) checkPlayed(t *testing.T, played *series, calm [2]time.Time) {
+	t.Helper()
+	ran, refused, all := 0, 0, 0
+	for _, tenant := range f.tenants {
+		n := f.tallyOf(tenant, calm)
+		ran += len(f.ledger.uses[tenant])
+		refused += n.beyond
+	}
+	for _, n := range played.played {
+		all += n
+	}
+	assert.Check(t, ran >= leastRuns**secondsFlag, "%d runs", ran)
+	assert.Check(t, refused >= leastRefusals**secondsFlag, "%d refusals of requests beyond limits", refused)
+	assert.Check(t, float64(all) >= leastTroubles*float64(*secondsFlag), "%d troubles", all)
+	assert.Check(t, len(played.played) >= leastKinds, "%d kinds of trouble", len(played.played))
+	assert.Check(t, f.reads > *secondsFlag, "%d reads of the configuration", f.reads)
+}
+
+func (f *fleet) check(t *testing.T, calm [2]time.Time) {
+	t.Helper()
+	for _, tenant := range f.tenants {
+		part, used, allowed, end := f.fullest(tenant)
+		assert.Check(t, part <= 1, "%s used %.0f of %.0f in the window that ends %v after the calm", tenant.name, used, allowed, end.Sub(calm[1]))
+		if n := f.tallyOf(tenant, calm); tenant.below {
+			assert.Check(t, n.calmBeyond == 0, "%d of %d requests of %s refused in calm", n.calmBeyond, n.calmSent, tenant.name)
+		}
+	}
+	assert.Check(t, len(f.ledger.unknown) == 0, "hosts ran what nobody sent: %v", f.ledger.unknown)
+	assert.Check(t, len(f.older) == 0, "%v", f.older)
+	lost := 0
+	for _, r := range f.ledger.requests {
+		if r.ended.IsZero() {
+			continue // the run was over
+		}
+		assert.Check(t, r.ran <= 1 || r.path == againPath, "%s ran %d times", r.id, r.ran)
+		promised := r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable
+		assert.Check(t, !promised || r.ran == 0, "%s ran and got %d", r.id, r.status)
+		if r.status == 0 && r.ran > 0 && !r.spoilt && !r.router.harmedWithin(r.sent.Add(-clientPatience), r.ended.Add(harmSpan)) {
+			lost++
+			t.Logf("%s lost: ran at a host, sent to %s, ended after %v", r.id, r.router.machine, r.ended.Sub(r.sent))
+		}
+	}
+	assert.Check(t, lost == 0, "%d answers lost", lost)
+}
--- /dev/null
+++ b/rehearse/soak/troubles_test.go
@@ -0,0 +1,304 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// trouble is something that is done to the fleet. All that it does is drawn when it begins, from the seed of the run.
+type trouble struct {
+	name   string
+	weight int
+	play   func(s *series, random *rand.Rand)
+}
+
+// series plays troubles one after the other; each may last on while the next begins.
+type series struct {
+	ctx      context.Context
+	fleet    *fleet
+	mu       sync.Mutex
+	played   map[string]int
+	diskAt   time.Time // when a disk was lost or a machine of control replaced
+	changing sync.Mutex
+	open     sync.WaitGroup
+}
+
+const (
+	shortestGap = 200 * time.Millisecond
+	longestGap  = 1200 * time.Millisecond
+	// diskPause is how long after a lost disk no other one is lost: the fleet bears one at a time.
+	diskPause = 8 * time.Second
+)
+
+var troubles = []trouble{
+	{"kill a front process", 4, func(s *series, r *rand.Rand) {
+		m := s.fleet.anyFront(r)
+		s.kill(m, m.roles()[r.IntN(2)], span(r, 0, 800))
+	}},
+	{"kill many fronts", 1, func(s *series, r *rand.Rand) {
+		for _, m := range s.fleet.alive(false) {
+			if r.IntN(2) == 0 {
+				s.kill(m, routerRole, span(r, 0, 600))
+				s.kill(m, agentRole, span(r, 0, 600))
+			}
+		}
+	}},
+	{"kill a control process", 3, func(s *series, r *rand.Rand) { s.kill(s.anyControl(r), controlRole, span(r, 50, 1500)) }},
+	{"kill control processes in a row", 2, func(s *series, r *rand.Rand) {
+		for _, m := range s.fleet.alive(true) {
+			s.kill(m, controlRole, 300*time.Millisecond)
+			s.sleep(span(r, 100, 900))
+		}
+	}},
+	{"kill all control processes", 1, func(s *series, r *rand.Rand) {
+		for _, m := range s.fleet.alive(true) {
+			s.kill(m, controlRole, span(r, 100, 900))
+		}
+	}},
+	{"stop a front", 3, func(s *series, r *rand.Rand) {
+		m := s.fleet.anyFront(r)
+		s.signal(m, syscall.SIGTERM, span(r, 0, 300))
+	}},
+	{"stop a control process", 2, func(s *series, r *rand.Rand) { s.signal(s.anyControl(r), syscall.SIGTERM, span(r, 0, 300)) }},
+	{"read settings again", 1, func(s *series, r *rand.Rand) {
+		for _, m := range append(s.fleet.alive(true), s.fleet.alive(false)...) {
+			s.signal(m, syscall.SIGHUP, 0)
+		}
+	}},
+	{"freeze a front", 3, func(s *series, r *rand.Rand) { s.freeze(s.fleet.anyFront(r), span(r, 100, 2500)) }},
+	{"freeze a control process", 3, func(s *series, r *rand.Rand) { s.freeze(s.anyControl(r), span(r, 100, 2500)) }},
+	{"cut fronts off from control", 4, func(s *series, r *rand.Rand) {
+		lasts, share, reset := span(r, 500, 5000), 1+r.IntN(9), r.IntN(2) == 0
+		for _, m := range s.fleet.alive(false) {
+			if r.IntN(10) < share {
+				s.part(m, s.fleet.alive(true), lasts, 2, reset)
+			}
+		}
+	}},
+	{"cut a control process off", 3, func(s *series, r *rand.Rand) {
+		m, ways := s.anyControl(r), 1+r.IntN(2)
+		all := s.fleet.alive(true)
+		if r.IntN(2) == 0 {
+			all = append(all, s.fleet.alive(false)...)
+		}
+		s.part(m, all, span(r, 500, 4000), ways, r.IntN(2) == 0)
+	}},
+	{"cut all control processes apart", 1, func(s *series, r *rand.Rand) {
+		lasts := span(r, 300, 2000)
+		for _, m := range s.fleet.alive(true) {
+			s.part(m, s.fleet.alive(true), lasts, 2, false)
+		}
+	}},
+	{"reset connections", 2, func(s *series, r *rand.Rand) {
+		for _, m := range s.fleet.alive(false) {
+			for _, other := range s.fleet.alive(true) {
+				if r.IntN(3) == 0 {
+					s.fleet.network.reset(way{m.number, other.number})
+				}
+			}
+		}
+	}},
+	{"lose a disk", 2, func(s *series, r *rand.Rand) { s.loseDisk(s.anyControl(r), span(r, 100, 1000)) }},
+	{"replace a control machine", 1, func(s *series, r *rand.Rand) { s.replaceControl(s.anyControl(r), span(r, 100, 1500)) }},
+	{"replace a front", 2, func(s *series, r *rand.Rand) {
+		m := s.fleet.anyFront(r)
+		s.fleet.addMachine(false, false)
+		s.fleet.remove(m)
+	}},
+	{"change limits", 4, func(s *series, r *rand.Rand) { s.changeLimits(r) }},
+	{"replace a host", 3, func(s *series, _ *rand.Rand) { s.fleet.replaceHost() }},
+}
+
+// span draws a time in milliseconds.
+func span(r *rand.Rand, least, most int) time.Duration {
+	return time.Duration(least+r.IntN(most-least+1)) * time.Millisecond
+}
+
+func newSeries(ctx context.Context, f *fleet) *series {
+	return &series{ctx: ctx, fleet: f, played: map[string]int{}}
+}
+
+// run plays troubles until the context ends, and then waits for those that last.
+func (s *series) run(random *rand.Rand) {
+	weights := 0
+	for _, t := range troubles {
+		weights += t.weight
+	}
+	for s.sleep(span(random, int(shortestGap.Milliseconds()), int(longestGap.Milliseconds()))) {
+		drawn, at := random.IntN(weights), 0
+		for drawn >= troubles[at].weight {
+			drawn -= troubles[at].weight
+			at++
+		}
+		own := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+		s.count(troubles[at].name)
+		s.open.Go(func() { troubles[at].play(s, own) })
+	}
+	s.open.Wait()
+}
+
+func (s *series) count(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.played[name]++
+}
+
+// sleep waits, and reports false once the series is over.
+func (s *series) sleep(d time.Duration) bool {
+	select {
+	case <-s.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (s *series) anyControl(r *rand.Rand) *machine {
+	all := s.fleet.alive(true)
+	return all[r.IntN(len(all))]
+}
+
+func (s *series) kill(m *machine, r role, pause time.Duration) {
+	p := m.processes[r]
+	p.mu.Lock()
+	p.pause = pause
+	p.mu.Unlock()
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+}
+
+func (s *series) signal(m *machine, signal syscall.Signal, pause time.Duration) {
+	for _, r := range m.roles() {
+		p := m.processes[r]
+		p.mu.Lock()
+		p.pause = pause
+		p.mu.Unlock()
+		p.signal(signal)
+	}
+}
+
+// freeze has all processes of a machine stand still for a time.
+func (s *series) freeze(m *machine, lasts time.Duration) {
+	for _, r := range m.roles() {
+		m.processes[r].signal(syscall.SIGSTOP)
+	}
+	s.sleep(lasts)
+	for _, r := range m.roles() {
+		m.processes[r].signal(syscall.SIGCONT)
+	}
+}
+
+// part cuts a machine off from others, one way or both.
+func (s *series) part(m *machine, others []*machine, lasts time.Duration, ways int, reset bool) {
+	for _, other := range others {
+		if other == m {
+			continue
+		}
+		s.fleet.network.cut(way{m.number, other.number}, lasts)
+		if ways == 2 {
+			s.fleet.network.cut(way{other.number, m.number}, lasts)
+		}
+		if reset {
+			s.fleet.network.reset(way{m.number, other.number})
+			s.fleet.network.reset(way{other.number, m.number})
+		}
+	}
+}
+
+// mayLoseDisk says whether one more disk is borne now.
+func (s *series) mayLoseDisk() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.diskAt) < diskPause {
+		return false
+	}
+	s.diskAt = time.Now()
+	return true
+}
+
+func (s *series) loseDisk(m *machine, pause time.Duration) {
+	if !s.mayLoseDisk() {
+		return
+	}
+	s.count("a disk was lost")
+	p := m.processes[controlRole]
+	p.mu.Lock()
+	p.pause = pause
+	p.mu.Unlock()
+	m.bootstrap = false
+	_ = m.writeSettings(s.fleet.seedAddresses(), s.fleet.platform.Address())
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	time.Sleep(50 * time.Millisecond) // it has ended, and is not back
+	_ = os.RemoveAll(m.dataFolder())
+}
+
+// replaceControl takes a machine of control away for good and adds an empty one at another address.
+func (s *series) replaceControl(m *machine, pause time.Duration) {
+	if !s.mayLoseDisk() {
+		return
+	}
+	s.count("a control machine was replaced")
+	s.fleet.remove(m)
+	s.sleep(pause)
+	fresh := s.fleet.addMachine(true, false)
+	s.fleet.mu.Lock()
+	for i, seed := range s.fleet.seeds {
+		if seed == m.number {
+			s.fleet.seeds[i] = fresh.number
+		}
+	}
+	all := append([]*machine{}, s.fleet.machines...)
+	s.fleet.mu.Unlock()
+	for _, other := range all {
+		if !other.gone {
+			_ = other.writeSettings(s.fleet.seedAddresses(), s.fleet.platform.Address())
+			s.signalOnly(other, syscall.SIGHUP)
+		}
+	}
+}
+
+func (s *series) signalOnly(m *machine, signal syscall.Signal) {
+	for _, r := range m.roles() {
+		m.processes[r].signal(signal)
+	}
+}
+
+// changeLimits raises or lowers limits, rate and burst each by itself. That of the tenant below its limit stays.
+func (s *series) changeLimits(r *rand.Rand) {
+	s.changing.Lock()
+	defer s.changing.Unlock()
+	limits := map[*tenant]*limitChange{}
+	for _, t := range s.fleet.tenants {
+		limit := limitChange{rate: t.rate, burst: t.rate}
+		if !t.below {
+			limit.rate *= []float64{0.3, 0.6, 1, 1.5}[r.IntN(4)]
+			limit.burst *= []float64{0.2, 0.5, 1, 2}[r.IntN(4)]
+		}
+		limits[t] = &limit
+	}
+	ctx, stop := context.WithTimeout(s.ctx, 20*time.Second)
+	defer stop()
+	if s.fleet.change(ctx, limits) {
+		s.count("limits were changed")
+	}
+}
+
+// String tells what was played.
+func (s *series) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var parts []string
+	for name, n := range s.played {
+		parts = append(parts, fmt.Sprintf("%d %s", n, name))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, "; ")
+}
--- a/router/expiring/amounts.go
+++ b/router/expiring/amounts.go
@@ -56,6 +56,16 @@
 	return until, true
 }
 
+// TakeAll removes all that there is, and gives the moment at which the first part of it ends.
+func (s *Amounts) TakeAll() (amount float64, until time.Duration) {
+	if len(*s) == 0 {
+		return 0, 0
+	}
+	amount, until = s.Sum(), (*s)[0].until
+	*s = (*s)[:0]
+	return amount, until
+}
+
 // Sum is all that there is.
 func (s *Amounts) Sum() float64 {
 	sum := 0.0
--- a/router/limit/fleet_test.go
+++ b/router/limit/fleet_test.go
@@ -28,20 +28,26 @@
 	tokens float64
 }
 
-// limitFleet is routers' limiters and the owner of one tenant's limit on a virtual clock.
+// limitFleet is routers' limiters and the owners of one tenant's limit on a virtual clock.
 type limitFleet struct {
 	tenant  *config.Tenant
+	limit   quota.Limit
 	routers []*Limiter
-	owner   *quota.Owner
+	owner   *quota.Owner // nil while there is none
 	cutOff  map[int]bool // routers that don't reach the owner
 	began   time.Time
 	random  *rand.Rand
 	uses    []limitUse
 	refused int
+
+	runs int                  // of each request
+	hold func() time.Duration // from a request's charge to its use
 }
 
 func newLimitFleet(seed uint64, routers int, tenant *config.Tenant) *limitFleet {
-	f := &limitFleet{tenant: tenant, cutOff: map[int]bool{}, began: time.Now(), random: rand.New(rand.NewPCG(seed, 44))}
+	f := &limitFleet{tenant: tenant, cutOff: map[int]bool{}, began: time.Now(), random: rand.New(rand.NewPCG(seed, 44)), runs: 1}
+	f.hold = func() time.Duration { return 0 }
+	f.limit = quota.LimitOf(tenant, &limitBounds)
 	f.owner = quota.NewOwner(0)
 	for i := range routers {
 		f.routers = append(f.routers, nil)
@@ -52,6 +58,17 @@
 
 func (f *limitFleet) now() time.Duration { return time.Since(f.began) }
 
+// takeOver has another owner follow the present one. For as long as delays of grants last there is none.
+func (f *limitFleet) takeOver(start bool) {
+	f.owner = nil
+	time.AfterFunc(quota.LongestDelay, func() {
+		f.owner = quota.NewOwner(f.now())
+		if start {
+			f.owner.AddStart(f.now())
+		}
+	})
+}
+
 // restart begins a new life of a router.
 func (f *limitFleet) restart(i int) {
 	l := New(fmt.Sprint("front-", i))
@@ -67,6 +84,9 @@
 
 // answer is what the owner's process does with a request.
 func (f *limitFleet) answer(l *Limiter, q *wire.QuotaRequest) {
+	if f.owner == nil {
+		return
+	}
 	grant := f.owner.Take(q.Tenant, quota.LimitOf(f.tenant, &limitBounds), quota.Ask{Need: q.Need, Want: q.Want}, f.now())
 	answer := &wire.QuotaGrant{Router: q.Router, Number: q.Number, Life: q.Life, Granted: grant.Amount, Spare: grant.Spare,
 		ValidMS: grant.Valid.Milliseconds(), DelayMS: wire.CeilMS(grant.Delay), EmptyMS: grant.Empty.Milliseconds(), WaitMS: grant.Wait.Milliseconds()}
@@ -75,7 +95,7 @@
 
 // send offers requests of the tenant at a rate in tokens a second, spread over all routers, for some time.
 func (f *limitFleet) send(t *testing.T, rate float64, lasts time.Duration) {
-	done := make(chan limitUse, 1024)
+	done := make(chan limitUse, 16<<10)
 	out := 0
 	collect := func() {
 		use := <-done
@@ -91,14 +111,19 @@
 		if f.random.IntN(2) == 0 {
 			tokens = 9_200
 		}
-		router := f.routers[f.random.IntN(len(f.routers))]
+		router, hold := f.routers[f.random.IntN(len(f.routers))], f.hold()
 		out++
 		go func() {
-			if c, _ := router.Take(t.Context(), f.tenant, tokens); c != nil && c.Use(t.Context()) {
-				done <- limitUse{f.now(), tokens}
-				return
+			c, _ := router.Take(t.Context(), f.tenant, tokens)
+			time.Sleep(hold)
+			use := limitUse{}
+			for range f.runs {
+				if c == nil || !c.Use(t.Context()) {
+					break
+				}
+				use = limitUse{f.now(), use.tokens + tokens}
 			}
-			done <- limitUse{}
+			done <- use
 		}()
 		time.Sleep(time.Duration(tokens / rate * float64(time.Second)))
 		for len(done) > 0 {
@@ -126,29 +151,218 @@
 	return most
 }
 
-// allowed is what the rules let a tenant use within a window.
-func (f *limitFleet) allowed() float64 {
-	t, b := f.tenant, &limitBounds
-	return (t.RatePerS*b.QuotaWindowS+t.Burst)*(1+b.QuotaOverage) + b.QuotaSlack
+// check holds the rule in every window, and that enough was used for that to show something.
+func (f *limitFleet) check(t *testing.T, least float64) {
+	t.Helper()
+	most, allowed := f.most(), f.limit.Allowance
+	assert.Assert(t, most <= allowed, "%.0f of %.0f", most, allowed)
+	assert.Assert(t, most >= least, "%.0f of %.0f, which does not come to the bound of %.0f", most, allowed, least)
+}
+
+const (
+	largeRate = 520_000.0   // of a tenant's limit, tokens a second
+	flood     = 2_400_000.0 // that the tenant sends
+)
+
+// atSizes plays at three numbers of routers, for a tenant with a large limit and one with a small one.
+func atSizes(t *testing.T, play func(t *testing.T, f *limitFleet)) {
+	for _, routers := range []int{3, 73, 390} {
+		for _, rate := range []float64{29_000, largeRate} {
+			t.Run(fmt.Sprintf("%d routers, rate %.0f", routers, rate), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					play(t, newLimitFleet(1, routers, &config.Tenant{Name: "t", Unit: config.TokenUnit, RatePerS: rate, Burst: rate}))
+				})
+			})
+		}
+	}
 }
 
+// fill lets time pass in which all is saved up.
+func fill() { time.Sleep(20 * time.Second) }
+
 // TestLimitHoldsWhileRoutersAreCutOff has four in ten routers cut off from the owner of a limit, as a tenant begins to send
 // several times what it may.
 func TestLimitHoldsWhileRoutersAreCutOff(t *testing.T) {
-	for _, routers := range []int{3, 73, 390} {
-		t.Run(fmt.Sprint(routers), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newLimitFleet(1, routers, &config.Tenant{Name: "t", Unit: config.TokenUnit, RatePerS: 520_000, Burst: 520_000})
-				f.send(t, 400_000, 12*time.Second)
-				for i := range routers * 4 / 10 {
-					f.cutOff[i] = true
+	atSizes(t, func(t *testing.T, f *limitFleet) {
+		f.send(t, 0.77*f.limit.Rate, 12*time.Second)
+		for i := range len(f.routers) * 4 / 10 {
+			f.cutOff[i] = true
+		}
+		f.send(t, 0.77*f.limit.Rate, 4*time.Second)
+		f.send(t, flood, 8*time.Second)
+		clear(f.cutOff)
+		f.send(t, flood, 4*time.Second)
+		f.check(t, 0.9*8*f.limit.Rate)
+	})
+}
+
+// TestOwnerAloneKeepsTheLimit is the term C + R W: a full bucket and what comes in.
+func TestOwnerAloneKeepsTheLimit(t *testing.T) {
+	atSizes(t, func(t *testing.T, f *limitFleet) {
+		fill()
+		f.send(t, flood, 12*time.Second)
+		f.check(t, 0.9*(f.limit.Capacity+8*f.limit.Rate))
+	})
+}
+
+// TestLateUseKeepsTheLimit is the term R V: charges are used as late as they may be, and then at once.
+func TestLateUseKeepsTheLimit(t *testing.T) {
+	atSizes(t, func(t *testing.T, f *limitFleet) {
+		fill()
+		late := f.limit.Validity - 2*oneWay - quota.LongestDelay - time.Millisecond
+		f.hold = func() time.Duration { return late }
+		f.send(t, flood, 4*time.Second)
+		f.hold = func() time.Duration { return 0 }
+		f.send(t, flood, 10*time.Second)
+		f.check(t, 0.9*(f.limit.Capacity+8*f.limit.Rate))
+	})
+}
+
+// TestOwnersInARowKeepTheLimit loses the owner again and again, and a full bucket with the first of them. One start amount
+// may come within a window.
+func TestOwnersInARowKeepTheLimit(t *testing.T) {
+	for _, pace := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second} {
+		t.Run(pace.String(), func(t *testing.T) {
+			atSizes(t, func(t *testing.T, f *limitFleet) {
+				fill()
+				f.send(t, flood, time.Second)
+				f.takeOver(true)
+				for range 6 {
+					f.send(t, flood, pace)
+					f.takeOver(false)
 				}
-				f.send(t, 400_000, 4*time.Second)
-				f.send(t, 2_400_000, 8*time.Second)
-				clear(f.cutOff)
-				f.send(t, 2_400_000, 4*time.Second)
-				assert.Assert(t, f.most() <= f.allowed(), "%.0f of %.0f", f.most(), f.allowed())
+				f.send(t, flood, 8*time.Second)
+				f.check(t, f.limit.Capacity+f.limit.Rate)
 			})
 		})
 	}
 }
+
+// TestSpareAmountsKeepTheLimit is the terms P + Q H: all routers have earned what they may, and no owner answers any more, as
+// the bucket was full; then there is one again.
+func TestSpareAmountsKeepTheLimit(t *testing.T) {
+	atSizes(t, func(t *testing.T, f *limitFleet) {
+		f.send(t, 0.9*f.limit.Rate, 40*time.Second)
+		f.send(t, flood, time.Second)
+		f.owner = nil
+		before := len(f.uses)
+		f.send(t, flood, 3*time.Second)
+		if len(f.routers) == 3 { // at many routers hardly one has earned a whole request
+			assert.Assert(t, len(f.uses) > before+10, "%d requests without an owner", len(f.uses)-before)
+		}
+		f.takeOver(true)
+		f.send(t, flood, 8*time.Second)
+		f.check(t, 8*f.limit.Rate)
+	})
+}
+
+// TestRoutersThatRestartBringNothing has all routers begin new lives, again and again.
+func TestRoutersThatRestartBringNothing(t *testing.T) {
+	atSizes(t, func(t *testing.T, f *limitFleet) {
+		fill()
+		for range 20 {
+			f.send(t, flood, 500*time.Millisecond)
+			for i := range f.routers {
+				f.restart(i)
+			}
+		}
+		f.check(t, 0.9*(f.limit.Capacity+8*f.limit.Rate))
+	})
+}
+
+// TestRunsOfOneRequestAreAllCharged has each request run three times.
+func TestRunsOfOneRequestAreAllCharged(t *testing.T) {
+	atSizes(t, func(t *testing.T, f *limitFleet) {
+		fill()
+		f.runs = 3
+		f.send(t, flood, 10*time.Second)
+		f.check(t, 0.9*(f.limit.Capacity+8*f.limit.Rate))
+	})
+}
+
+// TestAllTermsTogetherKeepTheLimit plays all of it at once, drawn from seeds.
+func TestAllTermsTogetherKeepTheLimit(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			atSizes(t, func(t *testing.T, f *limitFleet) {
+				f.random = rand.New(rand.NewPCG(seed, 45))
+				late := f.limit.Validity - 2*oneWay - quota.LongestDelay - time.Millisecond
+				f.hold = func() time.Duration { return time.Duration(f.random.Int64N(int64(late))) }
+				f.send(t, 0.9*f.limit.Rate, 30*time.Second)
+				fill()
+				started := time.Duration(0)
+				for range 60 {
+					switch i := f.random.IntN(len(f.routers)); f.random.IntN(6) {
+					case 0:
+						f.restart(i)
+					case 1:
+						f.cutOff[i] = true
+					case 2:
+						clear(f.cutOff)
+					case 3:
+						start := f.now() > started+12*time.Second // as owners that follow one long in office
+						if start {
+							started = f.now()
+						}
+						f.takeOver(start)
+					case 4:
+						f.runs = 1 + f.random.IntN(2)
+					case 5:
+						for k := range f.routers {
+							f.cutOff[k] = f.random.IntN(2) == 0
+						}
+					}
+					f.send(t, flood, time.Duration(f.random.IntN(600))*time.Millisecond)
+				}
+				f.check(t, f.limit.Capacity+f.limit.Rate)
+			})
+		})
+	}
+}
+
+// TestLimitIsUsableInCalm is the other side: with demand above the limit that moves between routers, nearly all of it is
+// used; a tenant below it is not refused.
+func TestLimitIsUsableInCalm(t *testing.T) {
+	atSizes(t, func(t *testing.T, f *limitFleet) {
+		all := f.routers
+		f.send(t, 1.2*f.limit.Rate, 4*time.Second) // what was saved up goes
+		f.uses = nil
+		began := f.now()
+		for i := range 10 {
+			third := max(1, len(all)/3)
+			f.routers = all[i%3*third : (i%3+1)*third]
+			f.send(t, 1.2*f.limit.Rate, 2*time.Second)
+		}
+		used := 0.0
+		for _, use := range f.uses {
+			used += use.tokens
+		}
+		part := used / (f.limit.Rate * (f.now() - began).Seconds())
+		assert.Assert(t, part >= 0.95 && part <= 1.01, "%.3f of the limit was used", part)
+
+		f.refused = 0
+		f.send(t, 0.9*f.limit.Rate, 5*time.Second) // until the bucket has recovered
+		f.refused = 0
+		f.send(t, 0.9*f.limit.Rate, 20*time.Second)
+		assert.Equal(t, f.refused, 0, "below the limit")
+	})
+}
+
+// TestLowerLimitBindsForAllRouters lowers a limit while routers still hold what they drew under the higher one.
+func TestLowerLimitBindsForAllRouters(t *testing.T) {
+	atSizes(t, func(t *testing.T, f *limitFleet) {
+		fill()
+		f.send(t, flood, 2*time.Second)
+		low := *f.tenant
+		low.RatePerS, low.Burst = low.RatePerS/10, low.Burst/20
+		for i := range len(f.routers) / 2 {
+			f.cutOff[i] = true // and learn of it late
+		}
+		f.tenant, f.limit = &low, quota.LimitOf(&low, &limitBounds)
+		f.send(t, flood, 8*time.Second) // by the rule it binds after one window
+		f.uses = nil
+		clear(f.cutOff)
+		f.send(t, flood, 10*time.Second)
+		f.check(t, 0.7*8*f.limit.Rate)
+	})
+}
--- a/router/limit/limiter.go
+++ b/router/limit/limiter.go
@@ -119,6 +119,8 @@
 	shard   uint32
 	asked   time.Duration
 	relayed bool
+	held    float64       // drawn ahead, which is less than the request costs
+	until   time.Duration // by when that has to be used
 	message *wire.QuotaRequest
 	answer  chan *wire.QuotaGrant
 }
@@ -146,8 +148,9 @@
 	l.number++
 	f.Asked++
 	q := &question{shard: shard, asked: now, relayed: now < l.shards[shard].relayTill, answer: make(chan *wire.QuotaGrant, 1)}
-	q.message = &wire.QuotaRequest{Router: l.router, Life: l.life, Shard: shard, Number: l.number, Need: d.cost,
-		Tenant: d.subject.tenant, Service: d.subject.service, Want: a.want(d.cost), Relay: q.relayed}
+	q.held, q.until = a.ahead.TakeAll()
+	q.message = &wire.QuotaRequest{Router: l.router, Life: l.life, Shard: shard, Number: l.number, Tenant: d.subject.tenant,
+		Service: d.subject.service, Need: d.cost - q.held, Want: a.want(d.cost) - q.held, Relay: q.relayed}
 	l.waiting[l.number] = q.answer
 	return q, nil, 0
 }
@@ -179,23 +182,28 @@
 	delete(l.waiting, q.message.Number)
 	now := l.now()
 	a, f := l.account(d), l.figuresOf(d.subject)
-	if grant != nil {
-		l.shards[q.shard].absentFrom = 0
-	} else {
+	if grant == nil {
 		f.Unanswered++
+		a.ahead.Add(q.held, q.until, aheadGrain)
 		return l.unanswered(d, a, q, now)
 	}
-	if grant.Granted < d.cost {
+	l.shards[q.shard].absentFrom = 0
+	if grant.Granted < q.message.Need {
 		f.RefusedOwner++
+		a.ahead.Add(q.held, q.until, aheadGrain)
 		a.emptyTill = now + time.Duration(grant.EmptyMS)*time.Millisecond
 		wait = time.Duration(grant.WaitMS) * time.Millisecond
 		return nil, min(max(wait, shortestRetry), longestRetry), false
 	}
 	delay := time.Duration(grant.DelayMS) * time.Millisecond
 	until := q.asked + delay + time.Duration(grant.ValidMS)*time.Millisecond
-	a.ahead.Add(grant.Granted-d.cost, until, aheadGrain)
+	a.ahead.Add(grant.Granted-q.message.Need, until, aheadGrain)
 	a.spare.Add(grant.Spare, q.asked+quota.SpareLife, spareGrain)
-	f.OwnerUse += d.cost
+	f.OwnerUse += q.message.Need
+	f.AheadUse += q.held
+	if q.held > 0 {
+		until = min(until, q.until)
+	}
 	c = l.charge(d, until)
 	c.from = now + delay
 	return c, 0, false
