--- a/control/quota/limit.go
+++ b/control/quota/limit.go
@@ -11,6 +11,9 @@
 // late by: a grant may be used for as long as the rate takes to fill this part.
 const delayShare = 0.3
 
+// reserveShare of the tolerance is given to nothing: it is for requests that are on their way from a router to a host.
+const reserveShare = 0.03
+
 // Of the rest of the tolerance these go to what follows, and what is left to the bucket, beside the burst.
 const (
 	// spareShare is the part that routers may use while no owner answers them.
@@ -74,12 +77,12 @@
 		shortest := min(shortestValidity, seconds((burst+tolerance)/rate))
 		l.Validity = min(longestValidity, max(shortest, seconds(delayShare*tolerance/rate)))
 	}
-	rest := max(0, tolerance-rate*l.Validity.Seconds())
+	rest := max(0, (1-reserveShare)*tolerance-rate*l.Validity.Seconds())
 	l.Start = startShare * rest
 	spare := spareShare * rest
 	l.SpareCapacity = spareAtOnce * spare
 	l.SpareRate = (spare - l.SpareCapacity) / (window + l.Validity.Seconds() + SpareLife.Seconds())
-	l.Capacity = max(0, burst+tolerance-rate*l.Validity.Seconds()-l.Start-spare)
+	l.Capacity = max(0, burst+(1-reserveShare)*tolerance-rate*l.Validity.Seconds()-l.Start-spare)
 	return l
 }
 
--- a/router/limit/account.go
+++ b/router/limit/account.go
@@ -17,7 +17,7 @@
 
 // account is one tenant's limit at this router.
 type account struct {
-	unit      string           // of the tenant's limit, in which all amounts here are
+	terms     terms            // under which all amounts here were granted
 	ahead     expiring.Amounts // drawn for later requests, or given back
 	spare     expiring.Amounts // earned with grants, for the time without an owner
 	at        time.Duration
--- a/router/limit/limiter.go
+++ b/router/limit/limiter.go
@@ -80,7 +80,7 @@
 	if t.RatePerS <= 0 {
 		return nil, 0
 	}
-	return l.take(ctx, demand{subject{tenant: t.Name}, t.Unit, cost})
+	return l.take(ctx, demand{subject{tenant: t.Name}, terms{t.Unit, t.RatePerS, t.Burst}, cost})
 }
 
 // TakeRepeat says whether a request to a service may be sent once more, from what the fleet may repeat whatever its
@@ -93,10 +93,17 @@
 // demand is what a request asks of a limit.
 type demand struct {
 	subject subject
-	unit    string
+	terms   terms
 	cost    float64
 }
 
+// terms are those of a limit by the configuration in force at this router. What was granted under others is void: a lower
+// limit must not be exceeded by what was earned under the higher one.
+type terms struct {
+	unit        string
+	rate, burst float64
+}
+
 func (l *Limiter) take(ctx context.Context, d demand) (*Charge, time.Duration) {
 	for {
 		question, charge, wait := l.begin(d)
@@ -269,12 +276,12 @@
 	l.figuresOf(c.demand.subject).GivenBack += c.demand.cost
 }
 
-// account gives the account of a subject. What was drawn in another unit is void. The caller holds l.mu.
+// account gives the account of a subject, empty where its terms have changed. The caller holds l.mu.
 func (l *Limiter) account(d demand) *account {
 	a := l.accounts[d.subject]
-	if a == nil || a.unit != d.unit {
+	if a == nil || a.terms != d.terms {
 		l.forgetIdle()
-		a = &account{unit: d.unit, at: l.now()}
+		a = &account{terms: d.terms, at: l.now()}
 		l.accounts[d.subject] = a
 	}
 	return a
