--- a/control/node.go
+++ b/control/node.go
@@ -249,6 +249,9 @@
 // readLimits reads what has limits in a configuration, which was checked when it was taken.
 func (n *Node) readLimits(body []byte) {
 	n.tenants, n.services = map[string]*config.Tenant{}, map[string]bool{}
+	if len(body) == 0 {
+		return // before the first one
+	}
 	c, err := config.Read(body)
 	if err != nil {
 		n.log.Error("committed configuration unreadable", "error", err)
--- a/rehearse/soak/soak_test.go
+++ b/rehearse/soak/soak_test.go
@@ -20,6 +20,7 @@
 	runsFlag    = flag.Int("runs", 1, "runs, with seeds that follow each other")
 	secondsFlag = flag.Int("seconds", 40, "seconds of trouble in each run")
 	frontsFlag  = flag.Int("fronts", 6, "front machines")
+	keepFlag    = flag.String("keep", "", "folder to keep the processes' logs and data in")
 	slotFlag    = flag.Int("slot", 0, "0 to 15: runs at the same time need different ones")
 )
 
