--- a/rehearse/soak/fleet_test.go
+++ b/rehearse/soak/fleet_test.go
@@ -66,7 +66,10 @@
 func newFleet(t *testing.T, binaries string, controls, fronts int) *fleet {
 	folder := t.TempDir()
 	if *keepFlag != "" {
-		folder = filepath.Join(*keepFlag, filepath.Base(t.Name()))
+		var err error
+		folder, err = os.MkdirTemp(*keepFlag, "soak-")
+		assert.NilError(t, err)
+		t.Logf("logs and data are kept in %s", folder)
 	}
 	f := &fleet{t: t, folder: folder, binaries: binaries, network: newNetwork(), platform: system.NewPlatform(), ledger: newLedger(),
 		pace: map[*tenant]*limitChange{}, limits: map[*tenant][]*limitChange{}}
--- a/rehearse/soak/soak_test.go
+++ b/rehearse/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"os/exec"
 	"slices"
 	"sync"
@@ -21,13 +22,16 @@
 	secondsFlag = flag.Int("seconds", 40, "seconds of trouble in each run")
 	frontsFlag  = flag.Int("fronts", 6, "front machines")
 	keepFlag    = flag.String("keep", "", "folder to keep the processes' logs and data in")
-	slotFlag    = flag.Int("slot", 0, "0 to 15: runs at the same time need different ones")
+	slotFlag    = flag.Int("slot", os.Getpid()%slots, "0 to 15: runs at the same time need different ones")
 )
 
 const (
+	slots      = 16
 	controls   = 3
 	calmBefore = 8 * time.Second
 	calmAfter  = 6 * time.Second
+	// startPatience is how long a fleet may take to serve at first.
+	startPatience = 20 * time.Second
 	// limitLag is how long a lower limit may take to be in force at the owner.
 	limitLag = 3 * time.Second
 	// Too little played fails a run: so much for each second of trouble.
@@ -60,7 +64,9 @@
 	for _, tenant := range f.tenants {
 		first[tenant] = &limitChange{rate: tenant.rate, burst: tenant.rate}
 	}
-	assert.Assert(t, f.change(ctx, first), "the first configuration")
+	soon, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	assert.Assert(t, f.change(soon, first), "the first configuration is not taken")
 	f.awaitReady(t)
 	var clients sync.WaitGroup
 	for _, tenant := range f.tenants {
@@ -92,7 +98,7 @@
 // awaitReady waits until all routers are ready.
 func (f *fleet) awaitReady(t *testing.T) {
 	t.Helper()
-	until := time.Now().Add(20 * time.Second)
+	until := time.Now().Add(startPatience)
 	for _, m := range f.alive(false) {
 		for {
 			answer, err := operatorClient.Get("http://" + addressOf(m.number, servicePort+1) + "/v1/ready")
