--- a/router/limit/fleet_test.go
+++ b/router/limit/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,11 +31,12 @@
 
 // limitFleet is routers' limiters and the owners of one tenant's limit on a virtual clock.
 type limitFleet struct {
-	tenant  *config.Tenant
+	mu      sync.Mutex     // guards the next three, as messages come on timers
+	tenant  *config.Tenant // by the configuration in force
+	owner   *quota.Owner   // nil while there is none
+	cutOff  map[int]bool   // routers that don't reach the owner
 	limit   quota.Limit
 	routers []*Limiter
-	owner   *quota.Owner // nil while there is none
-	cutOff  map[int]bool // routers that don't reach the owner
 	began   time.Time
 	random  *rand.Rand
 	uses    []limitUse
@@ -58,10 +60,42 @@
 
 func (f *limitFleet) now() time.Duration { return time.Since(f.began) }
 
+// loseOwner leaves the limit without one.
+func (f *limitFleet) loseOwner() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.owner = nil
+}
+
+// cut has some routers not reach the owner.
+func (f *limitFleet) cut(is func(i int) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.routers {
+		f.cutOff[i] = f.cutOff[i] || is(i)
+	}
+}
+
+// heal has all routers reach the owner.
+func (f *limitFleet) heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.cutOff)
+}
+
+// change puts another limit in force.
+func (f *limitFleet) change(t *config.Tenant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tenant, f.limit = t, quota.LimitOf(t, &limitBounds)
+}
+
 // takeOver has another owner follow the present one. For as long as delays of grants last there is none.
 func (f *limitFleet) takeOver(start bool) {
-	f.owner = nil
+	f.loseOwner()
 	time.AfterFunc(quota.LongestDelay, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		f.owner = quota.NewOwner(f.now())
 		if start {
 			f.owner.AddStart(f.now())
@@ -73,6 +107,8 @@
 func (f *limitFleet) restart(i int) {
 	l := New(fmt.Sprint("front-", i))
 	l.Connect(func(m *wire.Message) bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		if f.cutOff[i] {
 			return true // silently, as a cut does
 		}
@@ -84,6 +120,8 @@
 
 // answer is what the owner's process does with a request.
 func (f *limitFleet) answer(l *Limiter, q *wire.QuotaRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.owner == nil {
 		return
 	}
@@ -111,13 +149,13 @@
 		if f.random.IntN(2) == 0 {
 			tokens = 9_200
 		}
-		router, hold := f.routers[f.random.IntN(len(f.routers))], f.hold()
+		router, hold, runs, tenant := f.routers[f.random.IntN(len(f.routers))], f.hold(), f.runs, f.tenant
 		out++
 		go func() {
-			c, _ := router.Take(t.Context(), f.tenant, tokens)
+			c, _ := router.Take(t.Context(), tenant, tokens)
 			time.Sleep(hold)
 			use := limitUse{}
-			for range f.runs {
+			for range runs {
 				if c == nil || !c.Use(t.Context()) {
 					break
 				}
@@ -185,12 +223,10 @@
 func TestLimitHoldsWhileRoutersAreCutOff(t *testing.T) {
 	atSizes(t, func(t *testing.T, f *limitFleet) {
 		f.send(t, 0.77*f.limit.Rate, 12*time.Second)
-		for i := range len(f.routers) * 4 / 10 {
-			f.cutOff[i] = true
-		}
+		f.cut(func(i int) bool { return i < len(f.routers)*4/10 })
 		f.send(t, 0.77*f.limit.Rate, 4*time.Second)
 		f.send(t, flood, 8*time.Second)
-		clear(f.cutOff)
+		f.heal()
 		f.send(t, flood, 4*time.Second)
 		f.check(t, 0.9*8*f.limit.Rate)
 	})
@@ -244,7 +280,7 @@
 	atSizes(t, func(t *testing.T, f *limitFleet) {
 		f.send(t, 0.9*f.limit.Rate, 40*time.Second)
 		f.send(t, flood, time.Second)
-		f.owner = nil
+		f.loseOwner()
 		before := len(f.uses)
 		f.send(t, flood, 3*time.Second)
 		if len(f.routers) == 3 { // at many routers hardly one has earned a whole request
@@ -296,9 +332,9 @@
 					case 0:
 						f.restart(i)
 					case 1:
-						f.cutOff[i] = true
+						f.cut(func(k int) bool { return k == i })
 					case 2:
-						clear(f.cutOff)
+						f.heal()
 					case 3:
 						start := f.now() > started+12*time.Second // as owners that follow one long in office
 						if start {
@@ -308,9 +344,8 @@
 					case 4:
 						f.runs = 1 + f.random.IntN(2)
 					case 5:
-						for k := range f.routers {
-							f.cutOff[k] = f.random.IntN(2) == 0
-						}
+						f.heal()
+						f.cut(func(int) bool { return f.random.IntN(2) == 0 })
 					}
 					f.send(t, flood, time.Duration(f.random.IntN(600))*time.Millisecond)
 				}
@@ -355,15 +390,13 @@
 		f.send(t, flood, 2*time.Second)
 		low := *f.tenant
 		low.RatePerS, low.Burst = low.RatePerS/10, low.Burst/20
-		for i := range len(f.routers) / 2 {
-			f.cutOff[i] = true // and learn of it late
-		}
-		f.tenant, f.limit = &low, quota.LimitOf(&low, &limitBounds)
+		f.cut(func(i int) bool { return i < len(f.routers)/2 })
+		f.change(&low)
 		f.send(t, flood, 8*time.Second) // by the rule it binds after one window
 		f.uses = nil
-		clear(f.cutOff)
+		f.heal()
 		f.send(t, flood, 2*time.Second)
-		f.owner = nil // what was earned under the higher limit must not come to use
+		f.loseOwner() // what was earned under the higher limit must not come to use
 		f.send(t, flood, 2*time.Second)
 		f.takeOver(true)
 		f.send(t, flood, 10*time.Second)
