--- a/control/replica/election.go
+++ b/control/replica/election.go
@@ -82,14 +82,14 @@
 }
 
 // standsBefore says whether this replica comes before a candidate where all members have just restarted: the one with the
-// newest entry does, and among equals the one with the lowest identity. So only one can get the word of all that they
+// newest entry does, and among equals the one that comes first in the group's order. So only one can get the word of all that they
 // have, and two never stand against each other on its strength. One whose disk doesn't keep up leaves its place to others.
 func (r *Replica) standsBefore(q *wire.VoteRequest) bool {
 	if !r.IsMember() || r.leave.started || !r.termDurable() {
 		return false
 	}
 	own, others := r.disk.Entry.Position(), Position{Term: q.LastTerm, Index: q.LastIndex}
-	return others.Less(own) || own == others && r.self.ID < q.Candidate
+	return others.Less(own) || own == others && r.group.before(r.self.ID, q.Candidate)
 }
 
 // yieldTo lets another replica that has also just restarted stand first.
@@ -185,8 +185,14 @@
 	r.role, r.leader, r.ledSince, r.fresh, r.failed = Leader, r.self, now, false, 0
 	r.peers, r.beats, r.made = map[string]*peer{}, map[uint64]time.Duration{}, map[uint64]time.Duration{}
 	r.nextBeat = now
+	if r.machine != nil {
+		r.refreshPeers(now)
+		for _, p := range r.peers {
+			p.received = r.disk.Entry.Position() // most have it; one that hasn't says so, and gets what it lacks
+		}
+	}
 	// What it holds is committed only by an entry of its own term.
-	r.appendEntry(r.disk.Entry.Members, r.disk.Entry.Value, now)
+	r.appendUnchanged(r.disk.Entry.Members, now)
 }
 
 // onTransfer stands at once, as the leader of this term has given its lease up.
--- a/control/replica/leader.go
+++ b/control/replica/leader.go
@@ -77,7 +77,7 @@
 	r.startBeat(now)
 	r.nextBeat = now + HeartbeatInterval
 	for _, id := range sortedIDs(r.peers) {
-		r.sendAppend(r.peers[id])
+		r.sendAppend(r.peers[id], now)
 	}
 	for _, id := range sortedIDs(r.learners) {
 		l := r.learners[id]
@@ -85,7 +85,7 @@
 			delete(r.learners, id)
 			continue
 		}
-		r.sendAppend(l)
+		r.sendAppend(l, now)
 	}
 }
 
@@ -94,12 +94,17 @@
 
 // sendAppend sends the newest heartbeat, with the newest entry where the peer lacks it. Only one entry is on its way to a
 // peer at a time: over a link that is slower than the orders come, it gets those that are newest when the link is free.
-func (r *Replica) sendAppend(p *peer) {
+func (r *Replica) sendAppend(p *peer, now time.Duration) {
 	a := &wire.Append{Term: r.disk.Term, Leader: r.self.ID, LeaderIP: r.self.IP, Round: r.beat,
 		Commit: r.committed.Position(), FreshRound: r.freshRound}
+	if r.machine != nil {
+		a.Time = r.clock.at(now)
+	}
 	newest := r.disk.Entry.Position()
 	if p.received != newest && p.sentBeat == 0 {
-		a.Entry = r.disk.Entry
+		if a.Steps = r.stepsFrom(p.received); a.Steps == nil {
+			a.Entry = r.wholeEntry()
+		}
 		p.sent, p.sentBeat = newest, r.beat
 	}
 	r.send(p.member, &wire.Message{Append: a})
@@ -135,16 +140,21 @@
 		r.freshRound = 0 // an earlier life of this process was asked, not this one
 	}
 	r.scheduleElection(now)
+	r.clock.observe(a.Time, now)
 	r.followCommit(a) // of the entry before, where a stream of orders always brings the next one along
 	if a.Entry != nil && r.disk.Entry.Position().Less(a.Entry.Position()) {
-		r.storeEntry(a.Entry)
+		r.takeWhole(a.Entry)
+		r.followCommit(a)
+	}
+	for _, step := range a.Steps {
+		r.takeStep(step)
 		r.followCommit(a)
 	}
 	// The heartbeat needs no write; what is stored is told as it stands on disk.
 	if r.termDurable() {
 		r.send(from, r.appendReply(a.Round, r.durable))
 	}
-	if r.durable != r.disk.Entry.Position() && a.Entry != nil || !r.termDurable() {
+	if r.durable != r.disk.Entry.Position() && (a.Entry != nil || a.Steps != nil) || !r.termDurable() {
 		r.sendAfterSave(from, r.appendReply(a.Round, r.disk.Entry.Position()))
 	}
 }
@@ -195,7 +205,7 @@
 	}
 	if r.role == Leader && other.sentBeat == 0 && other.received != r.disk.Entry.Position() {
 		r.startBeat(now) // an answer to it is one to this entry
-		r.sendAppend(other)
+		r.sendAppend(other, now)
 	}
 }
 
@@ -219,6 +229,7 @@
 		return
 	}
 	r.committed = r.disk.Entry
+	r.applyNewest()
 	if !r.changeMembers(now) {
 		r.broadcast(now)
 	}
--- a/control/replica/members.go
+++ b/control/replica/members.go
@@ -30,7 +30,7 @@
 	}
 	next, due := r.nextMembers(now)
 	if due {
-		r.appendEntry(next, r.disk.Entry.Value, now)
+		r.appendUnchanged(next, now)
 	}
 	return due
 }
@@ -154,7 +154,7 @@
 		l = newPeer(q.Member, now)
 		r.learners[from.ID] = l
 		r.startBeat(now)
-		r.sendAppend(l)
+		r.sendAppend(l, now)
 	}
 	l.heard = now
 }
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -1,7 +1,10 @@
 // Package replica agrees on one replicated state among the members of a group: elections with a pre-vote, a
-// leader lease, and replication in which each entry holds the whole state. It is free of I/O: messages, time and the
+// leader lease, and replication in which each entry stands for the whole state. It is free of I/O: messages, time and the
 // end of disk writes are handed in, messages and writes are handed out.
 //
+// An entry is sent and stored whole, or, in a group with a Machine, as a step: the commands that lead on to it from the
+// entry before, which only one that has that very entry can take. A position names one content either way.
+//
 // The rules are those of Raft with a log of one entry: as an entry replaces all before it, a follower keeps only the
 // newest. Members change one at a time (see members.go). A replica without its disk comes back under a new ID, as a
 // learner; it counts once an entry names it a member.
@@ -56,6 +59,8 @@
 	Disk         Disk
 	EntryChanged bool
 	VoteChanged  bool
+	// Entries lead from the last Save, or from a whole entry, to Disk.Entry.
+	Entries []*wire.Entry
 }
 
 // Envelope is a message to another replica.
@@ -83,6 +88,23 @@
 type Group struct {
 	Target        int           // members that the group should have
 	MemberSilence time.Duration // after which a member may be replaced, where another machine is ready to take its place
+	// Name sets the order in which members that have all just restarted stand for leader, so that groups of the same
+	// members prefer different ones; "" for the order of their identities.
+	Name string
+}
+
+// weight is a member's place in the order in which members stand: the lowest comes first.
+func (g *Group) weight(id string) uint64 {
+	if g.Name == "" {
+		return 0
+	}
+	return xxhash.Sum64String(g.Name + "/" + id)
+}
+
+// before says whether a member comes before another one in that order.
+func (g *Group) before(id, other string) bool {
+	own, others := g.weight(id), g.weight(other)
+	return own < others || own == others && id < other
 }
 
 // held is a message that waits for a write to end.
@@ -105,6 +127,13 @@
 	waiting  []held
 	outbox   []Envelope
 
+	machine   Machine       // nil where each entry is whole
+	clock     groupClock    // of a group with a machine
+	unapplied *wire.Entry   // the leader's newest entry, while its machine stands at the one before
+	steps     []*wire.Entry // the newest ones, each following the one before
+	whole     *wire.Entry   // the newest one that was made whole
+	unsaved   []*wire.Entry // since the last Save was handed out
+
 	role       Role
 	leader     wire.Member
 	round      uint64            // of the own newest request for votes
@@ -129,10 +158,18 @@
 	leave    leaveState
 }
 
-// New makes a replica from what its disk held.
+// New makes a replica from what its disk held, in which each entry is whole.
 func New(self wire.Member, group Group, disk Disk, random *rand.Rand, now time.Duration) *Replica {
+	return NewWithMachine(self, group, disk, nil, random, now)
+}
+
+// NewWithMachine makes a replica from what its disk held. The machine stands at the disk's entry.
+func NewWithMachine(self wire.Member, group Group, disk Disk, machine Machine, random *rand.Rand, now time.Duration) *Replica {
 	r := &Replica{self: self, group: group, disk: disk, random: random, durable: disk.Entry.Position(),
-		learners: map[string]*peer{}, fresh: true, freshTold: map[string]uint64{}}
+		learners: map[string]*peer{}, fresh: true, freshTold: map[string]uint64{}, machine: machine}
+	if disk.Entry != nil {
+		r.clock.observe(disk.Entry.Time, now)
+	}
 	r.heardAt = now // a heartbeat may have been acknowledged right before the restart
 	r.scheduleElection(now)
 	return r
@@ -240,7 +277,8 @@
 	return r.fresh && now < r.heardAt+freshPatience
 }
 
-// Propose replicates a new value on top of the committed one. Only a leader without an uncommitted entry does.
+// Propose replicates a new value on top of the committed one; with a machine, commands for it. Only a leader without an
+// uncommitted entry does.
 func (r *Replica) Propose(value []byte, now time.Duration) (Position, error) {
 	if !r.Leading(now) {
 		return Position{}, ErrNotLeader
@@ -251,11 +289,29 @@
 	return r.appendEntry(r.disk.Entry.Members, value, now), nil
 }
 
-// appendEntry makes the leader's next entry.
-func (r *Replica) appendEntry(members []wire.Member, value []byte, now time.Duration) Position {
+// appendUnchanged makes the leader's next entry with the state of the one before.
+func (r *Replica) appendUnchanged(members []wire.Member, now time.Duration) {
+	if r.machine != nil {
+		r.appendEntry(members, nil, now)
+		return
+	}
+	r.appendEntry(members, r.disk.Entry.Value, now)
+}
+
+// appendEntry makes the leader's next entry, of a new value or, with a machine, by commands.
+func (r *Replica) appendEntry(members []wire.Member, payload []byte, now time.Duration) Position {
 	last := r.disk.Entry
-	e := &wire.Entry{Term: r.disk.Term, Index: last.Index + 1, Members: members, Value: value, Fleet: last.Fleet}
-	r.storeEntry(e)
+	e := &wire.Entry{Term: r.disk.Term, Index: last.Index + 1, Members: members, Fleet: last.Fleet}
+	if r.machine == nil {
+		e.Value = payload
+		r.storeEntry(e, e)
+	} else {
+		e.After, e.Commands, e.Time = last.Position(), payload, r.clock.at(now)
+		step := stepOf(last, e)
+		r.keepStep(step)
+		r.storeEntry(e, step)
+		r.unapplied = e
+	}
 	r.made[e.Index] = now
 	delete(r.made, e.Index-entriesTimed)
 	r.refreshPeers(now)
@@ -263,11 +319,16 @@
 	return e.Position()
 }
 
-func (r *Replica) storeEntry(e *wire.Entry) {
+// storeEntry takes a newer entry and has it written as it was made or sent.
+func (r *Replica) storeEntry(e, sent *wire.Entry) {
 	if e.Position().Less(r.disk.Entry.Position()) {
 		panic("replica: an older entry would replace a newer one")
 	}
 	r.disk.Entry = e
+	if !sent.IsStep() {
+		r.unsaved = nil
+	}
+	r.unsaved = append(r.unsaved, sent)
 	r.requestSave(true, false)
 }
 
@@ -286,6 +347,9 @@
 // TakeSave hands out the write that is due, if any.
 func (r *Replica) TakeSave() *Save {
 	s := r.pending
+	if s != nil {
+		s.Entries, r.unsaved = r.unsaved, nil
+	}
 	r.pending = nil
 	return s
 }
@@ -374,6 +438,7 @@
 		r.disk.Term, r.disk.VotedFor = term, ""
 		r.requestSave(false, true)
 	}
+	r.applyNewest()
 	r.role, r.leader, r.freshRound = Follower, wire.Member{}, 0
 	r.peers, r.beats, r.made = nil, nil, nil
 	clear(r.learners)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -37,6 +37,11 @@
 	Transfer     *Transfer     `cbor:"16,keyasint,omitempty"`
 	Paces        *Paces        `cbor:"17,keyasint,omitempty"`
 	SlowHosts    *SlowHosts    `cbor:"18,keyasint,omitempty"`
+	// Part is the replica group that a message of agreement belongs to: 0 is that of the configuration, the others are parts
+	// of the coordination state.
+	Part      uint32     `cbor:"19,keyasint,omitempty"`
+	PartCall  *PartCall  `cbor:"20,keyasint,omitempty"`
+	PartReply *PartReply `cbor:"21,keyasint,omitempty"`
 
 	frame *[]byte // the message as it goes over a connection, once it is prepared
 }
@@ -67,15 +72,24 @@
 	return p.Term < q.Term || p.Term == q.Term && p.Index < q.Index
 }
 
-// Entry is one version of the replicated state. It holds the whole state, so it replaces all earlier ones.
+// Entry is one version of the replicated state, so it replaces all earlier ones. A whole entry carries the state in Value;
+// a step carries what leads on to it from the entry before, After.
 type Entry struct {
 	Term    uint64   `cbor:"1,keyasint"`
 	Index   uint64   `cbor:"2,keyasint"`
-	Members []Member `cbor:"3,keyasint"`
-	Value   []byte   `cbor:"5,keyasint"`
-	Fleet   uint64   `cbor:"6,keyasint"` // drawn from the founders; tells processes of other fleets apart
+	Members []Member `cbor:"3,keyasint,omitempty"` // in a step none where they are those of the entry before
+	Value   []byte   `cbor:"5,keyasint,omitempty"`
+	Fleet   uint64   `cbor:"6,keyasint,omitempty"` // drawn from the founders; tells processes of other fleets apart
+	After   Position `cbor:"7,keyasint,omitzero"`  // zero in a whole entry
+	// Commands are a step's, of the group's own encoding.
+	Commands []byte `cbor:"8,keyasint,omitempty"`
+	// Time is the group's time at which the entry was made; it never falls from entry to entry.
+	Time time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
+// IsStep says whether an entry can be taken only on top of the one before.
+func (e *Entry) IsStep() bool { return e.After != Position{} }
+
 // Position is where an entry stands in the order; the zero Position for none.
 func (e *Entry) Position() Position {
 	if e == nil {
@@ -120,6 +134,10 @@
 	Commit   Position `cbor:"6,keyasint"`
 	// FreshRound is the pre-vote by which the leader was elected while all members had just restarted, else 0.
 	FreshRound uint64 `cbor:"8,keyasint,omitempty"`
+	// Steps lead on, one after the other, from an entry that the follower was known to have, in place of a whole Entry.
+	Steps []*Entry `cbor:"9,keyasint,omitempty"`
+	// Time is the group's time, of a group whose state depends on it.
+	Time time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // AppendReply says which entry the follower has on disk, and which in memory.
