--- a/control/environment.go
+++ b/control/environment.go
@@ -5,6 +5,7 @@
 
 	"ivybank/control/lease"
 	"ivybank/control/replica"
+	"ivybank/control/store"
 	"ivybank/wire"
 )
 
@@ -20,6 +21,9 @@
 	// SaveTenures starts a write of what the leases' granter remembers; Node.TenuresSaved is called with its outcome. There is
 	// one at a time.
 	SaveTenures(t lease.Tenures)
+	// SaveParts starts a write of parts of the coordination state; Node.PartsSaved is called once it is on disk. There is one at
+	// a time.
+	SaveParts(b *store.PartsBatch)
 	// OpenLink keeps a connection to the control process at an address.
 	OpenLink(ip string, hello wire.Hello, events wire.LinkEvents) wire.OpenLink
 	// ReadHosts reads the platform's list; Node.HostsRead is called with the outcome.
--- a/control/members.go
+++ b/control/members.go
@@ -11,13 +11,13 @@
 // learning. While this node has to ask for its place, it tries the seeds and what peers have told of.
 func (n *Node) syncLinks() {
 	want := []string{}
-	for _, m := range n.replica.Members() {
+	for _, m := range n.allMembers() {
 		want = append(want, m.IP)
 	}
 	for ip := range n.callers {
 		want = append(want, ip)
 	}
-	if n.replica.NeedsToJoin(n.now()) {
+	if n.needsToJoin(n.now()) {
 		want = append(want, n.settings.SeedIPs()...)
 		want = append(want, n.env.KnownControls()...)
 	}
@@ -46,13 +46,15 @@
 // followReach tells the replica once this node and another one are connected in both ways: a question gets its answer then.
 func (n *Node) followReach(ip string) {
 	if link := n.links[ip]; link != nil && link.Up() && n.callers[ip] > 0 {
-		n.replica.PeerReachable(ip, n.now())
+		for _, r := range n.replicas() {
+			r.PeerReachable(ip, n.now())
+		}
 	}
 }
 
 // onGroup learns of members that a node that has to ask for its place may ask.
 func (n *Node) onGroup(m *wire.Message) {
-	if m.Group == nil || !n.replica.NeedsToJoin(n.now()) {
+	if m.Group == nil || !n.needsToJoin(n.now()) {
 		return
 	}
 	for _, member := range m.Group.Members {
@@ -124,6 +126,6 @@
 	case m.LeaseReply != nil:
 		n.onLeaseReply(from.ID, m.LeaseReply, now)
 	default:
-		n.replica.Receive(from, m, now)
+		n.receive(from, m, now)
 	}
 }
--- a/control/node.go
+++ b/control/node.go
@@ -64,6 +64,10 @@
 	feed        *wire.Config // the committed configuration as it is fed
 	feedMessage *wire.Message
 
+	parts       []*part // of the coordination state; none where applications ask for no coordination
+	savingParts bool
+	wholeParts  bool // the next write of the parts has to hold everything
+
 	granter   *lease.Granter
 	tenuresOn bool          // a write of what it remembers is under way
 	tenuresAt time.Duration // none is tried before
@@ -90,6 +94,7 @@
 	Identity store.Identity
 	Disk     replica.Disk
 	Tenures  []string // resources whose holder was long in office
+	Parts    []PartStart
 	Random   *rand.Rand
 }
 
@@ -98,6 +103,7 @@
 	EarlierLife   int64 `json:"earlier_life"`    // answers to requests of an earlier life of this process
 	NotMember     int64 `json:"not_member"`      // requests for leases of processes that are no members
 	QuotaNotOwned int64 `json:"quota_not_owned"` // draws from limits of other owners or unknown tenants
+	UnknownPart   int64 `json:"unknown_part"`    // messages of parts that this process doesn't have
 	OtherFleet    int64 `json:"other_fleet"`     // connections of processes of other fleets
 	Oversized     int64 `json:"oversized"`       // frames that are too long,
 	UnknownKind   int64 `json:"unknown_kind"`    // hold no message that is known,
@@ -127,6 +133,7 @@
 	self := wire.Member{ID: from.Identity.ID, IP: s.IP}
 	group := replica.Group{Target: 2*s.Tolerate.Machines + 1, MemberSilence: memberSilence(s)}
 	n.replica = replica.New(self, group, from.Disk, from.Random, n.now())
+	n.newParts(from)
 	n.granter = lease.NewGranter(longTenure(s), from.Tenures, n.now())
 	for i := range n.shards {
 		n.shards[i] = newShard(uint32(i), self.ID, n.life, n.now())
@@ -153,10 +160,11 @@
 func (n *Node) Tick() {
 	now := n.now()
 	n.replica.Tick(now)
-	if now >= n.joinAt && n.replica.NeedsToJoin(now) {
+	n.tickParts(now)
+	if now >= n.joinAt && n.needsToJoin(now) {
 		n.joinAt = now + joinInterval
 		n.syncLinks()
-		n.toAllLinks(&wire.Message{JoinRequest: &wire.JoinRequest{Member: n.replica.Self()}})
+		n.askForPlaces(now)
 	}
 	n.tickShards(now)
 	n.tellReleases(now)
@@ -181,6 +189,7 @@
 			n.env.Save(s)
 		}
 	}
+	n.flushParts()
 	n.saveTenures()
 	n.followMembers()
 	n.followCommit()
@@ -215,11 +224,14 @@
 	n.granter.TenuresSaved(t)
 }
 
-// sendMessages sends what the replica has to say to others.
+// sendMessages sends what the replicas have to say to others.
 func (n *Node) sendMessages() {
-	for _, e := range n.replica.TakeMessages() {
-		if link := n.links[e.To.IP]; link != nil {
-			link.Send(e.Message)
+	for group, r := range n.replicas() {
+		for _, e := range r.TakeMessages() {
+			e.Message.Part = uint32(group)
+			if link := n.links[e.To.IP]; link != nil {
+				link.Send(e.Message)
+			}
 		}
 	}
 }
@@ -292,12 +304,21 @@
 		n.followOwnership(s, now)
 	}
 	n.releaseAt = now + quota.LongestDelay // by then all that was granted has begun to be used
-	n.replica.StartLeaving(now)
+	for _, r := range n.replicas() {
+		r.StartLeaving(now)
+	}
 	n.Flush()
 }
 
 // MayStop says whether the others have all that this node had a part in.
-func (n *Node) MayStop() bool { return n.replica.LeaveDone() && len(n.releases) == 0 }
+func (n *Node) MayStop() bool {
+	for _, r := range n.replicas() {
+		if !r.LeaveDone() {
+			return false
+		}
+	}
+	return len(n.releases) == 0
+}
 
 // tellReleases tells members that leases are free.
 func (n *Node) tellReleases(now time.Duration) {
--- a/control/process.go
+++ b/control/process.go
@@ -24,7 +24,7 @@
 const (
 	tickInterval   = 25 * time.Millisecond
 	eventQueue     = 1024
-	writeQueue     = 2 // one of each kind
+	writeQueue     = 3 // one of each kind
 	saveRetryPause = 100 * time.Millisecond
 	// leaveShare is the part of the time before the platform's SIGKILL for which a process waits, once it has to stop,
 	// until the others have what was acknowledged.
@@ -143,11 +143,23 @@
 // Save hands a write to the writer.
 func (p *Process) Save(s *replica.Save) {
 	p.writes <- func() {
-		p.writeUntilDone(s)
+		p.writeUntilDone(func() error { return p.folder.Save(s) })
 		p.Do(func() { p.node.Saved(s) })
 	}
 }
 
+// SaveParts hands a write to the writer.
+func (p *Process) SaveParts(b *store.PartsBatch) {
+	p.writes <- func() {
+		wantsWhole := false
+		p.writeUntilDone(func() (err error) {
+			wantsWhole, err = p.folder.SaveParts(b)
+			return err
+		})
+		p.Do(func() { p.node.PartsSaved(b, wantsWhole) })
+	}
+}
+
 // SaveTenures hands a write to the writer.
 func (p *Process) SaveTenures(t lease.Tenures) {
 	p.writes <- func() {
@@ -187,9 +199,9 @@
 	}
 }
 
-func (p *Process) writeUntilDone(s *replica.Save) {
+func (p *Process) writeUntilDone(write func() error) {
 	for warned := false; ; warned = true {
-		err := p.folder.Save(s)
+		err := write()
 		if err == nil {
 			return
 		}
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -59,6 +59,7 @@
 	identity store.Identity
 	state    replica.Disk
 	tenures  []string
+	parts    []partDisk // nil where nothing was written yet
 }
 
 func (m *machine) running(now time.Duration) bool {
@@ -80,11 +81,13 @@
 	handler *operatorHandler
 	links   []*link
 	writing *replica.Save
-	doneAt  time.Duration
-	reading time.Duration // when the read of the list that is under way ends; 0 for none
-	ticked  time.Duration
-	leaveBy time.Duration
-	parts   []*connection // connections that came from others
+	// writingParts is the write of parts that is under way; nil for none.
+	writingParts *partsWrite
+	doneAt       time.Duration
+	reading      time.Duration // when the read of the list that is under way ends; 0 for none
+	ticked       time.Duration
+	leaveBy      time.Duration
+	parts        []*connection // connections that came from others
 }
 
 // agentProcess is one life of an agent, with a router beside it.
@@ -104,16 +107,18 @@
 	random   *rand.Rand
 	now      time.Duration
 	tolerate int
-	seeds    []string
-	machines []*machine
-	links    []*link
-	cut      map[[2]string]time.Duration // one way, until when
-	slow     map[[2]string]time.Duration // links that take slowEntry for each entry, until when
-	ackLoss  float64
-	opers    []*operator
-	calls    []call
-	calm     bool
-	delayed  []delayed
+	// guarantees are those of the settings: with "coord", applications use locks, numbers and keys.
+	guarantees []string
+	seeds      []string
+	machines   []*machine
+	links      []*link
+	cut        map[[2]string]time.Duration // one way, until when
+	slow       map[[2]string]time.Duration // links that take slowEntry for each entry, until when
+	ackLoss    float64
+	opers      []*operator
+	calls      []call
+	calm       bool
+	delayed    []delayed
 
 	ackedRevision int64 // newest that was acknowledged to an operator
 	bodies        map[int64]string
@@ -215,7 +220,9 @@
 	}
 	s.Listen.Control = net.JoinHostPort(m.ip, fmt.Sprint(controlPort))
 	s.Tolerate.Machines = w.tolerate
-	s.Bounds = settings.Bounds{DrainMS: 3000, GraceS: 8, ConfigMS: 2000, SyncS: 4, QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 50}
+	s.Bounds = settings.Bounds{DrainMS: 3000, GraceS: 8, ConfigMS: 2000, SyncS: 4, QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 50,
+		HistoryS: coordinationHistory.Seconds()}
+	s.Guarantees = w.guarantees
 	return s
 }
 
@@ -239,7 +246,8 @@
 	}
 	p := &nodeProcess{process: life, world: w}
 	m.node = p
-	p.node = NewNode(Start{Settings: s, Log: hclog.NewNullLogger(), Identity: m.disk.identity, Disk: state, Tenures: m.disk.tenures, Random: random}, p)
+	p.node = NewNode(Start{Settings: s, Log: hclog.NewNullLogger(), Identity: m.disk.identity, Disk: state, Tenures: m.disk.tenures,
+		Parts: m.startParts(w), Random: random}, p)
 	p.node.validator = plainParser{}
 	p.handler = newOperatorHandler(p.node)
 }
@@ -663,6 +671,7 @@
 		p.node.Saved(s)
 		p.node.Flush()
 	}
+	p.stepParts()
 	if p.reading != 0 && w.now >= p.reading {
 		p.reading = 0
 		p.node.HostsRead(w.hosts(), nil)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -35,8 +36,10 @@
 	Listen    Listen            `toml:"listen"`
 	Limits    Limits            `toml:"limits"`
 	Tolerate  Tolerate          `toml:"tolerate"`
-	Bounds    Bounds            `toml:"bounds"`
-	Cloud     Cloud             `toml:"cloud"`
+	// Guarantees names the parts of the rules in force.
+	Guarantees []string `toml:"guarantees"`
+	Bounds     Bounds   `toml:"bounds"`
+	Cloud      Cloud    `toml:"cloud"`
 }
 
 // Listen holds the addresses that a process serves to others, host:port.
@@ -74,6 +77,7 @@
 	ReuseAfterS   float64 `toml:"reuse_after_s"`
 	LossSlackMS   float64 `toml:"loss_slack_ms"`
 	RollbackSlack float64 `toml:"rollback_slack_ms"`
+	HistoryS      float64 `toml:"history_s"`
 }
 
 // Cloud says where the platform keeps its list of hosts.
@@ -154,6 +158,12 @@
 	return nil
 }
 
+// coordinationGuarantee names the rules on locks, numbers, keys and watches.
+const coordinationGuarantee = "coord"
+
+// Coordinates says whether applications may ask for locks, numbers, keys and watches.
+func (s *Settings) Coordinates() bool { return slices.Contains(s.Guarantees, coordinationGuarantee) }
+
 // InternalPort is the port on which control processes and agents of other machines are reached.
 func (s *Settings) InternalPort() int { return s.PortRange[0] }
 
