--- /dev/null
+++ b/control/applications.go
@@ -0,0 +1,202 @@
+package control
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"ivybank/wire"
+)
+
+const (
+	maxCallBytes   = 32 << 10 // of a body
+	retryCallAfter = "0.05"   // seconds
+)
+
+// applicationCall is one kind of call that applications make.
+type applicationCall struct {
+	name    operatorCall // in figures
+	pattern string
+	kind    wire.CommandKind
+	success func(*wire.Answer) any // the body of a 200
+}
+
+// applicationCalls are all calls on locks, numbers, keys and watches.
+var applicationCalls = []applicationCall{
+	{"lock_begin", "POST /v1/Locks.Begin/{id}", wire.BeginLock, func(a *wire.Answer) any { return fenceBody{a.Fence} }},
+	{"lock_heartbeat", "POST /v1/Locks.Heartbeat/{id}", wire.HeartbeatLock, emptyBody},
+	{"lock_finish", "POST /v1/Locks.Finish/{id}", wire.FinishLock, emptyBody},
+	{"number", "POST /v1/numbers/{id}", wire.NextNumber, func(a *wire.Answer) any { return numberBody{a.Number} }},
+	{"key_replace", "POST /v1/Cells.Replace/{id}", wire.ReplaceKey, func(a *wire.Answer) any { return revisionBody{a.Revision} }},
+	{"key_get", "GET /v1/Cells.Get/{id}", wire.GetKey, func(a *wire.Answer) any { return keyBody{a.Value, a.Revision} }},
+	{"watch", "GET /v1/watch/{id}", wire.WatchGroup, watchAnswer},
+}
+
+// The bodies of calls and answers.
+type (
+	requestBody struct {
+		Holder     string  `json:"holder"`
+		Fence      uint64  `json:"fence"`
+		HoldMS     float64 `json:"hold_ms"`
+		Value      string  `json:"value"`
+		IfRevision *uint64 `json:"if_revision"`
+	}
+	fenceBody struct {
+		Fence uint64 `json:"fence"`
+	}
+	numberBody struct {
+		Value uint64 `json:"value"`
+	}
+	revisionBody struct {
+		Rev uint64 `json:"rev"`
+	}
+	keyBody struct {
+		Value string `json:"value"`
+		Rev   uint64 `json:"rev"`
+	}
+	eventBody struct {
+		Name  string `json:"name"`
+		Value string `json:"value"`
+		Rev   uint64 `json:"rev"`
+	}
+	watchBody struct {
+		Events []eventBody `json:"events"`
+		Rev    uint64      `json:"rev"`
+	}
+)
+
+func emptyBody(*wire.Answer) any { return struct{}{} }
+
+func watchAnswer(a *wire.Answer) any {
+	body := watchBody{Events: []eventBody{}, Rev: a.Revision}
+	for _, e := range a.Events {
+		body.Events = append(body.Events, eventBody{e.Key, e.Value, e.Revision})
+	}
+	return body
+}
+
+// applicationHandler serves the calls of applications. It is safe for concurrent use.
+type applicationHandler struct{ node *Node }
+
+// register adds the calls to those that a control process serves.
+func (h *applicationHandler) register(mux *http.ServeMux) {
+	for _, call := range applicationCalls {
+		mux.HandleFunc(call.pattern, func(w http.ResponseWriter, r *http.Request) { h.serve(w, r, &call) })
+	}
+}
+
+// serve hands a call to the loop and writes its answer. Where the outcome isn't known it closes the connection.
+func (h *applicationHandler) serve(w http.ResponseWriter, r *http.Request, kind *applicationCall) {
+	since := h.node.env.Now()
+	command, ok := readCommand(w, r, kind.kind)
+	if !ok {
+		h.write(w, kind, wire.Answer{Outcome: wire.Invalid})
+		return
+	}
+	if kind.kind == wire.WatchGroup {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{}) // it may wait for longer than a request may take to come
+	}
+	answers := make(chan wire.Answer, 1)
+	taken := make(chan *call, 1)
+	h.node.env.Do(func() {
+		taken <- h.node.takeCall(command, since, func(a wire.Answer) { answers <- a })
+	})
+	select {
+	case a := <-answers:
+		h.write(w, kind, a)
+	case <-r.Context().Done():
+		h.node.env.Do(func() { h.node.callerLeft(<-taken) })
+	}
+}
+
+// readCommand reads a call; false where it isn't well-formed.
+func readCommand(w http.ResponseWriter, r *http.Request, kind wire.CommandKind) (wire.Command, bool) {
+	command := wire.Command{Kind: kind, Name: r.PathValue("id")}
+	if r.Method == http.MethodGet {
+		return command, kind != wire.WatchGroup || readWatch(r, &command)
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+	if err != nil {
+		return command, false
+	}
+	var body requestBody
+	if err := json.Unmarshal(text, &body); err != nil || !(body.HoldMS >= 0 && body.HoldMS < math.MaxInt32) {
+		return command, false
+	}
+	command.Holder, command.Fence, command.HoldMS = body.Holder, body.Fence, int64(math.Ceil(body.HoldMS))
+	command.Value, command.IfRevision = body.Value, body.IfRevision
+	return command, true
+}
+
+// readWatch reads what a watch asks for; fields that are missing are 0.
+func readWatch(r *http.Request, command *wire.Command) bool {
+	query := r.URL.Query()
+	if after := query.Get("after"); after != "" {
+		number, err := strconv.ParseUint(after, 10, 64)
+		if err != nil {
+			return false
+		}
+		command.After = number
+	}
+	if wait := query.Get("wait_ms"); wait != "" {
+		number, err := strconv.ParseInt(wait, 10, 64)
+		if err != nil {
+			return false
+		}
+		command.WaitMS = number
+	}
+	return true
+}
+
+// write writes an answer.
+func (h *applicationHandler) write(w http.ResponseWriter, kind *applicationCall, a wire.Answer) {
+	status := statusOf(a.Outcome)
+	h.node.counts.answered(kind.name, status)
+	if status == 0 {
+		panic(http.ErrAbortHandler) // closes the connection
+	}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", retryCallAfter)
+	}
+	body := emptyBody(&a)
+	switch status {
+	case http.StatusOK:
+		body = kind.success(&a)
+	case http.StatusPreconditionFailed:
+		body = revisionBody{a.Revision}
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(text) // a caller that has gone needs no answer
+}
+
+// statusOf gives the status that tells an outcome; 0 where there is none to tell.
+func statusOf(o wire.Outcome) int {
+	switch o {
+	case wire.Done:
+		return http.StatusOK
+	case wire.HeldByOther, wire.LockLost:
+		return http.StatusConflict
+	case wire.Mismatched:
+		return http.StatusPreconditionFailed
+	case wire.NotFound:
+		return http.StatusNotFound
+	case wire.Compacted:
+		return http.StatusGone
+	case wire.Full:
+		return http.StatusTooManyRequests
+	case wire.Invalid:
+		return http.StatusBadRequest
+	case wire.NotServed:
+		return http.StatusServiceUnavailable
+	default:
+		return 0
+	}
+}
--- a/control/environment.go
+++ b/control/environment.go
@@ -12,9 +12,9 @@
 // Environment is what a node needs of the world: in service sockets, files and the platform, in tests a simulated one.
 // All that it tells the node comes as events in the node's loop.
 type Environment interface {
-	// Now is the steady clock, from the start of this life of the process.
+	// Now is the steady clock, from the start of this life of the process. It may be called from outside the loop.
 	Now() time.Duration
-	// Do runs an event in the node's loop. It is the only method that may be called from outside the loop.
+	// Do runs an event in the node's loop. It may be called from outside the loop.
 	Do(event func())
 	// Save starts a write; Node.Saved is called once it is on disk. There is one at a time.
 	Save(s *replica.Save)
--- a/control/members.go
+++ b/control/members.go
@@ -114,6 +114,7 @@
 func (n *Node) PeerDisconnected(from wire.Member) {
 	if n.callers[from.IP]--; n.callers[from.IP] == 0 {
 		delete(n.callers, from.IP)
+		n.givePassedUp(n.now())
 	}
 }
 
@@ -125,6 +126,10 @@
 		n.onLeaseRequest(from, m.LeaseRequest, now)
 	case m.LeaseReply != nil:
 		n.onLeaseReply(from.ID, m.LeaseReply, now)
+	case m.PartCall != nil:
+		n.onPartCall(from, m.PartCall)
+	case m.PartReply != nil:
+		n.onPartReply(m.PartReply)
 	default:
 		n.receive(from, m, now)
 	}
--- a/control/node.go
+++ b/control/node.go
@@ -66,7 +66,9 @@
 
 	parts       []*part // of the coordination state; none where applications ask for no coordination
 	savingParts bool
-	wholeParts  bool // the next write of the parts has to hold everything
+	wholeParts  bool                   // the next write of the parts has to hold everything
+	passed      map[uint64]*passedCall // by number
+	nextPassed  uint64
 
 	granter   *lease.Granter
 	tenuresOn bool          // a write of what it remembers is under way
@@ -129,7 +131,7 @@
 func NewNode(from Start, env Environment) *Node {
 	s := from.Settings
 	n := &Node{settings: s, log: from.Log, env: env, life: from.Random.Uint64() | 1, links: map[string]wire.OpenLink{},
-		callers: map[string]int{}, counts: newNodeCounts(), validator: &validate.Validator{}}
+		callers: map[string]int{}, passed: map[uint64]*passedCall{}, counts: newNodeCounts(), validator: &validate.Validator{}}
 	self := wire.Member{ID: from.Identity.ID, IP: s.IP}
 	group := replica.Group{Target: 2*s.Tolerate.Machines + 1, MemberSilence: memberSilence(s)}
 	n.replica = replica.New(self, group, from.Disk, from.Random, n.now())
@@ -317,7 +319,7 @@
 			return false
 		}
 	}
-	return len(n.releases) == 0
+	return len(n.releases) == 0 && n.callsUnderWay() == 0
 }
 
 // tellReleases tells members that leases are free.
--- a/control/operator.go
+++ b/control/operator.go
@@ -47,6 +47,9 @@
 	mux.HandleFunc("POST "+pathReplace, func(w http.ResponseWriter, r *http.Request) { h.await(w, r, callReplace, h.replace) })
 	mux.HandleFunc("GET "+pathGet, func(w http.ResponseWriter, r *http.Request) { h.await(w, r, callGet, h.get) })
 	mux.HandleFunc("GET "+pathStatus, h.node.handleStatus)
+	if len(h.node.parts) > 0 {
+		(&applicationHandler{h.node}).register(mux)
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: operatorHeaders, IdleTimeout: operatorIdle, ReadTimeout: operatorRead}
 	_ = server.Serve(listener) // ends with the process
 }
--- a/control/parts.go
+++ b/control/parts.go
@@ -27,6 +27,13 @@
 	replica *replica.Replica
 	machine *coordination.Machine
 	members []wire.Member // of the newest entry that links follow
+
+	queue      []*call // not in any entry
+	proposed   []*call // of the entry that is under way; nil for none
+	proposedAt replica.Position
+	watches    []*call          // that wait for a put, in a leader
+	watchedAt  replica.Position // entry of which they have been told
+	watchAgain time.Duration
 }
 
 // PartStart is what a part starts from: what the disk held, and the machine that stands there.
@@ -87,6 +94,7 @@
 	for _, p := range n.parts {
 		p.replica.Tick(now)
 	}
+	n.givePassedUp(now)
 }
 
 // askForPlaces asks the leaders of all groups that this node has to join.
@@ -100,6 +108,7 @@
 
 // flushParts carries out what the parts' replicas ask for.
 func (n *Node) flushParts() {
+	n.serveParts()
 	n.saveParts()
 	for _, p := range n.parts {
 		if members := p.replica.Members(); !slices.Equal(p.members, members) {
