--- a/control/identity.go
+++ b/control/identity.go
@@ -15,17 +15,18 @@
 
 // loadDisk gives who this process is and what it has stored. At the very first start the machines of the seeds found the
 // group; any other process with an empty disk is new, also one at a founder's address. A disk on which a file is spoilt
-// that was whole once counts as lost: what it held can't be told, so this is a new process.
-func loadDisk(s *settings.Settings, folder *store.Folder, random *rand.Rand, log hclog.Logger) (stored, error) {
+// that was whole once counts as lost: what it held can't be told, so this is a new process. The machines are those of the
+// coordination parts, each led to its newest entry; none where there is no coordination.
+func loadDisk(s *settings.Settings, folder *store.Folder, machines []replica.Machine, random *rand.Rand, log hclog.Logger) (stored, error) {
 	bootstrap := s.Bootstrap
-	disk, err := readDisk(folder)
+	disk, err := readDisk(folder, machines)
 	if errors.Is(err, store.ErrDamaged) {
 		log.Error("disk spoilt, its files are set aside and a new identity is taken", "error", err)
 		if err := folder.SetAside(); err != nil {
 			return disk, err
 		}
 		bootstrap = false // it may have voted as a founder
-		disk, err = readDisk(folder)
+		disk, err = readDisk(folder, machines)
 	}
 	if err != nil {
 		return disk, err
@@ -36,26 +37,43 @@
 			return disk, err
 		}
 	}
-	if disk.replica.Entry == nil && len(disk.identity.Founders) > 0 {
-		disk.replica.Entry = replica.Found(disk.identity.Founders, nil)
+	if disk.replica.Entry == nil {
+		disk.replica.Entry = foundingEntry(disk.identity)
+	}
+	for part := range disk.parts {
+		if disk.parts[part].Entry == nil {
+			disk.parts[part].Entry = foundingEntry(disk.identity)
+		}
 	}
 	return disk, nil
 }
 
+// foundingEntry is what a founder's groups start from; nil for any other process.
+func foundingEntry(of store.Identity) *wire.Entry {
+	if len(of.Founders) == 0 {
+		return nil
+	}
+	return replica.Found(of.Founders, nil)
+}
+
 // stored is what a control process finds on its disk.
 type stored struct {
 	identity store.Identity
 	replica  replica.Disk
+	parts    []replica.Disk // of the coordination, in the order of its parts
 	tenures  []string
 }
 
-func readDisk(folder *store.Folder) (disk stored, err error) {
+func readDisk(folder *store.Folder, machines []replica.Machine) (disk stored, err error) {
 	if disk.identity, _, err = folder.Identity(); err != nil {
 		return stored{}, err
 	}
 	if disk.replica, err = folder.Load(); err != nil {
 		return stored{}, err
 	}
+	if disk.parts, err = folder.LoadParts(machines, foundingEntry(disk.identity)); err != nil {
+		return stored{}, err
+	}
 	if disk.tenures, err = folder.Tenures(); err != nil {
 		return stored{}, err
 	}
--- a/control/process.go
+++ b/control/process.go
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	disk, err := loadDisk(s, folder, random, log)
+	disk, err := loadDisk(s, folder, nil, random, log)
 	if err != nil {
 		return nil, err
 	}
--- a/control/store/files.go
+++ b/control/store/files.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -50,6 +51,7 @@
 type Folder struct {
 	files fileSystem
 	next  uint64 // number of the next file
+	parts journal
 }
 
 // Open makes the folder where it is missing.
@@ -91,14 +93,18 @@
 	if err != nil {
 		return replica.Disk{}, err
 	}
-	d := replica.Disk{Term: v.Term, VotedFor: v.For}
-	if found {
-		d.Entry = &e
-		if e.Term > d.Term {
-			d.Term, d.VotedFor = e.Term, ""
-		}
+	if !found {
+		return v.with(nil), nil
+	}
+	return v.with(&e), nil
+}
+
+// with gives what a replica finds: no vote in the term of an entry that is newer than the vote.
+func (v vote) with(e *wire.Entry) replica.Disk {
+	if e != nil && e.Term > v.Term {
+		return replica.Disk{Term: e.Term, Entry: e}
 	}
-	return d, nil
+	return replica.Disk{Term: v.Term, VotedFor: v.For, Entry: e}
 }
 
 // Save writes what has changed. After an error it may be called again.
@@ -124,21 +130,33 @@
 func (f *Folder) SaveTenures(long []string) error { return f.write(tenureKind, long) }
 
 // SetAside renames all files of a spoilt disk, so that none of them is read again and what is left of them can be looked
-// at. Those that were set aside before go.
+// at. Those that were set aside before go. The identity goes first: without what it promised, it must not be found again.
 func (f *Folder) SetAside() error {
+	f.parts = journal{}
 	names, err := f.files.names()
 	if err != nil {
 		return err
 	}
+	var identities, others []string
 	for _, name := range names {
-		if strings.HasPrefix(name, spoiltPrefix) {
+		switch {
+		case strings.HasPrefix(name, spoiltPrefix):
 			_ = f.files.remove(name)
+		case strings.HasPrefix(name, identityKind+"-"):
+			identities = append(identities, name)
+		default:
+			others = append(others, name)
 		}
 	}
+	if err := f.setAside(identities); err != nil {
+		return err
+	}
+	return f.setAside(others)
+}
+
+// setAside returns once the files have their new names on disk.
+func (f *Folder) setAside(names []string) error {
 	for _, name := range names {
-		if strings.HasPrefix(name, spoiltPrefix) {
-			continue
-		}
 		if err := f.files.rename(name, spoiltPrefix+name); err != nil {
 			return err
 		}
@@ -152,26 +170,33 @@
 	if err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
+	_, err = f.replace(kind, binary.BigEndian.AppendUint64(body, xxhash.Sum64(body)))
+	return err
+}
+
+// replace writes the newest file of a kind and then removes the older ones. Once it gives a name, the file has that name,
+// though after an error it may lose it at a loss of power.
+func (f *Folder) replace(kind string, data []byte) (name string, err error) {
 	older, err := f.list(kind)
 	if err != nil {
-		return err
+		return "", err
 	}
-	name := fileName(kind, f.next)
-	if err := f.files.write(name+asideSuffix, binary.BigEndian.AppendUint64(body, xxhash.Sum64(body))); err != nil {
+	name = fileName(kind, f.next)
+	if err := f.files.write(name+asideSuffix, data); err != nil {
 		_ = f.files.remove(name + asideSuffix)
-		return err
+		return "", err
 	}
 	if err := f.files.rename(name+asideSuffix, name); err != nil {
-		return err
+		return "", err
 	}
 	f.next++
 	if err := f.files.sync(); err != nil {
-		return err
+		return name, err
 	}
 	for _, n := range older {
 		_ = f.files.remove(fileName(kind, n)) // it may come back, and is older then
 	}
-	return nil
+	return name, nil
 }
 
 func fileName(kind string, number uint64) string {
@@ -202,15 +227,10 @@
 // newest reads the newest file of a kind into v. It reports false where there is none. An older one in its place is no
 // help: a vote that it doesn't know of might be given twice.
 func (f *Folder) newest(kind string, v any) (bool, error) {
-	numbers, err := f.list(kind)
-	if err != nil || len(numbers) == 0 {
+	name, err := f.newestName(kind)
+	if err != nil || name == "" {
 		return false, err
 	}
-	newest := numbers[0]
-	for _, n := range numbers {
-		newest = max(newest, n)
-	}
-	name := fileName(kind, newest)
 	data, err := f.files.read(name)
 	if err != nil {
 		return false, err
@@ -221,6 +241,15 @@
 	return true, nil
 }
 
+// newestName gives the name of the newest file of a kind; "" where there is none.
+func (f *Folder) newestName(kind string) (string, error) {
+	numbers, err := f.list(kind)
+	if err != nil || len(numbers) == 0 {
+		return "", err
+	}
+	return fileName(kind, slices.Max(numbers)), nil
+}
+
 var (
 	errShort    = errors.New("too short")
 	errChecksum = errors.New("checksum differs")
--- a/control/store/filesystem.go
+++ b/control/store/filesystem.go
@@ -10,6 +10,12 @@
 type fileSystem interface {
 	// write makes a file and returns once its content is on disk.
 	write(name string, data []byte) error
+	// append adds to the end of a file and returns once all of its content is on disk. After an error any part may be there.
+	append(name string, data []byte) error
+	// truncate sets a file's length. It lasts once the file is synced, by append or syncFile.
+	truncate(name string, length int64) error
+	// syncFile returns once a file's content is on disk as it is now.
+	syncFile(name string) error
 	read(name string) ([]byte, error)
 	rename(from, to string) error
 	remove(name string) error
@@ -24,7 +30,20 @@
 func (f osFolder) path(name string) string { return filepath.Join(string(f), name) }
 
 func (f osFolder) write(name string, data []byte) error {
-	file, err := os.OpenFile(f.path(name), os.O_CREATE|os.O_WRONLY|os.O_TRUNC, filePerm)
+	return f.writeSynced(name, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, data)
+}
+
+func (f osFolder) append(name string, data []byte) error {
+	return f.writeSynced(name, os.O_WRONLY|os.O_APPEND, data)
+}
+
+func (f osFolder) syncFile(name string) error {
+	return f.writeSynced(name, os.O_WRONLY, nil)
+}
+
+// writeSynced opens a file, writes to it and syncs it.
+func (f osFolder) writeSynced(name string, flags int, data []byte) error {
+	file, err := os.OpenFile(f.path(name), flags, filePerm)
 	if err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
@@ -41,6 +60,13 @@
 	return nil
 }
 
+func (f osFolder) truncate(name string, length int64) error {
+	if err := os.Truncate(f.path(name), length); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
 func (f osFolder) read(name string) ([]byte, error) {
 	data, err := os.ReadFile(f.path(name))
 	if err != nil {
--- /dev/null
+++ b/control/store/parts_test.go
@@ -0,0 +1,359 @@
+package store
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivybank/control/replica"
+	"ivybank/wire"
+)
+
+const testParts = 3
+
+// listMachine holds all commands that it was given.
+type listMachine struct{ state []byte }
+
+func (m *listMachine) Apply(commands []byte, _ time.Duration) { m.state = append(m.state, commands...) }
+func (m *listMachine) Snapshot() []byte                       { return slices.Clone(m.state) }
+func (m *listMachine) SnapshotAfter(commands []byte, _ time.Duration) []byte {
+	return append(m.Snapshot(), commands...)
+}
+
+func (m *listMachine) Restore(value []byte) error {
+	if bytes.HasPrefix(value, []byte("unreadable")) {
+		return errors.New("unreadable")
+	}
+	m.state = slices.Clone(value)
+	return nil
+}
+
+func newMachines() []replica.Machine {
+	machines := make([]replica.Machine, testParts)
+	for part := range machines {
+		machines[part] = &listMachine{}
+	}
+	return machines
+}
+
+func founding() *wire.Entry { return replica.Found([]wire.Member{{ID: "a", IP: "10.0.0.1"}}, nil) }
+
+// partState is one part as its process holds it.
+type partState struct {
+	disk    replica.Disk
+	machine listMachine
+}
+
+// step leads a part on by a command and gives what it has to write.
+func (p *partState) step(command []byte) *replica.Save {
+	before := p.disk.Entry
+	next := &wire.Entry{Term: p.disk.Term, Index: before.Index + 1, After: before.Position(), Commands: command}
+	p.machine.Apply(command, 0)
+	newest := *next
+	newest.Members, newest.Fleet = before.Members, before.Fleet
+	p.disk.Entry = &newest
+	return &replica.Save{Disk: p.disk, EntryChanged: true, Entries: []*wire.Entry{next}}
+}
+
+// vote moves a part to a new term.
+func (p *partState) vote(votedFor string) *replica.Save {
+	p.disk.Term, p.disk.VotedFor = p.disk.Term+1, votedFor
+	return &replica.Save{Disk: p.disk, VoteChanged: true}
+}
+
+// whole gives all that a part has to find again.
+func (p *partState) whole() *replica.Save {
+	e := *p.disk.Entry
+	e.After, e.Commands, e.Value = replica.Position{}, nil, p.machine.Snapshot()
+	return &replica.Save{Disk: p.disk, EntryChanged: true, VoteChanged: true, Entries: []*wire.Entry{&e}}
+}
+
+func (p *partState) clone() partState {
+	return partState{disk: p.disk, machine: listMachine{p.machine.Snapshot()}}
+}
+
+// process is all parts of one process.
+type process []partState
+
+func newProcess() process {
+	p := make(process, testParts)
+	for part := range p {
+		p[part].disk.Entry = founding()
+	}
+	return p
+}
+
+func (p process) clone() process {
+	c := make(process, len(p))
+	for part := range p {
+		c[part] = p[part].clone()
+	}
+	return c
+}
+
+func (p process) whole() *PartsBatch {
+	b := &PartsBatch{Whole: true}
+	for part := range p {
+		b.Saves = append(b.Saves, PartSave{part, p[part].whole()})
+	}
+	return b
+}
+
+// next leads some parts on, and gives the batch.
+func (p process) next(random *rand.Rand) *PartsBatch {
+	b := &PartsBatch{}
+	for part := range p {
+		switch random.IntN(4) {
+		case 0:
+			b.Saves = append(b.Saves, PartSave{part, p[part].vote("b")})
+		case 1, 2:
+			command := make([]byte, 1+random.IntN(60))
+			for i := range command {
+				command[i] = byte(random.Uint32())
+			}
+			b.Saves = append(b.Saves, PartSave{part, p[part].step(command)})
+		}
+	}
+	if len(b.Saves) == 0 {
+		b.Saves = []PartSave{{0, p[0].vote("c")}}
+	}
+	return b
+}
+
+// loadProcess reads what a disk holds.
+func loadProcess(f *Folder) (process, error) {
+	machines := newMachines()
+	disks, err := f.LoadParts(machines, founding())
+	if err != nil {
+		return nil, err
+	}
+	p := make(process, testParts)
+	for part := range p {
+		p[part] = partState{disk: disks[part], machine: *machines[part].(*listMachine)}
+	}
+	return p, nil
+}
+
+// equal compares what has to be found again.
+func (p process) equal(q process) bool {
+	for part := range p {
+		a, b := &p[part], &q[part]
+		same := a.disk.Term == b.disk.Term && a.disk.VotedFor == b.disk.VotedFor &&
+			a.disk.Entry.Position() == b.disk.Entry.Position() && a.disk.Entry.Fleet == b.disk.Entry.Fleet &&
+			slices.Equal(a.disk.Entry.Members, b.disk.Entry.Members) && bytes.Equal(a.machine.state, b.machine.state)
+		if !same {
+			return false
+		}
+	}
+	return true
+}
+
+func savedParts(t *testing.T, f *Folder, b *PartsBatch) (wantsWhole bool) {
+	t.Helper()
+	wantsWhole, err := f.SaveParts(b)
+	assert.NilError(t, err)
+	return wantsWhole
+}
+
+func foundProcess(t *testing.T, f *Folder) process {
+	t.Helper()
+	p, err := loadProcess(f)
+	assert.NilError(t, err)
+	return p
+}
+
+func journalPath(t *testing.T, folder string) string {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(folder, partsKind+"-*"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(names), 1)
+	return names[0]
+}
+
+func TestPartsAreFoundAgain(t *testing.T) {
+	path := t.TempDir()
+	random := rand.New(rand.NewPCG(1, 7))
+	p := newProcess()
+	f := open(t, path)
+	assert.Assert(t, foundProcess(t, f).equal(p), "an empty disk holds the founding entry")
+	for round := range 200 {
+		savedParts(t, f, p.next(random))
+		if round%20 == 19 {
+			savedParts(t, f, p.whole())
+		}
+		if round%7 == 6 {
+			f = open(t, path)
+			found := foundProcess(t, f)
+			assert.Assert(t, found.equal(p), "round %d", round)
+			p = found
+		}
+	}
+	journalPath(t, path)
+}
+
+func TestPartsOfAnEmptyDisk(t *testing.T) {
+	disks, err := open(t, t.TempDir()).LoadParts(newMachines(), nil)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, disks, make([]replica.Disk, testParts))
+}
+
+func TestPartsThatWereNotLoadedAreNotReplaced(t *testing.T) {
+	path := t.TempDir()
+	p := newProcess()
+	savedParts(t, open(t, path), p.whole())
+	_, err := open(t, path).SaveParts(&PartsBatch{Saves: []PartSave{{0, p[0].vote("b")}}})
+	assert.ErrorIs(t, err, errNotLoaded)
+}
+
+func TestTermOfAnEntryEndsAnOlderVote(t *testing.T) {
+	f := open(t, t.TempDir())
+	e := &wire.Entry{Term: 5, Index: 3}
+	savedParts(t, f, &PartsBatch{Saves: []PartSave{{0, &replica.Save{Disk: replica.Disk{Term: 4, VotedFor: "b", Entry: e}, Entries: []*wire.Entry{e}}}}})
+	p := foundProcess(t, f)
+	assert.Equal(t, p[0].disk.Term, uint64(5))
+	assert.Equal(t, p[0].disk.VotedFor, "")
+}
+
+func TestJournalAsksForAWholeBatchOnceItHasGrown(t *testing.T) {
+	for _, first := range []int{10, leastWanted} {
+		f := open(t, t.TempDir())
+		p := newProcess()
+		p[0].step(make([]byte, first))
+		assert.Assert(t, !savedParts(t, f, p.whole()))
+		size := 0
+		for !savedParts(t, f, &PartsBatch{Saves: []PartSave{{0, p[0].step(make([]byte, 10_000))}}}) {
+			size += 10_000
+		}
+		bound := max(leastWanted, (growth-1)*first)
+		assert.Assert(t, size > bound-50_000 && size < bound+50_000, "asked for after %d bytes", size)
+		assert.Assert(t, !savedParts(t, f, p.whole()))
+	}
+}
+
+// A part that doesn't exist, a step without the one before, an entry that is older than the one before it, and a state that
+// the machine can't read are damage.
+func TestInconsistentJournalIsDamage(t *testing.T) {
+	whole := &wire.Entry{Term: 2, Index: 5, Value: []byte("v")}
+	for _, c := range []struct {
+		part    int
+		entries []*wire.Entry
+		cause   error
+	}{
+		{testParts, []*wire.Entry{whole}, errPart},
+		{-1, []*wire.Entry{whole}, errPart},
+		{1, []*wire.Entry{{Term: 2, Index: 6, After: replica.Position{Term: 2, Index: 5}}}, replica.ErrGap},
+		{1, []*wire.Entry{whole, {Term: 2, Index: 4}}, errOrder},
+		{1, []*wire.Entry{whole, nil}, errOrder},
+		{1, []*wire.Entry{{Term: 2, Index: 5, Value: []byte("unreadable")}}, ErrDamaged},
+	} {
+		f := open(t, t.TempDir())
+		disk := replica.Disk{Term: 2}
+		savedParts(t, f, &PartsBatch{Saves: []PartSave{{c.part, &replica.Save{Disk: disk, Entries: c.entries}}}})
+		_, err := loadProcess(f)
+		assert.ErrorIs(t, err, ErrDamaged)
+		assert.ErrorIs(t, err, c.cause)
+		assert.NilError(t, f.SetAside())
+		assert.Assert(t, foundProcess(t, f).equal(newProcess()), "the machines are empty again")
+		savedParts(t, f, newProcess().next(rand.New(rand.NewPCG(1, 1))))
+	}
+}
+
+// smallJournal writes a journal of four frames and gives where they begin, and what was saved by each.
+func smallJournal(t *testing.T, path string) (starts []int, saved []process) {
+	t.Helper()
+	f := open(t, path)
+	p := newProcess()
+	for frame := range 4 {
+		starts = append(starts, int(f.parts.length))
+		if frame == 0 {
+			savedParts(t, f, p.whole())
+		} else {
+			savedParts(t, f, &PartsBatch{Saves: []PartSave{{1, p[1].vote("b")}, {2, p[2].step([]byte("command"))}}})
+		}
+		saved = append(saved, p.clone())
+	}
+	return starts, saved
+}
+
+// A byte that differs in the last frame can't be told from a write that was torn, as one may have its full length.
+func TestEveryFlippedByteOfAJournalIsNoticed(t *testing.T) {
+	path := t.TempDir()
+	starts, saved := smallJournal(t, path)
+	name := journalPath(t, path)
+	data, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	last := starts[len(starts)-1]
+	for i := range data {
+		for _, mask := range []byte{1, 0x80, 0xff} {
+			spoilt := slices.Clone(data)
+			spoilt[i] ^= mask
+			assert.NilError(t, os.WriteFile(name, spoilt, filePerm))
+			found, err := loadProcess(open(t, path))
+			if i < last {
+				assert.ErrorIs(t, err, ErrDamaged, "byte %d", i)
+				continue
+			}
+			assert.NilError(t, err, "byte %d", i)
+			assert.Assert(t, found.equal(saved[len(saved)-2]), "byte %d", i)
+		}
+	}
+}
+
+// What was torn is cut off, and what is written next is found again.
+func TestTornTailIsCutOff(t *testing.T) {
+	path := t.TempDir()
+	starts, saved := smallJournal(t, path)
+	name := journalPath(t, path)
+	data, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	last := starts[len(starts)-1]
+	for end := range data {
+		for _, zeros := range []bool{false, true} {
+			torn := slices.Clone(data[:end])
+			if zeros {
+				torn = append(torn, make([]byte, len(data)-end)...)
+			}
+			assert.NilError(t, os.WriteFile(name, torn, filePerm))
+			f := open(t, path)
+			found, err := loadProcess(f)
+			if end < starts[1] {
+				assert.ErrorIs(t, err, ErrDamaged, "the first frame had its name")
+				continue
+			}
+			assert.NilError(t, err)
+			whole := 0
+			for whole+1 < len(starts) && starts[whole+1] <= end {
+				whole++
+			}
+			assert.Assert(t, found.equal(saved[whole-1]), "%d of %d bytes", end, last)
+			savedParts(t, f, &PartsBatch{Saves: []PartSave{{0, found[0].vote("c")}}})
+			assert.Assert(t, foundProcess(t, open(t, path)).equal(found), "%d of %d bytes", end, last)
+		}
+	}
+}
+
+// A value may hold the bytes of a frame: at another place they are none.
+func TestBytesOfAFrameInAValueAreNoFrame(t *testing.T) {
+	path := t.TempDir()
+	f := open(t, path)
+	p := newProcess()
+	savedParts(t, f, p.whole())
+	saved := p.clone()
+	body := []byte("body")
+	value := binary.BigEndian.AppendUint64(slices.Clone(frameOf(body, 0)), 0)
+	savedParts(t, f, &PartsBatch{Saves: []PartSave{{0, p[0].step(value)}}})
+	name := journalPath(t, path)
+	data, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	data[len(data)-1] ^= 1
+	assert.NilError(t, os.WriteFile(name, data, filePerm))
+	assert.Assert(t, foundProcess(t, open(t, path)).equal(saved))
+}
--- a/control/store/power_test.go
+++ b/control/store/power_test.go
@@ -57,6 +57,10 @@
 	return nil
 }
 
+func (d *faultyDisk) append(name string, data []byte) error    { return nil }
+func (d *faultyDisk) truncate(name string, length int64) error { return nil }
+func (d *faultyDisk) syncFile(name string) error               { return nil }
+
 func (d *faultyDisk) read(name string) ([]byte, error) {
 	data, ok := d.content[name]
 	if !ok {
