--- a/control/applications.go
+++ b/control/applications.go
@@ -100,7 +100,7 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{}) // it may wait for longer than a request may take to come
 	}
 	answers := make(chan wire.Answer, 1)
-	taken := make(chan *call, 1)
+	taken := make(chan *partCall, 1)
 	h.node.env.Do(func() {
 		taken <- h.node.takeCall(command, since, func(a wire.Answer) { answers <- a })
 	})
--- a/control/calls.go
+++ b/control/calls.go
@@ -22,8 +22,8 @@
 	maxWatches     = 4096                  // of one part
 )
 
-// call is one call of an application: taken from the caller, or passed on by another control process.
-type call struct {
+// partCall is one call of an application: taken from the caller, or passed on by another control process.
+type partCall struct {
 	command wire.Command
 	part    *part
 	since   time.Duration // when it was taken from the caller
@@ -34,25 +34,25 @@
 }
 
 // finish gives the answer. Only the first one counts.
-func (c *call) finish(a wire.Answer) {
+func (c *partCall) finish(a wire.Answer) {
 	if answer := c.answer; answer != nil {
 		c.answer = nil
 		answer(a)
 	}
 }
 
-func (c *call) finishWith(o wire.Outcome) { c.finish(wire.Answer{Outcome: o}) }
+func (c *partCall) finishWith(o wire.Outcome) { c.finish(wire.Answer{Outcome: o}) }
 
-func (c *call) finished() bool { return c.answer == nil }
+func (c *partCall) finished() bool { return c.answer == nil }
 
-func (c *call) isWatch() bool { return c.command.Kind == wire.WatchGroup }
+func (c *partCall) isWatch() bool { return c.command.Kind == wire.WatchGroup }
 
 // isRead says whether the call may be carried out more than once.
-func (c *call) isRead() bool { return c.isWatch() || c.command.Kind == wire.GetKey }
+func (c *partCall) isRead() bool { return c.isWatch() || c.command.Kind == wire.GetKey }
 
 // refusalDue says whether a call that is still queued has to be refused. A watch waits for a leader as long as it would for a
 // put.
-func (c *call) refusalDue(now time.Duration, leading bool) bool {
+func (c *partCall) refusalDue(now time.Duration, leading bool) bool {
 	switch {
 	case c.isWatch():
 		return now >= max(c.until, c.since+leaderPatience)
@@ -65,14 +65,14 @@
 
 // takeCall takes a call of an application that came in at a moment of the steady clock. answer is called at most once, in
 // the loop; with OutcomeUnknown the caller gets no answer.
-func (n *Node) takeCall(command wire.Command, since time.Duration, answer func(wire.Answer)) *call {
-	c := &call{command: command, since: since, answer: answer}
+func (n *Node) takeCall(command wire.Command, since time.Duration, answer func(wire.Answer)) *partCall {
+	c := &partCall{command: command, since: since, answer: answer}
 	n.accept(c)
 	return c
 }
 
 // accept checks a call and serves it.
-func (n *Node) accept(c *call) {
+func (n *Node) accept(c *partCall) {
 	now := n.now()
 	switch {
 	case len(n.parts) == 0:
@@ -94,10 +94,10 @@
 }
 
 // callerLeft tells that the caller's connection has ended: a call that is still queued is dropped.
-func (n *Node) callerLeft(c *call) { c.answer = nil }
+func (n *Node) callerLeft(c *partCall) { c.answer = nil }
 
 // serveCall answers a call from memory, queues it for the next entry, or passes it on to the leader.
-func (n *Node) serveCall(c *call, now time.Duration) {
+func (n *Node) serveCall(c *partCall, now time.Duration) {
 	p := c.part
 	if p.replica.Role() == replica.Leader {
 		if !n.answerFromMemory(c, now) {
@@ -115,7 +115,7 @@
 }
 
 // enqueue has a call wait for its turn, or refuses it where too many wait.
-func (p *part) enqueue(c *call) {
+func (p *part) enqueue(c *partCall) {
 	if len(p.queue) >= maxQueuedCalls {
 		c.finishWith(wire.NotServed)
 		return
@@ -125,7 +125,7 @@
 
 // answerFromMemory answers what needs no entry, while this node's lease holds. The lease is checked here, in the loop, at the
 // moment at which the state is read, so whatever delays the answer afterwards does no harm.
-func (n *Node) answerFromMemory(c *call, now time.Duration) bool {
+func (n *Node) answerFromMemory(c *partCall, now time.Duration) bool {
 	p := c.part
 	if !p.replica.Leading(now) {
 		return false
--- a/control/figures.go
+++ b/control/figures.go
@@ -58,6 +58,9 @@
 	for _, shard := range s.Shards {
 		metrics.WriteGaugeUint64(w, fmt.Sprintf("ivybank_control_shard_owned{shard=\"%d\"}", shard.Number), number(shard.Owned))
 	}
+	for _, p := range s.Parts {
+		p.write(w)
+	}
 	for _, dropped := range []struct {
 		cause string
 		count int64
@@ -65,6 +68,7 @@
 		{"earlier_life", s.Dropped.EarlierLife},
 		{"not_member", s.Dropped.NotMember},
 		{"quota_not_owned", s.Dropped.QuotaNotOwned},
+		{"unknown_part", s.Dropped.UnknownPart},
 		{"other_fleet", s.Dropped.OtherFleet},
 		{"oversized", s.Dropped.Oversized},
 		{"unknown_kind", s.Dropped.UnknownKind},
@@ -76,6 +80,25 @@
 	}
 }
 
+// write gives the status of a part as figures.
+func (p *PartStatus) write(w io.Writer) {
+	for _, gauge := range []struct {
+		name  string
+		value uint64
+	}{
+		{"leading", number(p.Leading)},
+		{"leader_known", number(p.Leader != "")},
+		{"term", p.Term},
+		{"entry", p.Entry},
+		{"committed_entry", p.Commit},
+		{"members", uint64(p.Members)},
+		{"queued_calls", uint64(p.Queued)},
+		{"watches", uint64(p.Watches)},
+	} {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("ivybank_control_part_%s{part=\"%d\"}", gauge.name, p.Number), gauge.value)
+	}
+}
+
 // number is 1 for true.
 func number(yes bool) uint64 {
 	if yes {
--- a/control/parts.go
+++ b/control/parts.go
@@ -28,10 +28,10 @@
 	machine *coordination.Machine
 	members []wire.Member // of the newest entry that links follow
 
-	queue      []*call // not in any entry
-	proposed   []*call // of the entry that is under way; nil for none
+	queue      []*partCall // not in any entry
+	proposed   []*partCall // of the entry that is under way; nil for none
 	proposedAt replica.Position
-	watches    []*call          // that wait for a put, in a leader
+	watches    []*partCall          // that wait for a put, in a leader
 	watchedAt  replica.Position // entry of which they have been told
 	watchAgain time.Duration
 }
@@ -55,6 +55,24 @@
 	return machines
 }
 
+// replicated gives machines as replicas and disks know them.
+func replicated(machines []*coordination.Machine) []replica.Machine {
+	all := make([]replica.Machine, len(machines))
+	for i, m := range machines {
+		all[i] = m
+	}
+	return all
+}
+
+// partStarts puts together what the disk held of each part and the machine that it has led there.
+func partStarts(disks []replica.Disk, machines []*coordination.Machine) []PartStart {
+	starts := make([]PartStart, len(machines))
+	for i := range starts {
+		starts[i] = PartStart{Disk: disks[i], Machine: machines[i]}
+	}
+	return starts
+}
+
 // newParts makes this node's replicas of the parts.
 func (n *Node) newParts(from Start) {
 	for i, start := range from.Parts {
--- a/control/passing.go
+++ b/control/passing.go
@@ -13,12 +13,12 @@
 
 // passedCall is a call that was passed on to the leader of its part and has no reply yet.
 type passedCall struct {
-	call *call
+	call *partCall
 	to   wire.Member
 }
 
 // passOn sends a call to the leader of its part. It reports false where none is known or reached: then nothing was sent.
-func (n *Node) passOn(c *call, now time.Duration) bool {
+func (n *Node) passOn(c *partCall, now time.Duration) bool {
 	leader := c.part.replica.Leader(now)
 	link := n.links[leader.IP]
 	reachable := link != nil && link.Up() && n.callers[leader.IP] > 0 // the answer comes over the leader's own link
@@ -49,7 +49,7 @@
 		}
 	}
 	since := n.now() - time.Duration(q.WaitedMS)*time.Millisecond
-	n.accept(&call{command: q.Command, since: since, passed: true, answer: reply})
+	n.accept(&partCall{command: q.Command, since: since, passed: true, answer: reply})
 }
 
 // onPartReply hands the leader's answer to the caller. Where the leader has done nothing, the call is still this node's to
@@ -88,14 +88,14 @@
 }
 
 // overdue says whether the reply to a call that was passed on would come too late.
-func (c *call) overdue(now time.Duration) bool {
+func (c *partCall) overdue(now time.Duration) bool {
 	if c.isWatch() {
 		return now > c.until+watchSlack
 	}
 	return now > c.since+callPatience
 }
 
-func (n *Node) giveUp(c *call, now time.Duration) {
+func (n *Node) giveUp(c *partCall, now time.Duration) {
 	switch {
 	case c.finished():
 	case c.isRead() && !c.overdue(now):
--- a/control/process.go
+++ b/control/process.go
@@ -59,13 +59,16 @@
 		return nil, err
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	disk, err := loadDisk(s, folder, nil, random, log)
+	machines := partMachines(s)
+	disk, err := loadDisk(s, folder, replicated(machines), random, log)
 	if err != nil {
 		return nil, err
 	}
+	from := Start{Settings: s, Log: log, Identity: disk.identity, Disk: disk.replica, Tenures: disk.tenures,
+		Parts: partStarts(disk.parts, machines), Random: random}
 	return &Process{settings: s, log: log, start: time.Now(), events: make(chan func(), eventQueue), folder: folder,
 		writes: make(chan func(), writeQueue), reader: hostlist.NewReader(s.Cloud.Address),
-		from: Start{Settings: s, Log: log, Identity: disk.identity, Disk: disk.replica, Tenures: disk.tenures, Random: random}}, nil
+		from: from}, nil
 }
 
 // Run serves until the context ends, then gives up what it holds. Settings that come over reloads replace the old.
--- a/control/status.go
+++ b/control/status.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"ivybank/wire"
 )
@@ -23,6 +24,7 @@
 	Changing bool          `json:"changing"`     // a change of members is under way, or one is missing
 	Borne    int           `json:"losses_borne"` // disks of members that may be lost now without a rest of the group
 	Shards   []ShardStatus `json:"shards"`
+	Parts    []PartStatus  `json:"parts,omitempty"` // of the coordination state
 	Agents   int           `json:"agents"`
 	Spoilt   int64         `json:"spoilt_datagrams"`
 	Dropped  Dropped       `json:"dropped"`
@@ -36,6 +38,28 @@
 	Offset uint64 `json:"offset,omitempty"`
 }
 
+// PartStatus is what a control process tells of one part of the coordination state.
+type PartStatus struct {
+	Number  int    `json:"number"`
+	Role    string `json:"role"`
+	Term    uint64 `json:"term"`
+	Leader  string `json:"leader"`
+	Leading bool   `json:"leading"`
+	Entry   uint64 `json:"entry"`
+	Commit  uint64 `json:"commit"`
+	Members int    `json:"members"`
+	TimeMS  int64  `json:"time_ms"` // the part's time, by which locks and history end
+	Queued  int    `json:"queued"`  // calls that wait for their turn or for a leader
+	Watches int    `json:"watches"`
+}
+
+func (p *part) status(now time.Duration) PartStatus {
+	r := p.replica
+	return PartStatus{Number: p.number, Role: r.Role().String(), Term: r.Term(), Leader: r.Leader(now).ID, Leading: r.Leading(now),
+		Entry: r.Newest().Position().Index, Commit: r.Committed().Position().Index, Members: len(r.Members()),
+		TimeMS: r.GroupTime(now).Milliseconds(), Queued: len(p.queue), Watches: len(p.watches)}
+}
+
 // status collects the state; only the loop calls it.
 func (n *Node) status() Status {
 	now := n.now()
@@ -57,6 +81,9 @@
 		}
 		s.Shards = append(s.Shards, told)
 	}
+	for _, p := range n.parts {
+		s.Parts = append(s.Parts, p.status(now))
+	}
 	return s
 }
 
--- a/control/world_parts_test.go
+++ b/control/world_parts_test.go
@@ -51,20 +51,20 @@
 	var parts []PartStart
 	for i, empty := range partMachines(w.settingsOf(m, false)) {
 		start := PartStart{Machine: empty}
-		if len(m.disk.identity.Founders) > 0 {
-			start.Disk.Entry = replica.Found(m.disk.identity.Founders, nil)
+		var entries []*wire.Entry
+		if founded := foundingEntry(m.disk.identity); founded != nil {
+			entries = append(entries, founded)
 		}
 		if m.disk.parts != nil {
 			kept := m.disk.parts[i]
-			entry, err := replica.Replay(empty, kept.entries)
-			if err != nil {
-				w.fail("%s: part %d: %v", m.ip, i, err)
-			}
-			if entry != nil {
-				start.Disk.Entry = entry
-			}
+			entries = append(entries, kept.entries...)
 			start.Disk.Term, start.Disk.VotedFor = kept.term, kept.votedFor
 		}
+		newest, err := replica.Replay(empty, entries)
+		if err != nil {
+			w.fail("%s: part %d: %v", m.ip, i, err)
+		}
+		start.Disk.Entry = newest
 		parts = append(parts, start)
 	}
 	return parts
