--- a/control/calls.go
+++ b/control/calls.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// callPatience is after how long a caller takes silence for a failure and goes elsewhere: a call that is older is dropped.
-	callPatience = time.Second
+	// callerPatience is after how long a caller takes silence for a failure and goes elsewhere: a call that is older is dropped.
+	callerPatience = time.Second
 	// queuePatience is how long a call waits for its turn at a leader before it is refused, so that the caller still hears it.
 	queuePatience = 600 * time.Millisecond
 	// leaderPatience is how long a call waits for a leader to be known: about as long as a planned change of leader takes.
@@ -86,7 +86,7 @@
 		c.until = c.since + time.Duration(c.command.WaitMS)*time.Millisecond
 	}
 	c.part = n.parts[coordination.PartOf(&c.command, len(n.parts))]
-	if now > c.since+callPatience {
+	if now > c.since+callerPatience {
 		c.finishWith(wire.OutcomeUnknown)
 		return
 	}
--- a/control/parts.go
+++ b/control/parts.go
@@ -31,7 +31,7 @@
 	queue      []*partCall // not in any entry
 	proposed   []*partCall // of the entry that is under way; nil for none
 	proposedAt replica.Position
-	watches    []*partCall          // that wait for a put, in a leader
+	watches    []*partCall      // that wait for a put, in a leader
 	watchedAt  replica.Position // entry of which they have been told
 	watchAgain time.Duration
 }
--- a/control/passing.go
+++ b/control/passing.go
@@ -92,7 +92,7 @@
 	if c.isWatch() {
 		return now > c.until+watchSlack
 	}
-	return now > c.since+callPatience
+	return now > c.since+callerPatience
 }
 
 func (n *Node) giveUp(c *partCall, now time.Duration) {
