--- a/control/members.go
+++ b/control/members.go
@@ -46,7 +46,7 @@
 // followReach tells the replica once this node and another one are connected in both ways: a question gets its answer then.
 func (n *Node) followReach(ip string) {
 	if link := n.links[ip]; link != nil && link.Up() && n.callers[ip] > 0 {
-		for _, r := range n.replicas() {
+		for _, r := range n.replicas {
 			r.PeerReachable(ip, n.now())
 		}
 	}
--- a/control/node.go
+++ b/control/node.go
@@ -64,7 +64,8 @@
 	feed        *wire.Config // the committed configuration as it is fed
 	feedMessage *wire.Message
 
-	parts       []*part // of the coordination state; none where applications ask for no coordination
+	replicas    []*replica.Replica // of the configuration, then those of the parts: each is a group of its own
+	parts       []*part            // of the coordination state; none where applications ask for no coordination
 	savingParts bool
 	wholeParts  bool                   // the next write of the parts has to hold everything
 	passed      map[uint64]*passedCall // by number
@@ -228,7 +229,7 @@
 
 // sendMessages sends what the replicas have to say to others.
 func (n *Node) sendMessages() {
-	for group, r := range n.replicas() {
+	for group, r := range n.replicas {
 		for _, e := range r.TakeMessages() {
 			e.Message.Part = uint32(group)
 			if link := n.links[e.To.IP]; link != nil {
@@ -306,7 +307,7 @@
 		n.followOwnership(s, now)
 	}
 	n.releaseAt = now + quota.LongestDelay // by then all that was granted has begun to be used
-	for _, r := range n.replicas() {
+	for _, r := range n.replicas {
 		r.StartLeaving(now)
 	}
 	n.Flush()
@@ -314,7 +315,7 @@
 
 // MayStop says whether the others have all that this node had a part in.
 func (n *Node) MayStop() bool {
-	for _, r := range n.replicas() {
+	for _, r := range n.replicas {
 		if !r.LeaveDone() {
 			return false
 		}
--- a/control/parts.go
+++ b/control/parts.go
@@ -75,33 +75,26 @@
 
 // newParts makes this node's replicas of the parts.
 func (n *Node) newParts(from Start) {
+	n.replicas = []*replica.Replica{n.replica}
 	for i, start := range from.Parts {
 		group := replica.Group{Target: 2*n.settings.Tolerate.Machines + 1, MemberSilence: memberSilence(n.settings),
 			Name: "part-" + strconv.Itoa(i)}
 		p := &part{number: i, machine: start.Machine}
 		p.replica = replica.NewWithMachine(n.replica.Self(), group, start.Disk, start.Machine, from.Random, n.now())
 		n.parts = append(n.parts, p)
+		n.replicas = append(n.replicas, p.replica)
 	}
 }
 
-// replicas gives all replicas of this node: that of the configuration, and those of the parts.
-func (n *Node) replicas() []*replica.Replica {
-	all := []*replica.Replica{n.replica}
-	for _, p := range n.parts {
-		all = append(all, p.replica)
-	}
-	return all
-}
-
 // needsToJoin says whether any replica of this node has to ask for its place.
 func (n *Node) needsToJoin(now time.Duration) bool {
-	return slices.ContainsFunc(n.replicas(), func(r *replica.Replica) bool { return r.NeedsToJoin(now) })
+	return slices.ContainsFunc(n.replicas, func(r *replica.Replica) bool { return r.NeedsToJoin(now) })
 }
 
 // allMembers gives the members of all groups, some perhaps twice.
 func (n *Node) allMembers() []wire.Member {
 	var all []wire.Member
-	for _, r := range n.replicas() {
+	for _, r := range n.replicas {
 		all = append(all, r.Members()...)
 	}
 	return all
@@ -117,7 +110,7 @@
 
 // askForPlaces asks the leaders of all groups that this node has to join.
 func (n *Node) askForPlaces(now time.Duration) {
-	for group, r := range n.replicas() {
+	for group, r := range n.replicas {
 		if r.NeedsToJoin(now) {
 			n.toAllLinks(&wire.Message{Part: uint32(group), JoinRequest: &wire.JoinRequest{Member: r.Self()}})
 		}
@@ -176,10 +169,9 @@
 
 // receive hands a message of agreement to the replica of its group.
 func (n *Node) receive(from wire.Member, m *wire.Message, now time.Duration) {
-	replicas := n.replicas()
-	if int(m.Part) >= len(replicas) {
+	if int(m.Part) >= len(n.replicas) {
 		n.dropped.UnknownPart++
 		return
 	}
-	replicas[m.Part].Receive(from, m, now)
+	n.replicas[m.Part].Receive(from, m, now)
 }
