--- /dev/null
+++ b/control/applications_test.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ivybank/wire"
+)
+
+// commandOf gives the command that a request is read as; false where it is refused, or no call has its path.
+func commandOf(method, target, body string) (command wire.Command, ok bool) {
+	mux := http.NewServeMux()
+	for _, call := range applicationCalls {
+		mux.HandleFunc(call.pattern, func(w http.ResponseWriter, r *http.Request) { command, ok = readCommand(w, r, call.kind) })
+	}
+	mux.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(method, target, strings.NewReader(body)))
+	return command, ok
+}
+
+func TestApplicationCallsAreRead(t *testing.T) {
+	revision, absent := uint64(907), uint64(0)
+	for _, test := range []struct {
+		method, target, body string
+		want                 wire.Command
+	}{
+		{"POST", "/v1/Locks.Begin/l1f", `{"holder":"a3.7","hold_ms":3000}`, wire.Command{Kind: wire.BeginLock, Name: "l1f", Holder: "a3.7", HoldMS: 3000}},
+		{"POST", "/v1/Locks.Begin/l1f", `{"holder":"a","hold_ms":0.5,"other":1}`, wire.Command{Kind: wire.BeginLock, Name: "l1f", Holder: "a", HoldMS: 1}},
+		{"POST", "/v1/Locks.Heartbeat/l", `{"holder":"a","fence":41,"hold_ms":3}`, wire.Command{Kind: wire.HeartbeatLock, Name: "l", Holder: "a", Fence: 41, HoldMS: 3}},
+		{"POST", "/v1/Locks.Finish/l", `{"holder":"a","fence":18446744073709551615}`, wire.Command{Kind: wire.FinishLock, Name: "l", Holder: "a", Fence: 1<<64 - 1}},
+		{"POST", "/v1/numbers/n%202", `{}`, wire.Command{Kind: wire.NextNumber, Name: "n 2"}},
+		{"POST", "/v1/Cells.Replace/g1.2d", `{"value":"v","if_revision":907}`, wire.Command{Kind: wire.ReplaceKey, Name: "g1.2d", Value: "v", IfRevision: &revision}},
+		{"POST", "/v1/Cells.Replace/g1.2d", `{"value":"v","if_revision":0}`, wire.Command{Kind: wire.ReplaceKey, Name: "g1.2d", Value: "v", IfRevision: &absent}},
+		{"POST", "/v1/Cells.Replace/g1.2d", `{"value":"v"}`, wire.Command{Kind: wire.ReplaceKey, Name: "g1.2d", Value: "v"}},
+		{"GET", "/v1/Cells.Get/g1.2d", "", wire.Command{Kind: wire.GetKey, Name: "g1.2d"}},
+		{"GET", "/v1/watch/g1.?after=930&wait_ms=2000", "", wire.Command{Kind: wire.WatchGroup, Name: "g1.", After: 930, WaitMS: 2000}},
+		{"GET", "/v1/watch/g1.", "", wire.Command{Kind: wire.WatchGroup, Name: "g1."}},
+	} {
+		command, ok := commandOf(test.method, test.target, test.body)
+		assert.Assert(t, ok, "%s %s", test.target, test.body)
+		assert.DeepEqual(t, command, test.want)
+	}
+}
+
+func TestMalformedApplicationCallsAreRefused(t *testing.T) {
+	for _, test := range []struct{ method, target, body string }{
+		{"POST", "/v1/Locks.Begin/l", ``},
+		{"POST", "/v1/Locks.Begin/l", `{"holder":"a","hold_ms":3000`},
+		{"POST", "/v1/Locks.Begin/l", `{"holder":7,"hold_ms":3000}`},
+		{"POST", "/v1/Locks.Begin/l", `{"holder":"a","hold_ms":-1}`},
+		{"POST", "/v1/Locks.Begin/l", `{"holder":"a","hold_ms":1e12}`},
+		{"POST", "/v1/Locks.Finish/l", `{"holder":"a","fence":-1}`},
+		{"POST", "/v1/Locks.Begin/l", `{"holder":"` + strings.Repeat("a", maxCallBytes) + `","hold_ms":1}`},
+		{"POST", "/v1/Cells.Replace/k", `{"value":"v","if_revision":1.5}`},
+		{"GET", "/v1/watch/g.?after=x", ""},
+		{"GET", "/v1/watch/g.?wait_ms=1s", ""},
+		{"GET", "/v1/numbers/n", ""},
+	} {
+		_, ok := commandOf(test.method, test.target, test.body)
+		assert.Assert(t, !ok, "%s %s", test.target, test.body)
+	}
+}
+
+// answerOf gives what a caller gets for an answer; false where its connection is closed.
+func answerOf(path string, a wire.Answer) (r *httptest.ResponseRecorder, answered bool) {
+	h := &applicationHandler{&Node{counts: newNodeCounts()}}
+	r = httptest.NewRecorder()
+	defer func() { answered = recover() == nil }()
+	for _, call := range applicationCalls {
+		if strings.Contains(call.pattern, path) {
+			h.write(r, &call, a)
+		}
+	}
+	return r, true
+}
+
+func TestAnswersToApplications(t *testing.T) {
+	for _, test := range []struct {
+		path   string
+		answer wire.Answer
+		status int
+		body   string
+	}{
+		{"Locks.Begin", wire.Answer{Outcome: wire.Done, Fence: 41}, http.StatusOK, `{"fence":41}`},
+		{"Locks.Begin", wire.Answer{Outcome: wire.HeldByOther}, http.StatusConflict, `{}`},
+		{"Locks.Heartbeat", wire.Answer{Outcome: wire.Done}, http.StatusOK, `{}`},
+		{"Locks.Heartbeat", wire.Answer{Outcome: wire.LockLost}, http.StatusConflict, `{}`},
+		{"Locks.Finish", wire.Answer{Outcome: wire.Done}, http.StatusOK, `{}`},
+		{"numbers", wire.Answer{Outcome: wire.Done, Number: 5120}, http.StatusOK, `{"value":5120}`},
+		{"Cells.Replace", wire.Answer{Outcome: wire.Done, Revision: 931}, http.StatusOK, `{"rev":931}`},
+		{"Cells.Replace", wire.Answer{Outcome: wire.Mismatched, Revision: 922}, http.StatusPreconditionFailed, `{"rev":922}`},
+		{"Cells.Replace", wire.Answer{Outcome: wire.Full}, http.StatusTooManyRequests, `{}`},
+		{"Cells.Get", wire.Answer{Outcome: wire.Done, Value: "v", Revision: 931}, http.StatusOK, `{"value":"v","rev":931}`},
+		{"Cells.Get", wire.Answer{Outcome: wire.NotFound}, http.StatusNotFound, `{}`},
+		{"watch", wire.Answer{Outcome: wire.Done, Revision: 934, Events: []wire.Change{{Key: "g1.2d", Value: "v", Revision: 931}}},
+			http.StatusOK, `{"events":[{"name":"g1.2d","value":"v","rev":931}],"rev":934}`},
+		{"watch", wire.Answer{Outcome: wire.Done, Revision: 934}, http.StatusOK, `{"events":[],"rev":934}`},
+		{"watch", wire.Answer{Outcome: wire.Compacted}, http.StatusGone, `{}`},
+		{"numbers", wire.Answer{Outcome: wire.NotServed}, http.StatusServiceUnavailable, `{}`},
+		{"numbers", wire.Answer{Outcome: wire.Invalid}, http.StatusBadRequest, `{}`},
+	} {
+		r, answered := answerOf(test.path, test.answer)
+		assert.Assert(t, answered)
+		assert.Equal(t, r.Code, test.status)
+		assert.Equal(t, r.Body.String(), test.body)
+		wantsRetry := test.status == http.StatusServiceUnavailable || test.status == http.StatusTooManyRequests
+		assert.Equal(t, r.Header().Get("Retry-After") != "", wantsRetry)
+	}
+}
+
+// A call whose outcome isn't known must not be answered: any status would promise something.
+func TestUnknownOutcomeClosesTheConnection(t *testing.T) {
+	for _, outcome := range []wire.Outcome{wire.OutcomeUnknown, 0, 99} {
+		_, answered := answerOf("numbers", wire.Answer{Outcome: outcome})
+		assert.Assert(t, !answered)
+	}
+}
