The state of a part against a model that looks through all that ever happened

Cause: example tests cover each rule, not their crossing.

Change: rapid draws entries with commands that come again at any later time, times that stand still, jump and fall back, restores, and questions answered from memory; two replicas stay alike byte for byte.

--- a/control/coordination/lock_search_test.go
+++ b/control/coordination/lock_search_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,6 +28,9 @@
 	tick          = time.Millisecond
 )
 
+// searchTicks can be raised by hand: 4 takes some ten times as long as 3.
+var searchTicks = flag.Int("search.ticks", 3, "for how many ticks of time the search for two holders of a lock goes on")
+
 // searchBounds is how far a search goes.
 type searchBounds struct {
 	calls [searchCallers]int8
@@ -75,7 +81,9 @@
 	bounds searchBounds
 	apply  stepFunc
 	seen   map[world]bool
-	path   []string // what led to the present world
+	// arrivals are those that were applied before.
+	arrivals map[arrivalKey]arrival
+	path     []event
 }
 
 var (
@@ -135,14 +143,22 @@
 	return fences
 }
 
-// follow visits a world that a step has led to.
-func (s *search) follow(w world, format string, arguments ...any) error {
-	s.path = append(s.path, fmt.Sprintf(format, arguments...))
-	if err := s.visit(w); err != nil {
-		return err
+// event is what leads from one world to the next.
+type event struct {
+	what   string
+	caller int
+	call   searchCall
+	answer arrival
+}
+
+// follow visits the world that an event leads to. The events that lead to a violation are kept on the way back, the last one
+// first.
+func (s *search) follow(w world, e event) error {
+	err := s.visit(w)
+	if err != nil {
+		s.path = append(s.path, e)
 	}
-	s.path = s.path[:len(s.path)-1]
-	return nil
+	return err
 }
 
 // visitTicks lets time go on, with the group's time and without.
@@ -156,11 +172,11 @@
 			w.callers[c].stop()
 		}
 	}
-	if err := s.follow(w, "time"); err != nil || w.lag == s.bounds.lag {
+	if err := s.follow(w, event{what: "time goes on"}); err != nil || w.lag == s.bounds.lag {
 		return err
 	}
 	w.lag++
-	return s.follow(w, "time, of the callers alone")
+	return s.follow(w, event{what: "time goes on, that of the group stands still"})
 }
 
 // visitCaller lets a caller send, its calls arrive, and an answer reach it.
@@ -188,7 +204,8 @@
 	for _, kind := range kinds {
 		next := w
 		next.send(c, kind)
-		if err := s.follow(next, "%d sends %d with %d", c, kind, w.callers[c].fence); err != nil {
+		sent := event{what: "sent", caller: c, call: next.calls[c][w.callers[c].sent]}
+		if err := s.follow(next, sent); err != nil {
 			return err
 		}
 	}
@@ -233,9 +250,9 @@
 	if call.copies == 0 {
 		return nil
 	}
-	answer, err := s.arrive(&w, c, call)
-	if err != nil {
-		s.path = append(s.path, fmt.Sprintf("%d of %d with %d arrives: %v", call.kind, c, call.fence, answer))
+	arrived := event{what: "arrived", caller: c, call: call, answer: s.arrive(&w, c, call)}
+	if err := w.take(c, call, arrived.answer); err != nil {
+		s.path = append(s.path, arrived)
 		return err
 	}
 	next := &w.calls[c][n]
@@ -244,33 +261,65 @@
 	if next.copies == 0 && !awaited {
 		*next = searchCall{}
 	}
-	if err := s.follow(w, "%d of %d with %d arrives: %v", call.kind, c, call.fence, answer); err != nil {
+	if err := s.follow(w, arrived); err != nil {
 		return err
 	}
 	if !awaited || call.answer != 0 {
 		return nil
 	}
-	next.answer, next.answered = answer.Outcome, int8(answer.Fence)
-	return s.follow(w, "%d of %d with %d arrives, to be told: %v", call.kind, c, call.fence, answer)
+	arrived.what = "arrived, and will be answered"
+	next.answer, next.answered = arrived.answer.outcome, arrived.answer.fence
+	return s.follow(w, arrived)
 }
 
+// arrivalKey is all that an arrival depends on, arrival what it leads to.
+type (
+	arrivalKey struct {
+		lock      heldLock
+		lastFence int8
+		caller    int
+		kind      wire.CommandKind
+		fence     int8
+		at        int8
+	}
+	arrival struct {
+		lock      heldLock
+		lastFence int8
+		outcome   wire.Outcome
+		fence     int8
+	}
+)
+
 // arrive applies a call to the state.
-func (s *search) arrive(w *world, c int, call searchCall) (wire.Answer, error) {
+func (s *search) arrive(w *world, c int, call searchCall) arrival {
+	key := arrivalKey{w.lock, w.lastFence, c, call.kind, call.fence, w.now - w.lag}
+	if known, ok := s.arrivals[key]; ok {
+		return known
+	}
 	state := w.state()
-	answer := s.apply(state, call.command(c), time.Duration(w.now-w.lag)*tick)
-	w.keep(state)
-	if answer.Outcome != wire.Done {
-		return answer, nil
+	answer := s.apply(state, call.command(c), time.Duration(key.at)*tick)
+	result := arrival{
+		lock: lockOf(state), lastFence: int8(state.locks.fence), outcome: answer.Outcome, fence: int8(answer.Fence),
+	}
+	s.arrivals[key] = result
+	return result
+}
+
+// take has a world go on after an arrival.
+func (w *world) take(c int, call searchCall, result arrival) error {
+	w.lock, w.lastFence = result.lock, result.lastFence
+	if result.outcome != wire.Done {
+		return nil
 	}
 	other := w.callers[1-c].granted
 	switch {
-	case call.kind == wire.BeginLock && int8(answer.Fence) <= other:
-		return answer, errLowFence
+	case call.kind == wire.BeginLock && result.fence <= other:
+		return errLowFence
 	case call.kind == wire.HeartbeatLock && call.fence < other:
-		return answer, errOldFence
+		return errOldFence
 	}
-	w.callers[c].granted = max(w.callers[c].granted, int8(answer.Fence))
-	return answer, nil
+	w.callers[c].granted = max(w.callers[c].granted, result.fence)
+	return nil
 }
 
 func (call searchCall) command(c int) wire.Command {
@@ -297,15 +346,15 @@
 	return s
 }
 
-// keep takes a state into a world.
-func (w *world) keep(s *State) {
-	w.lastFence = int8(s.locks.fence)
-	w.lock = heldLock{}
-	if held := s.locks.byName["l"]; held != nil {
-		w.lock = heldLock{
-			holder: int8(held.holder[0] - '0'), firstFence: int8(held.firstFence), fence: int8(held.fence),
-			expires: int8(held.expires / tick),
-		}
+// lockOf gives the lock that a state has.
+func lockOf(s *State) heldLock {
+	held := s.locks.byName["l"]
+	if held == nil {
+		return heldLock{}
+	}
+	return heldLock{
+		holder: int8(held.holder[0] - '0'), firstFence: int8(held.firstFence), fence: int8(held.fence),
+		expires: int8(held.expires / tick),
 	}
 }
 
@@ -318,7 +367,7 @@
 	call := w.calls[c][awaited-1]
 	w.giveUp(c)
 	w.receive(c, call)
-	return s.follow(w, "%d is told %d with %d", c, call.answer, call.answered)
+	return s.follow(w, event{what: "answered", caller: c, call: call})
 }
 
 // receive has a caller act on an answer.
@@ -344,22 +393,35 @@
 	}
 }
 
+// String gives the events that led to a violation, a line each. Fences are named by their rank at the time.
+func (s *search) String() string {
+	var lines strings.Builder
+	for _, e := range slices.Backward(s.path) {
+		fmt.Fprintf(&lines, "\n%s: caller %d, %+v, %+v", e.what, e.caller, e.call, e.answer)
+	}
+	return lines.String()
+}
+
 // start gives the world in which nothing has happened.
 func start() world { return world{now: 1} }
 
 func newSearch(bounds searchBounds, apply stepFunc) *search {
-	return &search{bounds: bounds, apply: apply, seen: map[world]bool{}}
+	return &search{bounds: bounds, apply: apply, seen: map[world]bool{}, arrivals: map[arrivalKey]arrival{}}
+}
+
+func boundsOf(calls [searchCallers]int8) searchBounds {
+	return searchBounds{calls: calls, ticks: int8(*searchTicks), lag: 1}
 }
 
 func TestSearchFindsNoTwoHolders(t *testing.T) {
-	for _, bounds := range []searchBounds{
-		{calls: [searchCallers]int8{3, 1}, ticks: 3, lag: 1},
-		{calls: [searchCallers]int8{2, 2}, ticks: 3, lag: 1},
-	} {
-		s := newSearch(bounds, one)
-		err := s.visit(start())
-		assert.NilError(t, err, "%v", s.path)
-		t.Logf("%+v: %d worlds", bounds, len(s.seen))
+	for _, calls := range [][searchCallers]int8{{3, 1}, {2, 2}} {
+		t.Run(fmt.Sprint(calls), func(t *testing.T) {
+			t.Parallel()
+			s := newSearch(boundsOf(calls), one)
+			err := s.visit(start())
+			assert.NilError(t, err, "%s", s)
+			t.Logf("%d worlds", len(s.seen))
+		})
 	}
 }
 
@@ -380,10 +442,11 @@
 func TestSearchCatchesMissingGuards(t *testing.T) {
 	for _, variant := range searchVariants {
 		t.Run(variant.name, func(t *testing.T) {
-			s := newSearch(searchBounds{calls: [searchCallers]int8{3, 1}, ticks: 3, lag: 1}, variant.apply)
+			t.Parallel()
+			s := newSearch(boundsOf([searchCallers]int8{3, 1}), variant.apply)
 			err := s.visit(start())
-			assert.ErrorIs(t, err, variant.want, "after %d worlds: %q", len(s.seen), s.path)
-			t.Logf("%v after %d worlds: %q", err, len(s.seen), s.path)
+			assert.ErrorIs(t, err, variant.want, "after %d worlds:%s", len(s.seen), s)
+			t.Logf("%v after %d worlds", err, len(s.seen))
 		})
 	}
 }
--- /dev/null
+++ b/control/coordination/rapid_test.go
@@ -0,0 +1,149 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"ivybank/wire"
+)
+
+const modelHistory = 10 * time.Second
+
+// trial plays entries on two replicas and on the model. Commands come again at any later time.
+type trial struct {
+	first, second *Machine
+	model         *model
+	sent          []wire.Command
+	fences        []uint64 // that were handed out
+	now           time.Duration
+}
+
+func newTrial() *trial {
+	return &trial{
+		first:  NewMachine(modelHistory),
+		second: NewMachine(modelHistory),
+		model:  newModel(modelHistory),
+		fences: []uint64{1},
+	}
+}
+
+func (tr *trial) drawCommand(t *rapid.T) wire.Command {
+	if len(tr.sent) > 0 && rapid.IntRange(0, 3).Draw(t, "again") == 0 {
+		return rapid.SampledFrom(tr.sent).Draw(t, "late")
+	}
+	c := tr.drawNew(t)
+	tr.sent = append(tr.sent, c)
+	return c
+}
+
+func (tr *trial) drawNew(t *rapid.T) wire.Command {
+	lock := rapid.SampledFrom([]string{"l", "m"})
+	holder := rapid.SampledFrom([]string{"a", "b", "c"})
+	fence := rapid.SampledFrom(tr.fences)
+	key := rapid.SampledFrom([]string{"g.a", "g.b", "h.a", "g"})
+	c := wire.Command{Kind: wire.CommandKind(rapid.IntRange(int(wire.BeginLock), int(wire.WatchGroup)).Draw(t, "kind"))}
+	switch c.Kind {
+	case wire.BeginLock, wire.HeartbeatLock, wire.FinishLock:
+		c.Name = lock.Draw(t, "lock")
+		c.Holder = holder.Draw(t, "holder")
+		c.HoldMS = rapid.Int64Range(1, 5000).Draw(t, "hold")
+		if c.Kind != wire.BeginLock {
+			c.Fence = fence.Draw(t, "fence") + rapid.Uint64Range(0, 1).Draw(t, "above")
+		}
+	case wire.NextNumber:
+		c.Name = rapid.SampledFrom([]string{"n", "o"}).Draw(t, "number")
+	case wire.ReplaceKey:
+		c.Name = key.Draw(t, "key")
+		c.Value = rapid.StringMatching("[a-f]").Draw(t, "value")
+		c.IfRevision = rapid.Ptr(rapid.Uint64Range(0, 8), true).Draw(t, "if revision")
+	case wire.GetKey:
+		c.Name = key.Draw(t, "key")
+	case wire.WatchGroup:
+		c.Name = rapid.SampledFrom([]string{"g.", "h.", "g", "i."}).Draw(t, "group")
+		c.After = rapid.Uint64Range(0, 12).Draw(t, "after")
+	}
+	return c
+}
+
+// drawTime has the time stand still, go on, jump or fall back.
+func (tr *trial) drawTime(t *rapid.T) time.Duration {
+	step := rapid.SampledFrom([]time.Duration{0, 1, time.Second, 3 * time.Second, modelHistory, -time.Second})
+	at := tr.now + step.Draw(t, "time")
+	tr.now = max(tr.now, at)
+	return at
+}
+
+// entry applies some commands, and compares the answers with the model's and the replicas with each other.
+func (tr *trial) entry(t *rapid.T) {
+	at := tr.drawTime(t)
+	commands := make([]wire.Command, rapid.IntRange(0, 4).Draw(t, "commands"))
+	want := make([]wire.Answer, len(commands))
+	for i := range commands {
+		commands[i] = tr.drawCommand(t)
+		want[i] = tr.model.apply(commands[i], at)
+		if want[i].Fence > 0 {
+			tr.fences = append(tr.fences, want[i].Fence)
+		}
+	}
+	tr.model.now = tr.now
+	before := tr.first.Snapshot()
+	after := tr.first.SnapshotAfter(Encode(commands), at)
+	sameBytes(t, tr.first.Snapshot(), before)
+	tr.first.Apply(Encode(commands), at)
+	tr.second.Apply(Encode(commands), at)
+	assert.DeepEqual(t, tr.first.Answers, want)
+	assert.DeepEqual(t, tr.second.Answers, want)
+	sameBytes(t, tr.first.Snapshot(), after)
+	sameBytes(t, tr.second.Snapshot(), after)
+}
+
+// restore has the second replica begin anew from a snapshot.
+func (tr *trial) restore(t *rapid.T) {
+	snapshot := tr.first.Snapshot()
+	tr.second = NewMachine(modelHistory)
+	assert.NilError(t, tr.second.Restore(snapshot))
+	sameBytes(t, tr.second.Snapshot(), snapshot)
+}
+
+// ask compares an answer from memory with the model's, and sees that nothing changes.
+func (tr *trial) ask(t *rapid.T) {
+	c := tr.drawNew(t)
+	later := rapid.SampledFrom([]time.Duration{0, time.Second, 5 * time.Second}).Draw(t, "later")
+	before := tr.first.Snapshot()
+	answer, ready := tr.first.Answer(&c, tr.now+later)
+	sameBytes(t, tr.first.Snapshot(), before)
+	switch c.Kind {
+	case wire.GetKey:
+		assert.Assert(t, ready)
+		assert.DeepEqual(t, answer, tr.model.get(c))
+	case wire.WatchGroup:
+		want := tr.model.watch(c)
+		assert.Equal(t, ready, c.After == 0 || want.Outcome == wire.Compacted || len(want.Events) > 0)
+		assert.DeepEqual(t, answer, want)
+	case wire.BeginLock:
+		hold := tr.model.held(c.Name)
+		assert.Equal(t, ready, hold != nil && hold.holder != c.Holder && hold.until > tr.now+later)
+	default:
+		assert.Assert(t, !ready)
+	}
+	assert.Equal(t, tr.first.Revision("g."), tr.model.newest("g."))
+}
+
+func (m *model) newest(group string) uint64 {
+	newest, _ := m.revision(group)
+	return newest
+}
+
+func TestStateIsThatOfTheModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := newTrial()
+		t.Repeat(map[string]func(*rapid.T){
+			"entry":   tr.entry,
+			"restore": tr.restore,
+			"ask":     tr.ask,
+		})
+	})
+}
