--- /dev/null
+++ b/control/coordination/machine_test.go
@@ -0,0 +1,221 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivybank/control/replica"
+	"ivybank/wire"
+)
+
+var _ replica.Machine = (*Machine)(nil)
+
+// someMachine has something of each kind.
+func someMachine() *Machine {
+	m := NewMachine(testHistory)
+	m.Apply(Encode([]wire.Command{
+		begin("l", "a"), begin("m", "b"), number("n"), put("g.a", "1"), put("g.b", "2"), put("h.a", "3"),
+		putOver("g.a", "x", 7), put("g.a", "4"),
+	}), time.Second)
+	return m
+}
+
+func TestEncodeNothing(t *testing.T) {
+	assert.Assert(t, Encode(nil) == nil)
+	assert.Assert(t, Encode([]wire.Command{}) == nil)
+	m := someMachine()
+	m.Apply(nil, testHold+time.Second)
+	assert.Equal(t, len(m.Answers), 0)
+	assert.DeepEqual(t, one(m.State, begin("l", "b"), 0), granted(3))
+}
+
+func TestMalformedCommandsChangeNothing(t *testing.T) {
+	whole := Encode([]wire.Command{number("n")})
+	for _, body := range [][]byte{
+		{0xff}, {0x01}, []byte("text"), whole[:len(whole)-1], append(whole[:len(whole):len(whole)], 0), {0x81, 0x01},
+		{0x9f, 0xff}, {0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+	} {
+		m := someMachine()
+		before := m.Snapshot()
+		m.Apply(body, time.Hour)
+		assert.Equal(t, len(m.Answers), 0, "%x", body)
+		sameBytes(t, m.Snapshot(), before)
+		sameBytes(t, m.SnapshotAfter(body, time.Hour), before)
+	}
+}
+
+func TestTextThatIsNoUTF8SpoilsNoOtherCommand(t *testing.T) {
+	m := NewMachine(testHistory)
+	m.Apply(Encode([]wire.Command{number("\xff"), begin("l", "\xc0"), put("g.a", "\xfe"), number("n")}), 0)
+	assert.DeepEqual(t, m.Answers, []wire.Answer{
+		outcome(wire.Invalid), outcome(wire.Invalid), outcome(wire.Invalid), {Outcome: wire.Done, Number: 1},
+	})
+}
+
+func TestAnswersAreFresh(t *testing.T) {
+	m := NewMachine(testHistory)
+	m.Apply(Encode([]wire.Command{number("n")}), 0)
+	first := m.Answers
+	m.Apply(Encode([]wire.Command{number("n")}), 0)
+	assert.Equal(t, first[0].Number, uint64(1))
+	assert.Equal(t, m.Answers[0].Number, uint64(2))
+}
+
+func TestEventsOutliveTheHistory(t *testing.T) {
+	m := someMachine()
+	answer := one(m.State, watch("g.", 1), 0)
+	m.Apply(nil, 10*testHistory)
+	assert.DeepEqual(t, answer.Events[0], wire.Change{Key: "g.b", Value: "2", Revision: 2})
+}
+
+func TestRestoreOfNothing(t *testing.T) {
+	for _, body := range [][]byte{nil, {}, NewMachine(testHistory).Snapshot()} {
+		m := someMachine()
+		state := m.State
+		assert.NilError(t, m.Restore(body))
+		assert.Assert(t, m.State == state)
+		sameBytes(t, m.Snapshot(), NewMachine(testHistory).Snapshot())
+		assert.Equal(t, len(m.Answers), 0)
+	}
+}
+
+func TestRestoreRefusesMalformedStates(t *testing.T) {
+	for name, spoil := range map[string]func(*image){
+		"negative time":              func(i *image) { i.Newest = -1 },
+		"lock twice":                 func(i *image) { i.Locks[1].Name = "l" },
+		"lock without a name":        func(i *image) { i.Locks[0].Name = "" },
+		"lock without a holder":      func(i *image) { i.Locks[0].Holder = "" },
+		"lock that is over":          func(i *image) { i.Locks[0].Expires = i.Newest },
+		"lock without a first fence": func(i *image) { i.Locks[0].FirstFence = 0 },
+		"lock whose fences fall":     func(i *image) { i.Locks[0].FirstFence = 2 },
+		"lock above all fences":      func(i *image) { i.Fence = 1 },
+		"numbers out of order":       func(i *image) { i.Numbers = append(i.Numbers, numberImage{Name: "m"}) },
+		"groups out of order":        func(i *image) { i.Groups[0].Name = "i." },
+		"keys out of order":          func(i *image) { i.Keys[0].Key = "i.a" },
+		"key without a revision":     func(i *image) { i.Keys[0].Revision = 0 },
+		"key above its group":        func(i *image) { i.Keys[0].Revision = 9 },
+		"key without a group":        func(i *image) { i.Keys[2].Key = "z.a" },
+		"key without UTF-8":          func(i *image) { i.Keys[0].Value = "\xff" },
+		"record to come":             func(i *image) { i.Records[4].At = i.Newest + 1 },
+		"records out of order":       func(i *image) { i.Records[1].At = 0 },
+		"record without a key":       func(i *image) { i.Records[3].Key = "" },
+		"record without UTF-8":       func(i *image) { i.Records[0].Value = "\xff" },
+		"record twice":               func(i *image) { i.Records[3].Value = "1" },
+		"record left out":            func(i *image) { i.Records = append(i.Records[:1], i.Records[2:]...) },
+		"newest record left out":     func(i *image) { i.Records = i.Records[:4] },
+		"record without a group":     func(i *image) { i.Records[2].Key = "z.a" },
+		"too many groups":            func(i *image) { i.Groups = make([]groupImage, MaxGroups+1) },
+	} {
+		m := someMachine()
+		before := m.Snapshot()
+		spoilt := m.image()
+		spoil(spoilt)
+		assert.ErrorIs(t, m.Restore(encode(spoilt)), ErrSnapshot, name)
+		sameBytes(t, m.Snapshot(), before)
+	}
+	m := someMachine()
+	body := m.Snapshot()
+	for size := 1; size < len(body); size++ {
+		assert.ErrorIs(t, m.Restore(body[:size]), ErrSnapshot)
+	}
+	sameBytes(t, m.Snapshot(), body)
+}
+
+func TestPartsOfAGroupAreOne(t *testing.T) {
+	const parts = 8
+	counts := map[int]int{}
+	for i := range 400 {
+		group := fmt.Sprintf("g%d.", i)
+		keys, of := put(group+"a", "1"), []wire.Command{get(group + "b"), get(group + "b.c"), watch(group, 0)}
+		part := PartOf(&keys, parts)
+		assert.Assert(t, part >= 0 && part < parts)
+		for _, c := range of {
+			assert.Equal(t, PartOf(&c, parts), part)
+		}
+		counts[part]++
+	}
+	for part := range parts {
+		assert.Assert(t, counts[part] > 400/parts/2, "%v", counts)
+	}
+}
+
+func TestPartsOfALockAreOne(t *testing.T) {
+	calls := []wire.Command{begin("l", "a"), heartbeat("l", "b", 1), finish("l", "c", 2)}
+	for _, c := range calls {
+		assert.Equal(t, PartOf(&c, 1<<20), PartOf(&calls[0], 1<<20))
+	}
+	kinds := map[int]bool{}
+	for _, c := range []wire.Command{begin("x", "a"), number("x"), get("x")} {
+		kinds[PartOf(&c, 1<<20)] = true
+	}
+	assert.Equal(t, len(kinds), 3)
+}
+
+func FuzzRestore(f *testing.F) {
+	f.Add(someMachine().Snapshot(), Encode([]wire.Command{begin("l", "b"), put("g.a", "5"), watch("g.", 1)}))
+	f.Add([]byte{}, []byte{0xff})
+	f.Fuzz(func(t *testing.T, state, commands []byte) {
+		m := NewMachine(testHistory)
+		if m.Restore(state) != nil {
+			return
+		}
+		snapshot := m.Snapshot()
+		again := NewMachine(testHistory)
+		assert.NilError(t, again.Restore(snapshot))
+		m.Apply(commands, time.Hour)
+		again.Apply(commands, time.Hour)
+		assert.DeepEqual(t, m.Answers, again.Answers)
+		sameBytes(t, m.Snapshot(), again.Snapshot())
+	})
+}
+
+// busyMachine has as much as a busy part: some thousand records.
+func busyMachine() *Machine {
+	m := NewMachine(testHistory)
+	for i := range 5000 {
+		m.Apply(Encode([]wire.Command{
+			put(fmt.Sprintf("g%d.%d", i%8, i%300), fmt.Sprintf("%016x", i)), begin(fmt.Sprint("l", i%80), "a"), number("n"),
+		}), time.Duration(i)*time.Millisecond)
+	}
+	return m
+}
+
+func BenchmarkApply(b *testing.B) {
+	m := busyMachine()
+	at := m.newest
+	for i := 0; b.Loop(); i++ {
+		at += time.Millisecond
+		m.Apply(Encode([]wire.Command{
+			put("g1.1", fmt.Sprintf("new%d", i)), begin(fmt.Sprint("l", i%80), "a"), number("n"), get("g1.1"),
+		}), at)
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	m := busyMachine()
+	b.ReportMetric(float64(len(m.Snapshot())), "bytes")
+	for b.Loop() {
+		m.Snapshot()
+	}
+}
+
+func BenchmarkSnapshotAfter(b *testing.B) {
+	m := busyMachine()
+	commands := Encode([]wire.Command{number("n")})
+	for b.Loop() {
+		m.SnapshotAfter(commands, m.newest)
+	}
+}
+
+func BenchmarkRestore(b *testing.B) {
+	m := busyMachine()
+	body := m.Snapshot()
+	for b.Loop() {
+		if err := m.Restore(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
