Tests of locks held for longer beside others, and of the count of bytes

Change: an example with two locks, three locks in the model test, and the counts compared after each restore.

--- a/control/coordination/rapid_test.go
+++ b/control/coordination/rapid_test.go
@@ -40,7 +40,7 @@
 }
 
 func (tr *trial) drawNew(t *rapid.T) wire.Command {
-	lock := rapid.SampledFrom([]string{"l", "m"})
+	lock := rapid.SampledFrom([]string{"l", "m", "o"})
 	holder := rapid.SampledFrom([]string{"a", "b", "c"})
 	fence := rapid.SampledFrom(tr.fences)
 	key := rapid.SampledFrom([]string{"g.a", "g.b", "h.a", "g"})
@@ -106,6 +106,8 @@
 	tr.second = NewMachine(modelHistory)
 	assert.NilError(t, tr.second.Restore(snapshot))
 	sameBytes(t, tr.second.Snapshot(), snapshot)
+	assert.Equal(t, tr.second.keys.bytes, tr.first.keys.bytes)
+	assert.Equal(t, tr.second.records.bytes, tr.first.records.bytes)
 }
 
 // ask compares an answer from memory with the model's, and sees that nothing changes.
--- a/control/coordination/rules_test.go
+++ b/control/coordination/rules_test.go
@@ -113,6 +113,16 @@
 	assert.DeepEqual(t, one(s, begin("l", "b"), 2*testHold), granted(3))
 }
 
+func TestOneHeldForLongerKeepsNoOtherFromExpiring(t *testing.T) {
+	s := New(testHistory)
+	one(s, begin("l", "a"), 0)
+	one(s, begin("m", "a"), 1)
+	one(s, heartbeat("l", "a", 1), 2)
+	assert.DeepEqual(t, one(s, begin("m", "b"), testHold+1), granted(3))
+	assert.DeepEqual(t, one(s, begin("l", "b"), testHold+1), outcome(wire.HeldByOther))
+	assert.DeepEqual(t, one(s, begin("l", "b"), testHold+2), granted(4))
+}
+
 func TestOneTimeNeverFalls(t *testing.T) {
 	s := New(testHistory)
 	one(s, begin("l", "a"), testHold)
