A test that the bound of bytes counts present values

Cause: a fault put in by hand, which left them out, passed.

Change: distinct keys of the longest value up to the bound.

--- a/control/coordination/bounds_test.go
+++ b/control/coordination/bounds_test.go
@@ -130,6 +130,14 @@
 	assert.Equal(t, one(s, put("g.a", "new"), testHistory+1).Outcome, wire.Done)
 }
 
+func TestBoundOfBytesCountsPresentValues(t *testing.T) {
+	s := New(testHistory)
+	value := strings.Repeat("v", MaxValueBytes)
+	done := full(t, s, func(i int) wire.Command { return put(fmt.Sprintf("g.%06d", i), value) })
+	assert.Equal(t, done, MaxBytes/(2*(MaxValueBytes+len("g.000000"))))
+	assert.DeepEqual(t, one(s, get("g.000000"), 10*testHistory).Value, value)
+}
+
 // TestFullStateFitsAFrame fills all there is: locks, numbers, keys and records, with the longest names and all bytes.
 func TestFullStateFitsAFrame(t *testing.T) {
 	m := NewMachine(testHistory)
