--- a/control/calls.go
+++ b/control/calls.go
@@ -183,6 +183,9 @@
 
 // serveQueue looks at each waiting call once.
 func (n *Node) serveQueue(p *part, now time.Duration) {
+	if len(p.queue) == 0 {
+		return
+	}
 	waiting := p.queue
 	p.queue = nil
 	leading := p.replica.Leading(now)
@@ -219,6 +222,9 @@
 
 // serveWatches tells watches what has come, and hands those that wait on a node that has lost its lease to the next leader.
 func (n *Node) serveWatches(p *part, now time.Duration) {
+	if len(p.watches) == 0 {
+		return
+	}
 	leads := p.replica.Role() == replica.Leader
 	if leads && !p.replica.Leading(now) {
 		return // until the lease is renewed or given up
