--- a/control/calls.go
+++ b/control/calls.go
@@ -167,12 +167,12 @@
 	}
 	stillLeads := p.replica.Role() == replica.Leader && p.replica.Term() == p.proposedAt.Term
 	switch {
-	case !stillLeads:
+	case stillLeads && p.replica.Committed().Position() != p.proposedAt:
+		return
+	case !stillLeads || len(p.machine.Answers) != len(p.proposed):
 		for _, c := range p.proposed {
 			c.finishWith(wire.OutcomeUnknown)
 		}
-	case p.replica.Committed().Position() != p.proposedAt:
-		return
 	default:
 		for i, c := range p.proposed {
 			c.finish(p.machine.Answers[i])
