--- a/control/store/files.go
+++ b/control/store/files.go
@@ -52,6 +52,8 @@
 	files fileSystem
 	next  uint64 // number of the next file
 	parts journal
+
+	namesSynced bool // all names that an earlier process left are on disk
 }
 
 // Open makes the folder where it is missing.
@@ -132,7 +134,6 @@
 // SetAside renames all files of a spoilt disk, so that none of them is read again and what is left of them can be looked
 // at. Those that were set aside before go. The identity goes first: without what it promised, it must not be found again.
 func (f *Folder) SetAside() error {
-	f.parts = journal{}
 	names, err := f.files.names()
 	if err != nil {
 		return err
@@ -182,6 +183,7 @@
 		return "", err
 	}
 	name = fileName(kind, f.next)
+	f.next++ // no name is used twice, as a name that is renamed may lead to what it led to before
 	if err := f.files.write(name+asideSuffix, data); err != nil {
 		_ = f.files.remove(name + asideSuffix)
 		return "", err
@@ -189,7 +191,6 @@
 	if err := f.files.rename(name+asideSuffix, name); err != nil {
 		return "", err
 	}
-	f.next++
 	if err := f.files.sync(); err != nil {
 		return name, err
 	}
@@ -241,8 +242,15 @@
 	return true, nil
 }
 
-// newestName gives the name of the newest file of a kind; "" where there is none.
+// newestName gives the name of the newest file of a kind; "" where there is none. An earlier process may have been killed
+// between a rename and its sync: who finds the new name takes it for stored, so it is synced first.
 func (f *Folder) newestName(kind string) (string, error) {
+	if !f.namesSynced {
+		if err := f.files.sync(); err != nil {
+			return "", err
+		}
+		f.namesSynced = true
+	}
 	numbers, err := f.list(kind)
 	if err != nil || len(numbers) == 0 {
 		return "", err
--- a/control/store/parts.go
+++ b/control/store/parts.go
@@ -42,6 +42,7 @@
 
 var (
 	errNotLoaded = errors.New("store: the parts on this disk were not loaded")
+	errNotWhole  = errors.New("store: a whole batch of the parts failed and has to come again")
 	errTooLong   = errors.New("store: batch too long")
 	errTorn      = errors.New("first frame torn")
 	errFrame     = errors.New("bad frame before a valid one")
@@ -65,11 +66,13 @@
 
 // journal is the file that batches are appended to.
 type journal struct {
-	name     string // "" before the first
-	length   int64  // of what is valid
-	first    int64  // length of the first frame
-	torn     bool   // bytes beyond length may be there
-	unlisted bool   // its name may not be on disk yet
+	name   string // "" before the first
+	length int64  // of what is valid
+	first  int64  // length of the first frame
+	torn   bool   // bytes beyond length may be there
+
+	unconfirmed bool // its name may not be on disk yet: the batch that it began with is to come again
+	whole       bool // that batch is whole
 }
 
 // wantsWhole says whether it has grown so long that it should begin anew.
@@ -83,7 +86,7 @@
 }
 
 // SaveParts returns once a batch is on disk. wantsWhole asks for a whole one next, as the file has grown. After an error it
-// may be called again with the same batch, or with one that includes it. Parts on the disk have to be loaded before.
+// may be called again with the same batch, or with a whole one. Parts on the disk have to be loaded before.
 func (f *Folder) SaveParts(b *PartsBatch) (wantsWhole bool, err error) {
 	body, err := cbor.Marshal(recordsOf(b))
 	if err != nil {
@@ -97,7 +100,7 @@
 		return false, err
 	}
 	if begins {
-		err = f.beginJournal(body)
+		err = f.beginJournal(body, b.Whole)
 	} else {
 		err = f.appendFrame(body)
 	}
@@ -115,10 +118,15 @@
 
 // beginsJournal says whether a batch is the first of a file: one that is whole, or the first of all.
 func (f *Folder) beginsJournal(b *PartsBatch) (bool, error) {
-	if b.Whole {
+	j := &f.parts
+	switch {
+	case b.Whole:
 		return true, nil
-	}
-	if f.parts.name != "" {
+	case j.unconfirmed && j.whole:
+		return false, errNotWhole
+	case j.unconfirmed:
+		return true, nil
+	case j.name != "":
 		return false, nil
 	}
 	there, err := f.newestName(partsKind)
@@ -129,12 +137,12 @@
 }
 
 // beginJournal starts a new file. Until it has its name, the old one stays in use.
-func (f *Folder) beginJournal(body []byte) error {
+func (f *Folder) beginJournal(body []byte, whole bool) error {
 	frame := frameOf(body, 0)
 	name, err := f.replace(partsKind, frame)
 	if name != "" {
 		length := int64(len(frame))
-		f.parts = journal{name: name, length: length, first: length, unlisted: err != nil}
+		f.parts = journal{name: name, length: length, first: length, unconfirmed: err != nil, whole: whole}
 	}
 	return err
 }
@@ -152,12 +160,6 @@
 	if err := f.files.append(j.name, frame); err != nil {
 		return err
 	}
-	if j.unlisted {
-		if err := f.files.sync(); err != nil {
-			return err
-		}
-		j.unlisted = false
-	}
 	j.torn = false
 	j.length += int64(len(frame))
 	return nil
@@ -185,8 +187,8 @@
 	return disks, nil
 }
 
-// loadJournal reads the newest file. What an earlier process wrote and hadn't synced yet is synced first: who finds it
-// takes it for stored.
+// loadJournal reads the newest file. An earlier process may have been killed between a write and its sync: who finds the
+// frame takes it for stored, so it is synced first.
 func (f *Folder) loadJournal() ([][]partRecord, error) {
 	f.parts = journal{}
 	name, err := f.newestName(partsKind)
@@ -196,9 +198,6 @@
 	if err := f.files.syncFile(name); err != nil {
 		return nil, err
 	}
-	if err := f.files.sync(); err != nil {
-		return nil, err
-	}
 	data, err := f.files.read(name)
 	if err != nil {
 		return nil, err
--- a/control/store/parts_test.go
+++ b/control/store/parts_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -129,8 +130,9 @@
 }
 
 // loadProcess reads what a disk holds.
-func loadProcess(f *Folder) (process, error) {
-	machines := newMachines()
+func loadProcess(f *Folder) (process, error) { return loadWith(f, newMachines()) }
+
+func loadWith(f *Folder, machines []replica.Machine) (process, error) {
 	disks, err := f.LoadParts(machines, founding())
 	if err != nil {
 		return nil, err
@@ -142,6 +144,14 @@
 	return p, nil
 }
 
+func (p process) String() (s string) {
+	for part := range p {
+		disk := p[part].disk
+		s += fmt.Sprintf("[term %d for %s, entry %v]", disk.Term, disk.VotedFor, disk.Entry.Position())
+	}
+	return s
+}
+
 // equal compares what has to be found again.
 func (p process) equal(q process) bool {
 	for part := range p {
@@ -213,6 +223,22 @@
 	assert.ErrorIs(t, err, errNotLoaded)
 }
 
+// A new file may have its name already where the write of a whole batch fails: nothing less may go on from there.
+func TestWholeBatchThatFailedIsNotReplacedByLess(t *testing.T) {
+	d := newFaultyDisk(1)
+	f := openFolder(d)
+	p := newProcess()
+	savedParts(t, f, p.whole())
+	d.steps = 2 // written aside and renamed
+	_, err := f.SaveParts(p.whole())
+	assert.ErrorIs(t, err, errPower)
+	d.steps = -1
+	_, err = f.SaveParts(&PartsBatch{Saves: []PartSave{{0, p[0].vote("b")}}})
+	assert.ErrorIs(t, err, errNotWhole)
+	savedParts(t, f, p.whole())
+	assert.Assert(t, foundProcess(t, openFolder(d)).equal(p))
+}
+
 func TestTermOfAnEntryEndsAnOlderVote(t *testing.T) {
 	f := open(t, t.TempDir())
 	e := &wire.Entry{Term: 5, Index: 3}
@@ -252,16 +278,23 @@
 		{1, []*wire.Entry{{Term: 2, Index: 6, After: replica.Position{Term: 2, Index: 5}}}, replica.ErrGap},
 		{1, []*wire.Entry{whole, {Term: 2, Index: 4}}, errOrder},
 		{1, []*wire.Entry{whole, nil}, errOrder},
+		{1, []*wire.Entry{whole, {Term: 2, Index: 7, After: replica.Position{Term: 2, Index: 6}}}, replica.ErrGap},
 		{1, []*wire.Entry{{Term: 2, Index: 5, Value: []byte("unreadable")}}, ErrDamaged},
 	} {
 		f := open(t, t.TempDir())
 		disk := replica.Disk{Term: 2}
 		savedParts(t, f, &PartsBatch{Saves: []PartSave{{c.part, &replica.Save{Disk: disk, Entries: c.entries}}}})
-		_, err := loadProcess(f)
+		machines := newMachines()
+		_, err := loadWith(f, machines)
 		assert.ErrorIs(t, err, ErrDamaged)
 		assert.ErrorIs(t, err, c.cause)
 		assert.NilError(t, f.SetAside())
-		assert.Assert(t, foundProcess(t, f).equal(newProcess()), "the machines are empty again")
+		disks, err := f.LoadParts(machines, nil)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, disks, make([]replica.Disk, testParts))
+		for part, m := range machines {
+			assert.Equal(t, len(m.Snapshot()), 0, "the machine of part %d is empty again", part)
+		}
 		savedParts(t, f, newProcess().next(rand.New(rand.NewPCG(1, 1))))
 	}
 }
