Groups with a machine in the simulation; a group's time never goes faster than the steady clock at a change of leader

Cause: replication by steps was untested. Playing it showed a fault in the group's time: a follower kept the greatest moment that it had heard or counted itself since its process started. Where it then led, the time jumped ahead by what the leader before lay behind it (its message delays, or how much later it had started), and what had been granted for a while ended early: two holders. Change: what a leader of a later term tells replaces what is known; within a term the message that came soonest counts; a clock that was told nothing stands at 0 when the replica is made; a new leader goes on from its newest entry's time, so the time never falls from entry to entry. The simulation plays groups with a hash chain as machine, each life with a steady clock of its own, restarts by Replay of what was saved, whole saves in between, and writes that end or don't as a process stops. It checks that a position names one entry and one state, that a leader answers from what is committed, and that between two acknowledged entries no more group time than steady time passes.

--- a/control/replica/election.go
+++ b/control/replica/election.go
@@ -186,6 +186,7 @@
 	r.peers, r.beats, r.made = map[string]*peer{}, map[uint64]time.Duration{}, map[uint64]time.Duration{}
 	r.nextBeat = now
 	if r.machine != nil {
+		r.clock.reach(r.disk.Entry.Time, now)
 		r.refreshPeers(now)
 		for _, p := range r.peers {
 			p.received = r.disk.Entry.Position() // most have it; one that hasn't says so, and gets what it lacks
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -167,8 +167,8 @@
 func NewWithMachine(self wire.Member, group Group, disk Disk, machine Machine, random *rand.Rand, now time.Duration) *Replica {
 	r := &Replica{self: self, group: group, disk: disk, random: random, durable: disk.Entry.Position(),
 		learners: map[string]*peer{}, fresh: true, freshTold: map[string]uint64{}, machine: machine}
-	if disk.Entry != nil {
-		r.clock.observe(disk.Entry.Time, now)
+	if r.clock.knownAt = now; disk.Entry != nil {
+		r.clock = groupClock{disk.Entry.Term, disk.Entry.Time, now}
 	}
 	r.heardAt = now // a heartbeat may have been acknowledged right before the restart
 	r.scheduleElection(now)
--- a/control/replica/sim_test.go
+++ b/control/replica/sim_test.go
@@ -40,11 +40,18 @@
 	wiped   bool          // and no member again yet
 	started time.Duration // of this life
 	leaveBy time.Duration // when it stops at the latest, once it leaves
+
+	// Of a group with a machine:
+	machine      *chainMachine
+	journal      []*wire.Entry // what has reached the disk
+	origin       time.Duration // of the steady clock of this life, which runs for a while before there is a replica
+	writingWhole bool
 }
 
 // simCounts is what a run has played.
 type simCounts struct {
 	schedules, wipes, repaired, leaderChanges, commits, leaves, transfers int
+	machineCounts
 }
 
 func (c *simCounts) add(o simCounts) {
@@ -55,6 +62,7 @@
 	c.commits += o.commits
 	c.leaves += o.leaves
 	c.transfers += o.transfers
+	c.machineCounts.add(o.machineCounts)
 }
 
 type sim struct {
@@ -74,17 +82,22 @@
 	values   int
 	simCounts
 	calmDisk bool
-	idle     bool // no orders
-	rate     int  // one order in so many steps in which there could be one; 0 for each
-	pace     int  // longest time between faults, in ms
+	idle     bool           // no orders
+	rate     int            // one order in so many steps in which there could be one; 0 for each
+	pace     int            // longest time between faults, in ms
+	machines *machineChecks // nil where each entry is whole
 }
 
 // newSim makes a group of founders, and spares that have empty disks.
 func newSim(t *testing.T, seed uint64, size int) *sim { return newSimWithSpares(t, seed, size, 0) }
 
 func newSimWithSpares(t *testing.T, seed uint64, size, spares int) *sim {
+	return newSimOf(t, seed, size, spares, nil)
+}
+
+func newSimOf(t *testing.T, seed uint64, size, spares int, machines *machineChecks) *sim {
 	s := &sim{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), cut: map[[2]string]time.Duration{}, target: size,
-		leaders: map[uint64]string{}, pace: []int{150, 600, 2500}[seed%3]}
+		leaders: map[uint64]string{}, pace: []int{150, 600, 2500}[seed%3], machines: machines}
 	var founders []wire.Member
 	for i := range size + spares {
 		n := &simNode{ip: fmt.Sprintf("10.0.0.%d", i+1)}
@@ -99,6 +112,7 @@
 	for i, n := range s.nodes {
 		if i < size {
 			n.disk = Disk{Entry: Found(founders, nil)}
+			n.journal = []*wire.Entry{n.disk.Entry}
 		}
 		s.start(n)
 	}
@@ -107,7 +121,14 @@
 
 func (s *sim) start(n *simNode) {
 	n.started, n.leaveBy = s.now, 0
-	n.replica = New(n.member(), Group{Target: s.target, MemberSilence: simSilence}, n.disk, s.random, s.now)
+	group := Group{Target: s.target, MemberSilence: simSilence}
+	if s.machines != nil {
+		s.replay(n)
+		n.origin = s.now - time.Duration(s.random.Int64N(int64(longestStart)))
+		n.replica = NewWithMachine(n.member(), group, n.disk, n.machine, s.random, s.steady(n))
+		return
+	}
+	n.replica = New(n.member(), group, n.disk, s.random, s.now)
 }
 
 func (s *sim) fail(format string, args ...any) {
@@ -140,8 +161,8 @@
 			s.stop(n)
 			continue
 		}
-		n.replica.Tick(s.now)
-		if n.replica.NeedsToJoin(s.now) {
+		n.replica.Tick(s.steady(n))
+		if n.replica.NeedsToJoin(s.steady(n)) {
 			for _, other := range s.nodes {
 				if other != n {
 					s.post(n, other.ip, &wire.Message{JoinRequest: &wire.JoinRequest{Member: n.replica.Self()}})
@@ -155,7 +176,8 @@
 		if n.replica != nil && n.writing != nil && s.now >= max(n.doneAt, n.stalled) {
 			done := n.writing
 			n.disk, n.writing = done.Disk, nil
-			n.replica.Saved(done, s.now)
+			n.journal = n.journalAfter(done)
+			n.replica.Saved(done, s.steady(n))
 			s.flush(n)
 		}
 	}
@@ -185,7 +207,7 @@
 		s.post(n, e.To.IP, e.Message)
 	}
 	if n.writing == nil {
-		if save := n.replica.TakeSave(); save != nil {
+		if save := s.takeSave(n); save != nil {
 			n.writing, n.doneAt = save, s.now+s.writeTime()
 		}
 	}
@@ -210,7 +232,8 @@
 		}
 		for _, n := range s.nodes {
 			if n.ip == m.to && n.replica != nil {
-				n.replica.Receive(m.from, m.body, s.now)
+				s.countAppend(n, m.body.Append)
+				n.replica.Receive(m.from, m.body, s.steady(n))
 				s.flush(n)
 			}
 		}
@@ -219,6 +242,7 @@
 
 // check holds the invariants, and acts as operators who send the next order as soon as one is acknowledged.
 func (s *sim) check() {
+	s.checkMachines()
 	leading := ""
 	for _, n := range s.nodes {
 		r := n.replica
@@ -231,7 +255,7 @@
 			}
 			s.leaders[r.Term()] = r.Self().ID
 		}
-		if !r.Leading(s.now) {
+		if !r.Leading(s.steady(n)) {
 			continue
 		}
 		if leading != "" {
@@ -242,13 +266,14 @@
 			s.lastLead = leading
 			s.leaderChanges++
 		}
-		s.acknowledge(r.Committed())
+		s.acknowledge(r.Committed(), n.content())
 		if !r.Uncommitted() && !s.idle && n.leaveBy == 0 && s.random.IntN(max(1, s.rate)) == 0 {
 			s.values++
-			next := fmt.Sprintf("%d/%d", versionOf(r.Committed().Value)+1, s.values)
-			if _, err := r.Propose([]byte(next), s.now); err != nil {
+			next := fmt.Sprintf("%d/%d", versionOf(n.content())+1, s.values)
+			if _, err := r.Propose([]byte(next), s.steady(n)); err != nil {
 				s.fail("leader refuses: %v", err)
 			}
+			s.checkMachines()
 			s.flush(n)
 		}
 	}
@@ -256,15 +281,15 @@
 
 // acknowledge takes what a leader with a lease holds as committed: a version that was acknowledged is followed by
 // versions made on top of it alone.
-func (s *sim) acknowledge(c *wire.Entry) {
-	had, now := versionOf([]byte(s.acked)), versionOf(c.Value)
-	if now < had || now == had && s.acked != "" && s.acked != string(c.Value) {
-		s.fail("%q was acknowledged, now the leader has %q", s.acked, c.Value)
+func (s *sim) acknowledge(c *wire.Entry, content []byte) {
+	had, now := versionOf([]byte(s.acked)), versionOf(content)
+	if now < had || now == had && s.acked != "" && s.acked != string(content) {
+		s.fail("%q was acknowledged, now the leader has %q", s.acked, content)
 	}
-	if s.acked != string(c.Value) {
+	if s.acked != string(content) {
 		s.commits++
 	}
-	s.acked = string(c.Value)
+	s.acked = string(content)
 	s.members, s.ackedAt = c.Members, c.Position()
 	for _, n := range s.nodes {
 		if n.wiped && containsID(c.Members, n.member().ID) {
@@ -323,7 +348,7 @@
 func (s *sim) leave(n *simNode) {
 	n.leaveBy = s.now + 2*time.Second
 	s.leaves++
-	n.replica.StartLeaving(s.now)
+	n.replica.StartLeaving(s.steady(n))
 	s.flush(n)
 }
 
@@ -357,7 +382,7 @@
 	n.lives++
 	n.wiped = true
 	s.wipes++
-	n.disk = Disk{}
+	n.disk, n.journal = Disk{}, nil
 }
 
 // bearsLossOf says whether one more disk may be lost: a majority of the members that were committed last still has
@@ -394,12 +419,16 @@
 	for _, m := range s.messages {
 		if m.body.Append != nil {
 			all = append(all, m.body.Append.Entry)
+			for _, step := range m.body.Append.Steps {
+				all = append(all, s.machines.entries[step.Position()])
+			}
 		}
 	}
 	return all
 }
 
 func (s *sim) stop(n *simNode) {
+	s.endWrite(n)
 	n.replica, n.writing, n.stalled = nil, nil, 0
 	n.downTil = s.now + time.Duration(50+s.random.IntN(2500))*time.Millisecond
 }
@@ -416,9 +445,9 @@
 	}
 }
 
-func playSchedule(t *testing.T, seed uint64) simCounts {
+func playSchedule(t *testing.T, seed uint64, machines *machineChecks) simCounts {
 	spares := int(seed / 6 % 2)
-	s := newSimWithSpares(t, seed, 3+2*int(seed/3%2), spares)
+	s := newSimOf(t, seed, 3+2*int(seed/3%2), spares, machines)
 	s.rate = []int{1, 1, 4, 20}[seed/12%4]
 	nextHarm := 2 * time.Second
 	for s.now < simLength {
@@ -429,7 +458,7 @@
 		}
 		s.step()
 	}
-	if !slices.ContainsFunc(s.nodes, func(n *simNode) bool { return n.replica != nil && n.replica.Leading(s.now) }) {
+	if !slices.ContainsFunc(s.nodes, func(n *simNode) bool { return n.replica != nil && n.replica.Leading(s.steady(n)) }) {
 		s.fail("nobody leads after the calm")
 	}
 	s.checkRepaired()
@@ -444,7 +473,7 @@
 	}
 	var played simCounts
 	for seed := range uint64(schedules) {
-		played.add(playSchedule(t, seed))
+		played.add(playSchedule(t, seed, nil))
 	}
 	t.Logf("played %+v", played)
 	if played.commits < schedules*20 || played.wipes < schedules/2 || played.repaired < schedules/2 ||
