Group time follows a new leader back, so that no hold ends before its time

Cause: a replica kept the most advanced time that any leader had told. One that had followed an earlier leader was ahead of a later one whose time went on from its disk, as by the time for which it was down. Change: the first word of a newer term replaces what was known, so the group's time never goes faster than a steady clock; entries still never fall behind the one before.

--- a/control/replica/leader.go
+++ b/control/replica/leader.go
@@ -140,7 +140,7 @@
 		r.freshRound = 0 // an earlier life of this process was asked, not this one
 	}
 	r.scheduleElection(now)
-	r.clock.observe(a.Time, now)
+	r.clock.observe(a.Term, a.Time, now)
 	r.followCommit(a) // of the entry before, where a stream of orders always brings the next one along
 	if a.Entry != nil && r.disk.Entry.Position().Less(a.Entry.Position()) {
 		r.takeWhole(a.Entry)
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -168,7 +168,7 @@
 	r := &Replica{self: self, group: group, disk: disk, random: random, durable: disk.Entry.Position(),
 		learners: map[string]*peer{}, fresh: true, freshTold: map[string]uint64{}, machine: machine}
 	if disk.Entry != nil {
-		r.clock.observe(disk.Entry.Time, now)
+		r.clock.observe(0, disk.Entry.Time, now)
 	}
 	r.heardAt = now // a heartbeat may have been acknowledged right before the restart
 	r.scheduleElection(now)
@@ -306,7 +306,7 @@
 		e.Value = payload
 		r.storeEntry(e, e)
 	} else {
-		e.After, e.Commands, e.Time = last.Position(), payload, r.clock.at(now)
+		e.After, e.Commands, e.Time = last.Position(), payload, max(last.Time, r.clock.at(now))
 		step := stepOf(last, e)
 		r.keepStep(step)
 		r.storeEntry(e, step)
