Applications in the simulated world: locks, numbers, keys and watches under random troubles

Cause: nothing played the calls of applications against whole control processes. Change: callers as in service (another address after a second of silence, an ended connection or 503, with growing pauses; calls that sit in a socket for seconds and are carried out once their callers have gone), holders that work briefly, renew, begin anew, die or sleep, puts over a revision, watches taken up again. Each answer is held against ONE, ORDER, STALE, MIXED, REFUSED and LOST; the histories of locks, numbers and groups of keys go through porcupine. Troubles: those of the world, aimed at leaders of parts, with power lost right after an acknowledgement and two disks lost as all lose their power. The crossings of two events have a test each, and so has the time until all parts are served after all restart.

--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -56,10 +56,10 @@
 }
 
 // newRestartWorld makes a world of control processes alone, whose times depend on the seed.
-func newRestartWorld(t *testing.T, seed uint64) (*world, restartOfAll) {
+func newRestartWorld(t *testing.T, seed uint64, guarantees ...string) (*world, restartOfAll) {
 	kind := restartOfAll{seed: seed, members: 3 + 2*int(seed%2), sync: restartSyncs[seed/2%3], span: restartSpans[seed/6%3], regions: seed/18%2 == 1}
 	links := restartLinks[seed%3]
-	w := newWorld(t, seed, kind.members/2)
+	w := newWorld(t, seed, kind.members/2, guarantees...)
 	w.machines, w.opers = w.machines[:kind.members], nil
 	w.links = slices.DeleteFunc(w.links, func(l *link) bool { return !l.owner.machine.core })
 	zone := func(ip string) int {
--- a/control/world_faults_test.go
+++ b/control/world_faults_test.go
@@ -55,6 +55,9 @@
 }
 
 func (w *world) someCore() *machine {
+	if w.applications != nil && w.random.IntN(2) == 0 {
+		return w.partLeader(w.random.IntN(coordinationParts))
+	}
 	switch w.random.IntN(4) {
 	case 0, 1:
 		return w.leaderMachine()
--- a/control/world_parts_test.go
+++ b/control/world_parts_test.go
@@ -16,6 +16,7 @@
 	term     uint64
 	votedFor string
 	entries  []*wire.Entry // a whole one, and steps on top of it
+	members  []wire.Member // of the newest of them
 }
 
 // partsWrite is a write of parts that is under way.
@@ -42,10 +43,21 @@
 				kept.entries = nil
 			}
 			kept.entries = append(kept.entries, e)
+			if e.Members != nil {
+				kept.members = e.Members
+			}
 		}
 	}
 }
 
+// cutPartsShort leaves of a write of parts what the disk had when the process ended: all of it or nothing, as its frame is
+// checked.
+func (w *world) cutPartsShort(m *machine, b *store.PartsBatch) {
+	if w.random.IntN(2) == 0 {
+		m.disk.keepParts(b)
+	}
+}
+
 // startParts leads each part's machine to what the disk has kept.
 func (m *machine) startParts(w *world) []PartStart {
 	var parts []PartStart
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -127,6 +127,8 @@
 	lastLeader    string
 	grants        []grantTaken
 	counts        worldCounts
+	groups        []partGroup   // of the coordination parts; nil without them
+	applications  *applications // that call on locks, numbers and keys; nil for none
 	trace         func(format string, args ...any)
 	pace          worldPace
 }
@@ -184,8 +186,8 @@
 	c.relayed += o.relayed
 }
 
-func newWorld(t *testing.T, seed uint64, tolerate int) *world {
-	w := &world{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), tolerate: tolerate,
+func newWorld(t *testing.T, seed uint64, tolerate int, guarantees ...string) *world {
+	w := &world{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), tolerate: tolerate, guarantees: guarantees,
 		cut: map[[2]string]time.Duration{}, slow: map[[2]string]time.Duration{}, bodies: map[int64]string{}, trace: func(string, ...any) {}}
 	w.pace = w.roughPace()
 	size := 2*tolerate + 1
@@ -542,6 +544,9 @@
 		if s := p.writing; s != nil {
 			w.cutShort(m, s)
 		}
+		if s := p.writingParts; s != nil {
+			w.cutPartsShort(m, s.batch)
+		}
 		w.dropLinks(&p.process, p.links, power)
 		for _, c := range p.parts {
 			if power {
@@ -627,6 +632,9 @@
 	for _, o := range w.opers {
 		o.step()
 	}
+	if w.applications != nil {
+		w.applications.step()
+	}
 	w.check()
 }
 
@@ -710,8 +718,8 @@
 		return fmt.Sprintf("%s down until %v, gone %v, disk %s %v", m.ip, m.downTill, m.gone, m.disk.identity.ID, m.disk.state.Entry.Position())
 	}
 	r := m.node.node.replica
-	return fmt.Sprintf("%s %v term %d entry %v committed %v members %v frozen %v stalled %v", r.Self().ID, r.Role(), r.Term(), r.Newest().Position(),
-		r.Committed().Position(), r.Members(), m.frozen, m.stalled)
+	return fmt.Sprintf("%s %v term %d entry %v committed %v members %v frozen %v stalled %v%s", r.Self().ID, r.Role(), r.Term(), r.Newest().Position(),
+		r.Committed().Position(), r.Members(), m.frozen, m.stalled, describeParts(m.node.node))
 }
 
 // check holds what must be true at any moment.
@@ -740,6 +748,7 @@
 			owners[i] = n.replica.Self().ID
 		}
 	}
+	w.checkParts()
 }
 
 func (w *world) noteLeader(n *Node) {
@@ -765,8 +774,8 @@
 	return id != "" && slices.ContainsFunc(w.members, func(o wire.Member) bool { return o.ID == id })
 }
 
-// bearsLossOf says whether one more disk may be lost, by the members that were committed last, by those of changes under
-// way, and by those that a leader may change to with a machine that it knows to be ready.
+// bearsLossOf says whether one more disk may be lost, by the members of each group that were committed last, by those of
+// changes under way, and by those that a leader may change to with a machine that it knows to be ready.
 func (w *world) bearsLossOf(lost *machine) bool {
 	kept := func(id string) bool {
 		return slices.ContainsFunc(w.machines, func(m *machine) bool { return m != lost && !m.gone && m.disk.identity.ID == id })
@@ -783,7 +792,7 @@
 			borne = borne && replica.Quorum(append(slices.Clone(w.members), learner), kept)
 		}
 	}
-	return borne
+	return borne && w.partsBearLoss(kept)
 }
 
 func (w *world) entriesUnderWay() []*wire.Entry {
@@ -794,13 +803,22 @@
 			all = append(all, m.node.node.replica.Newest())
 		}
 	}
+	for _, a := range w.appendsUnderWay(0) {
+		all = append(all, a.Entry)
+	}
+	return all
+}
+
+// appendsUnderWay gives what leaders of a group have sent and has not arrived.
+func (w *world) appendsUnderWay(group uint32) []*wire.Append {
+	var all []*wire.Append
 	for _, l := range w.links {
 		if l.conn == nil {
 			continue
 		}
 		for _, f := range l.conn.queue[1] {
-			if f.message.Append != nil {
-				all = append(all, f.message.Append.Entry)
+			if f.message.Append != nil && f.message.Part == group {
+				all = append(all, f.message.Append)
 			}
 		}
 	}
