Figures of calls of applications: refusals and silences by their reason, how long answers take, calls that nothing serves

Cause: while the path was missing, control processes counted nothing of the calls that they answered 404, so only the callers could tell. Of a 503 or a closed connection nothing told why. Change: counters by reason, a histogram of the time until an answer, a counter of unknown calls. Measured: TestCallsWithoutServiceAreCounted; it doesn't build on the code before.

--- a/control/applications.go
+++ b/control/applications.go
@@ -106,6 +106,9 @@
 	})
 	select {
 	case a := <-answers:
+		if kind.kind != wire.WatchGroup {
+			h.node.counts.partWait.Update((h.node.env.Now() - since).Seconds())
+		}
 		h.write(w, kind, a)
 	case <-r.Context().Done():
 		h.node.env.Do(func() { h.node.callerLeft(<-taken) })
--- a/control/calls.go
+++ b/control/calls.go
@@ -43,6 +43,22 @@
 
 func (c *partCall) finishWith(o wire.Outcome) { c.finish(wire.Answer{Outcome: o}) }
 
+// refuse answers that nothing was done.
+func (n *Node) refuse(c *partCall, why refusal) {
+	if !c.finished() {
+		n.counts.refused(why)
+		c.finishWith(wire.NotServed)
+	}
+}
+
+// leaveUnanswered ends a call of which nothing can be told.
+func (n *Node) leaveUnanswered(c *partCall, why silence) {
+	if !c.finished() {
+		n.counts.unanswered(why)
+		c.finishWith(wire.OutcomeUnknown)
+	}
+}
+
 func (c *partCall) finished() bool { return c.answer == nil }
 
 func (c *partCall) isWatch() bool { return c.command.Kind == wire.WatchGroup }
@@ -76,7 +92,7 @@
 	now := n.now()
 	switch {
 	case len(n.parts) == 0:
-		c.finishWith(wire.NotServed)
+		n.refuse(c, refusedNoLeader)
 		return
 	case coordination.Check(&c.command) != nil:
 		c.finishWith(wire.Invalid)
@@ -87,7 +103,7 @@
 	}
 	c.part = n.parts[coordination.PartOf(&c.command, len(n.parts))]
 	if now > c.since+callerPatience {
-		c.finishWith(wire.OutcomeUnknown)
+		n.leaveUnanswered(c, silentLate)
 		return
 	}
 	n.serveCall(c, now)
@@ -101,23 +117,24 @@
 	p := c.part
 	if p.replica.Role() == replica.Leader {
 		if !n.answerFromMemory(c, now) {
-			p.enqueue(c)
+			n.enqueue(c)
 		}
 		return
 	}
 	if c.passed {
-		c.finishWith(wire.NotServed)
+		n.refuse(c, refusedNotLeader)
 		return
 	}
 	if now < c.retryAt || !n.passOn(c, now) {
-		p.enqueue(c)
+		n.enqueue(c)
 	}
 }
 
 // enqueue has a call wait for its turn, or refuses it where too many wait.
-func (p *part) enqueue(c *partCall) {
+func (n *Node) enqueue(c *partCall) {
+	p := c.part
 	if len(p.queue) >= maxQueuedCalls {
-		c.finishWith(wire.NotServed)
+		n.refuse(c, refusedQueueFull)
 		return
 	}
 	p.queue = append(p.queue, c)
@@ -171,7 +188,7 @@
 		return
 	case !stillLeads || len(p.machine.Answers) != len(p.proposed):
 		for _, c := range p.proposed {
-			c.finishWith(wire.OutcomeUnknown)
+			n.leaveUnanswered(c, silentLeaderLost)
 		}
 	default:
 		for i, c := range p.proposed {
@@ -192,8 +209,10 @@
 	for _, c := range waiting {
 		switch {
 		case c.finished():
+		case c.refusalDue(now, leading) && leading:
+			n.refuse(c, refusedWaited)
 		case c.refusalDue(now, leading):
-			c.finishWith(wire.NotServed)
+			n.refuse(c, refusedNoLeader)
 		default:
 			n.serveCall(c, now)
 		}
--- a/control/figures.go
+++ b/control/figures.go
@@ -10,13 +10,44 @@
 
 // nodeCounts are the counters of a control process that its status doesn't show. They are safe for concurrent use.
 type nodeCounts struct {
-	set         *metrics.Set
-	roleChanges *metrics.Counter
+	set          *metrics.Set
+	roleChanges  *metrics.Counter
+	unknownCalls *metrics.Counter             // at paths that nothing serves
+	partWait     *metrics.PrometheusHistogram // from when a call of an application was taken until it is answered; watches aside
 }
 
+// refusal is why a call of an application was answered 503.
+type refusal string
+
+// silence is why a call of an application got no answer.
+type silence string
+
+// The reasons.
+const (
+	refusedNoLeader  refusal = "no_leader"      // none was known or reached
+	refusedNotLeader refusal = "not_leader"     // another process passed it on to this one, which doesn't lead
+	refusedWaited    refusal = "waited_long"    // its turn at the leader didn't come
+	refusedQueueFull refusal = "queue_full"     // too many wait
+	silentLate       silence = "late"           // it was older than its caller's patience when it came
+	silentLeaderLost silence = "leader_lost"    // this process lost its office with the entry under way
+	silentPassed     silence = "reply_not_come" // it was passed on, and no reply can be expected any more
+)
+
 func newNodeCounts() nodeCounts {
 	set := metrics.NewSet()
-	return nodeCounts{set: set, roleChanges: set.NewCounter("ivybank_control_role_changes_total")}
+	return nodeCounts{set: set, roleChanges: set.NewCounter("ivybank_control_role_changes_total"),
+		unknownCalls: set.NewCounter("ivybank_control_unknown_calls_total"),
+		partWait:     set.NewPrometheusHistogram("ivybank_control_part_call_seconds")}
+}
+
+// refused counts a call of an application that was answered 503.
+func (c *nodeCounts) refused(why refusal) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("ivybank_control_part_refused_total{reason=%q}", why)).Inc()
+}
+
+// unanswered counts a call of an application that got no answer.
+func (c *nodeCounts) unanswered(why silence) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("ivybank_control_part_unanswered_total{reason=%q}", why)).Inc()
 }
 
 // answered counts an operator's call by its answer.
--- a/control/figures_test.go
+++ b/control/figures_test.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"ivybank/wire"
 )
 
 // figuresOf gives the lines that a control process tells of itself.
@@ -56,3 +59,31 @@
 	assert.Assert(t, lines[`ivybank_control_calls_total{call="get",status="503"} 1`], "%v", lines)
 	assert.Assert(t, !lines["ivybank_control_role_changes_total 0"], "%v", lines)
 }
+
+// Calls of applications that get no service used to leave no trace: a 404 at an unknown path, a 503 or a closed connection.
+func TestCallsWithoutServiceAreCounted(t *testing.T) {
+	n := &Node{counts: newNodeCounts(), env: stillEnvironment{}}
+	n.countUnknown(http.NewServeMux()).ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/v1/Locks.Begin/l", nil))
+	answers := 0
+	n.takeCall(wire.Command{Kind: wire.NextNumber, Name: "n"}, 0, func(a wire.Answer) {
+		answers++
+		assert.Equal(t, a.Outcome, wire.NotServed)
+	})
+	n.parts = []*part{{}}
+	n.takeCall(wire.Command{Kind: wire.NextNumber, Name: "n"}, -callerPatience-1, func(a wire.Answer) {
+		answers++
+		assert.Equal(t, a.Outcome, wire.OutcomeUnknown)
+	})
+	assert.Equal(t, answers, 2)
+	var text bytes.Buffer
+	n.counts.set.WritePrometheus(&text)
+	for _, line := range []string{"ivybank_control_unknown_calls_total 1", `ivybank_control_part_refused_total{reason="no_leader"} 1`,
+		`ivybank_control_part_unanswered_total{reason="late"} 1`} {
+		assert.Assert(t, strings.Contains(text.String(), line+"\n"), "%s is not in %s", line, text.String())
+	}
+}
+
+// stillEnvironment has a clock that stands still.
+type stillEnvironment struct{ Environment }
+
+func (stillEnvironment) Now() time.Duration { return 0 }
--- a/control/operator.go
+++ b/control/operator.go
@@ -50,10 +50,20 @@
 	if len(h.node.parts) > 0 {
 		(&applicationHandler{h.node}).register(mux)
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: operatorHeaders, IdleTimeout: operatorIdle, ReadTimeout: operatorRead}
+	server := &http.Server{Handler: h.node.countUnknown(mux), ReadHeaderTimeout: operatorHeaders, IdleTimeout: operatorIdle, ReadTimeout: operatorRead}
 	_ = server.Serve(listener) // ends with the process
 }
 
+// countUnknown counts the calls that no handler knows, which are answered 404 or 405.
+func (n *Node) countUnknown(mux *http.ServeMux) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, pattern := mux.Handler(r); pattern == "" {
+			n.counts.unknownCalls.Inc()
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
 // await carries out a call and writes its answer.
 func (h *operatorHandler) await(w http.ResponseWriter, r *http.Request, call operatorCall,
 	carryOut func(http.ResponseWriter, *http.Request, func(verdict))) {
--- a/control/passing.go
+++ b/control/passing.go
@@ -66,7 +66,7 @@
 	delete(n.passed, r.Number)
 	if r.Answer.Outcome == wire.NotServed {
 		passed.call.retryAt = n.now() + rerouteEvery
-		passed.call.part.enqueue(passed.call)
+		n.enqueue(passed.call)
 		return
 	}
 	passed.call.finish(r.Answer)
@@ -99,8 +99,8 @@
 	switch {
 	case c.finished():
 	case c.isRead() && !c.overdue(now):
-		c.part.enqueue(c)
+		n.enqueue(c)
 	default:
-		c.finishWith(wire.OutcomeUnknown)
+		n.leaveUnanswered(c, silentPassed)
 	}
 }
