--- /dev/null
+++ b/coordclient/keys.go
@@ -0,0 +1,89 @@
+package coordclient
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+)
+
+// Value is what a key holds.
+type Value struct {
+	Value    string
+	Revision uint64
+}
+
+type putBody struct {
+	Value      string  `json:"value"`
+	IfRevision *uint64 `json:"if_revision,omitempty"`
+}
+
+type revisionBody struct {
+	Revision uint64 `json:"rev"`
+}
+
+// Next gives a number that is greater than every one that was given under the name before the call. Numbers may be left out.
+func (c *Client) Next(ctx context.Context, name string) (uint64, error) {
+	r, err := c.do(ctx, post("/v1/numbers/"+url.PathEscape(name), struct{}{}))
+	if err != nil {
+		return 0, err
+	}
+	var body struct {
+		Value uint64 `json:"value"`
+	}
+	return body.Value, firstOf(r.read(&body), &body.Value)
+}
+
+// firstOf gives an error, and takes the value back where there is one.
+func firstOf(err error, value *uint64) error {
+	if err != nil {
+		*value = 0
+	}
+	return err
+}
+
+// Put gives a key a value, whatever it had, and returns the revision of that. The values of one key have to differ from each
+// other: the same one again counts as the same put, and gets the revision that the first one got.
+func (c *Client) Put(ctx context.Context, key, value string) (uint64, error) {
+	return c.put(ctx, key, putBody{Value: value})
+}
+
+// PutIf gives a key a value if the key has a revision, 0 meaning that it must not exist. Otherwise the error is a
+// *MismatchError. Values have to differ as with Put.
+func (c *Client) PutIf(ctx context.Context, key, value string, revision uint64) (uint64, error) {
+	return c.put(ctx, key, putBody{Value: value, IfRevision: &revision})
+}
+
+func (c *Client) put(ctx context.Context, key string, body putBody) (uint64, error) {
+	r, err := c.do(ctx, post("/v1/Cells.Replace/"+url.PathEscape(key), body))
+	if err != nil {
+		return 0, err
+	}
+	var told revisionBody
+	if r.status == http.StatusPreconditionFailed {
+		r.status = http.StatusOK // its body is of the same form
+		if err := r.read(&told); err != nil {
+			return 0, err
+		}
+		return 0, &MismatchError{told.Revision}
+	}
+	return told.Revision, firstOf(r.read(&told), &told.Revision)
+}
+
+// Get reads a key. The error is ErrNotFound where it was never put.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	r, err := c.do(ctx, &call{method: http.MethodGet, path: "/v1/Cells.Get/" + url.PathEscape(key), patience: silence})
+	if err != nil {
+		return Value{}, err
+	}
+	if r.status == http.StatusNotFound {
+		return Value{}, ErrNotFound
+	}
+	var body struct {
+		Value    string `json:"value"`
+		Revision uint64 `json:"rev"`
+	}
+	if err := r.read(&body); err != nil {
+		return Value{}, err
+	}
+	return Value(body), nil
+}
