--- a/control/parts.go
+++ b/control/parts.go
@@ -28,10 +28,10 @@
 	machine *coordination.Machine
 	members []wire.Member // of the newest entry that links follow
 
-	queue      []*call // not in any entry
-	proposed   []*call // of the entry that is under way; nil for none
+	queue      []*partCall // not in any entry
+	proposed   []*partCall // of the entry that is under way; nil for none
 	proposedAt replica.Position
-	watches    []*call          // that wait for a put, in a leader
+	watches    []*partCall      // that wait for a put, in a leader
 	watchedAt  replica.Position // entry of which they have been told
 	watchAgain time.Duration
 }
@@ -55,35 +55,46 @@
 	return machines
 }
 
+// replicated gives machines as replicas and disks know them.
+func replicated(machines []*coordination.Machine) []replica.Machine {
+	all := make([]replica.Machine, len(machines))
+	for i, m := range machines {
+		all[i] = m
+	}
+	return all
+}
+
+// partStarts puts together what the disk held of each part and the machine that it has led there.
+func partStarts(disks []replica.Disk, machines []*coordination.Machine) []PartStart {
+	starts := make([]PartStart, len(machines))
+	for i := range starts {
+		starts[i] = PartStart{Disk: disks[i], Machine: machines[i]}
+	}
+	return starts
+}
+
 // newParts makes this node's replicas of the parts.
 func (n *Node) newParts(from Start) {
+	n.replicas = []*replica.Replica{n.replica}
 	for i, start := range from.Parts {
 		group := replica.Group{Target: 2*n.settings.Tolerate.Machines + 1, MemberSilence: memberSilence(n.settings),
 			Name: "part-" + strconv.Itoa(i)}
 		p := &part{number: i, machine: start.Machine}
 		p.replica = replica.NewWithMachine(n.replica.Self(), group, start.Disk, start.Machine, from.Random, n.now())
 		n.parts = append(n.parts, p)
+		n.replicas = append(n.replicas, p.replica)
 	}
 }
 
-// replicas gives all replicas of this node: that of the configuration, and those of the parts.
-func (n *Node) replicas() []*replica.Replica {
-	all := []*replica.Replica{n.replica}
-	for _, p := range n.parts {
-		all = append(all, p.replica)
-	}
-	return all
-}
-
 // needsToJoin says whether any replica of this node has to ask for its place.
 func (n *Node) needsToJoin(now time.Duration) bool {
-	return slices.ContainsFunc(n.replicas(), func(r *replica.Replica) bool { return r.NeedsToJoin(now) })
+	return slices.ContainsFunc(n.replicas, func(r *replica.Replica) bool { return r.NeedsToJoin(now) })
 }
 
 // allMembers gives the members of all groups, some perhaps twice.
 func (n *Node) allMembers() []wire.Member {
 	var all []wire.Member
-	for _, r := range n.replicas() {
+	for _, r := range n.replicas {
 		all = append(all, r.Members()...)
 	}
 	return all
@@ -99,7 +110,7 @@
 
 // askForPlaces asks the leaders of all groups that this node has to join.
 func (n *Node) askForPlaces(now time.Duration) {
-	for group, r := range n.replicas() {
+	for group, r := range n.replicas {
 		if r.NeedsToJoin(now) {
 			n.toAllLinks(&wire.Message{Part: uint32(group), JoinRequest: &wire.JoinRequest{Member: r.Self()}})
 		}
@@ -158,10 +169,9 @@
 
 // receive hands a message of agreement to the replica of its group.
 func (n *Node) receive(from wire.Member, m *wire.Message, now time.Duration) {
-	replicas := n.replicas()
-	if int(m.Part) >= len(replicas) {
+	if int(m.Part) >= len(n.replicas) {
 		n.dropped.UnknownPart++
 		return
 	}
-	replicas[m.Part].Receive(from, m, now)
+	n.replicas[m.Part].Receive(from, m, now)
 }
