--- a/control/status.go
+++ b/control/status.go
@@ -48,6 +48,7 @@
 	Entry   uint64 `json:"entry"`
 	Commit  uint64 `json:"commit"`
 	Members int    `json:"members"`
+	Member  bool   `json:"member"`  // this process is one of them
 	TimeMS  int64  `json:"time_ms"` // the part's time, by which locks and history end
 	Queued  int    `json:"queued"`  // calls that wait for their turn or for a leader
 	Watches int    `json:"watches"`
@@ -56,7 +57,7 @@
 func (p *part) status(now time.Duration) PartStatus {
 	r := p.replica
 	return PartStatus{Number: p.number, Role: r.Role().String(), Term: r.Term(), Leader: r.Leader(now).ID, Leading: r.Leading(now),
-		Entry: r.Newest().Position().Index, Commit: r.Committed().Position().Index, Members: len(r.Members()),
+		Entry: r.Newest().Position().Index, Commit: r.Committed().Position().Index, Members: len(r.Members()), Member: r.IsMember(),
 		TimeMS: r.GroupTime(now).Milliseconds(), Queued: len(p.queue), Watches: len(p.watches)}
 }
 
--- a/rehearse/soak/fleet_test.go
+++ b/rehearse/soak/fleet_test.go
@@ -46,6 +46,7 @@
 	t        *testing.T
 	folder   string
 	binaries string
+	rules    rules
 	network  *network
 	platform *system.Platform
 	ledger   *ledger
@@ -63,7 +64,7 @@
 	older    []string // reads that brought an older configuration than was acknowledged
 }
 
-func newFleet(t *testing.T, binaries string, controls, fronts int) *fleet {
+func newFleet(t *testing.T, binaries string, controls, fronts int, rules rules) *fleet {
 	folder := t.TempDir()
 	if *keepFlag != "" {
 		var err error
@@ -71,7 +72,7 @@
 		assert.NilError(t, err)
 		t.Logf("logs and data are kept in %s", folder)
 	}
-	f := &fleet{t: t, folder: folder, binaries: binaries, network: newNetwork(), platform: system.NewPlatform(), ledger: newLedger(),
+	f := &fleet{t: t, folder: folder, binaries: binaries, rules: rules, network: newNetwork(), platform: system.NewPlatform(), ledger: newLedger(),
 		pace: map[*tenant]*limitChange{}, limits: map[*tenant][]*limitChange{}}
 	f.tenants = []*tenant{
 		{name: "far-over", unit: config.TokenUnit, rate: 20_000, demand: 5, largest: 1_000},
@@ -113,7 +114,7 @@
 	number := len(f.machines)
 	f.mu.Unlock()
 	m := &machine{number: number, control: control, bootstrap: first, folder: filepath.Join(f.folder, fmt.Sprint("machine-", number)),
-		processes: map[role]*process{}}
+		rules: f.rules, processes: map[role]*process{}}
 	assert.NilError(f.t, os.MkdirAll(m.folder, 0o700))
 	isControl := func(i int) bool { return i == number && control || i < len(f.machines) && f.machines[i].control }
 	assert.NilError(f.t, f.network.add(number, isControl))
@@ -313,8 +314,13 @@
 	return got.Revision
 }
 
-// isWhole says whether a leader has all its members on machines that there are, and none is being changed.
+// isWhole says whether a leader has all its members on machines that there are, and none is being changed; and where the fleet
+// has parts, whether that holds for each part.
 func (f *fleet) isWhole(ctx context.Context) bool {
+	return f.configurationIsWhole(ctx) && (!f.rules.coordinates || f.partsAreWhole(ctx))
+}
+
+func (f *fleet) configurationIsWhole(ctx context.Context) bool {
 	all := f.alive(true)
 	for _, m := range all {
 		var s control.Status
--- a/rehearse/soak/process_test.go
+++ b/rehearse/soak/process_test.go
@@ -27,9 +27,16 @@
 	gone      bool // for good
 	folder    string
 	bootstrap bool
+	rules     rules
 	processes map[role]*process
 }
 
+// rules are those that the settings of a fleet's machines differ in from fleet to fleet.
+type rules struct {
+	tolerate    int  // machines that may fail at once
+	coordinates bool // applications may ask for locks, numbers and keys
+}
+
 func (m *machine) String() string {
 	if m.control {
 		return fmt.Sprint("core-", m.number)
@@ -141,6 +148,9 @@
 	line("port_range = [%d,%d]", portOf(m.number), portOf(m.number)+portsOfOne-1)
 	line(`seeds = ["%s"]`, strings.Join(seeds, `","`))
 	line("bootstrap = %v", m.bootstrap)
+	if m.rules.coordinates {
+		line(`guarantees = ["coord"]`)
+	}
 	if m.control {
 		line("data_dir = %q", m.dataFolder())
 	}
@@ -150,9 +160,10 @@
 	} else {
 		line("front = %q\nready = %q", addressOf(m.number, servicePort), addressOf(m.number, servicePort+1))
 	}
-	line("[tolerate]\nmachines = 1")
+	line("[tolerate]\nmachines = %d", m.rules.tolerate)
 	line("[cloud]\naddress = %q\nrate_per_s = 100.0", platform)
 	line("[bounds]\ndrain_ms = 2000\ngrace_s = %v\nconfig_ms = 2000\nsync_s = 4\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 56", graceS)
+	line("history_s = %v", historySpan.Seconds())
 	line("quota_window_s = %v\nquota_overage = %v\nquota_slack = %v", window.Seconds(), overage, slack)
 	return os.WriteFile(m.settingsPath(), []byte(b.String()), 0o600)
 }
--- a/rehearse/soak/soak_test.go
+++ b/rehearse/soak/soak_test.go
@@ -46,19 +46,26 @@
 
 // TestSoak plays troubles against real processes and holds what their hosts ran against the limits.
 func TestSoak(t *testing.T) {
-	binaries := t.TempDir()
-	build := exec.Command("go", "build", "-o", binaries, "ivybank/cmd/ivycontrol", "ivybank/cmd/ivyfleet")
-	output, err := build.CombinedOutput()
-	assert.NilError(t, err, "%s", output)
+	binaries := buildPrograms(t)
 	for i := range *runsFlag {
 		seed := *seedFlag + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, binaries, seed) })
 	}
 }
 
+// buildPrograms builds those that fleets run, and gives their folder.
+func buildPrograms(t *testing.T) string {
+	t.Helper()
+	binaries := t.TempDir()
+	build := exec.Command("go", "build", "-o", binaries, "ivybank/cmd/ivycontrol", "ivybank/cmd/ivyfleet")
+	output, err := build.CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	return binaries
+}
+
 func soak(t *testing.T, binaries string, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 2026))
-	f := newFleet(t, binaries, controls, *frontsFlag)
+	f := newFleet(t, binaries, controls, *frontsFlag, rules{tolerate: 1})
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	first := map[*tenant]*limitChange{}
@@ -83,7 +90,7 @@
 	calm := [2]time.Time{began.Add(calmBefore / 4), time.Now()}
 	troubled, end := context.WithTimeout(ctx, time.Duration(*secondsFlag)*time.Second)
 	defer end()
-	played := newSeries(troubled, f)
+	played := newSeries(troubled, f, troubles)
 	played.run(random)
 	f.network.heal()
 	f.thaw()
--- a/rehearse/soak/troubles_test.go
+++ b/rehearse/soak/troubles_test.go
@@ -23,6 +23,7 @@
 type series struct {
 	ctx      context.Context
 	fleet    *fleet
+	troubles []trouble
 	mu       sync.Mutex
 	played   map[string]int
 	diskAt   time.Time // when a disk was lost or a machine of control replaced
@@ -121,25 +122,25 @@
 	return time.Duration(least+r.IntN(most-least+1)) * time.Millisecond
 }
 
-func newSeries(ctx context.Context, f *fleet) *series {
-	return &series{ctx: ctx, fleet: f, played: map[string]int{}}
+func newSeries(ctx context.Context, f *fleet, troubles []trouble) *series {
+	return &series{ctx: ctx, fleet: f, troubles: troubles, played: map[string]int{}}
 }
 
 // run plays troubles until the context ends, and then waits for those that last.
 func (s *series) run(random *rand.Rand) {
 	weights := 0
-	for _, t := range troubles {
+	for _, t := range s.troubles {
 		weights += t.weight
 	}
 	for s.sleep(span(random, int(shortestGap.Milliseconds()), int(longestGap.Milliseconds()))) {
 		drawn, at := random.IntN(weights), 0
-		for drawn >= troubles[at].weight {
-			drawn -= troubles[at].weight
+		for drawn >= s.troubles[at].weight {
+			drawn -= s.troubles[at].weight
 			at++
 		}
 		own := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
-		s.count(troubles[at].name)
-		s.open.Go(func() { troubles[at].play(s, own) })
+		s.count(s.troubles[at].name)
+		s.open.Go(func() { s.troubles[at].play(s, own) })
 	}
 	s.open.Wait()
 }
@@ -217,7 +218,7 @@
 func (s *series) mayLoseDisk() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Since(s.diskAt) < diskPause || !s.fleet.isWhole(s.ctx) {
+	if !s.diskAt.IsZero() && time.Since(s.diskAt) < diskPause || !s.fleet.isWhole(s.ctx) {
 		return false
 	}
 	s.diskAt = time.Now()
@@ -225,9 +226,13 @@
 }
 
 func (s *series) loseDisk(m *machine, pause time.Duration) {
-	if !s.mayLoseDisk() {
-		return
+	if s.mayLoseDisk() {
+		s.wipe(m, pause)
 	}
+}
+
+// wipe kills a control process and takes its disk away.
+func (s *series) wipe(m *machine, pause time.Duration) {
 	s.count("a disk was lost")
 	p := m.processes[controlRole]
 	p.mu.Lock()
