Applications in the simulated world: frames that come seconds late, more late renewals, a run that repeats

Change: what a leader sends or hears may come up to 3 s late while its connection seems well; holders try to renew late more often; all final calls are sent at once; the same seed must play the same run.

--- a/control/world_coordination_test.go
+++ b/control/world_coordination_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"ivybank/wire"
 )
 
@@ -68,6 +70,9 @@
 	for name := range w.sortedLocks() {
 		ask(wire.Command{Kind: wire.BeginLock, Name: name, Holder: "last", HoldMS: shortestHold.Milliseconds()})
 	}
+	for _, e := range errands {
+		a.pursue(e) // all at once
+	}
 	for _, e := range errands {
 		w.pursueUntilClear(e)
 	}
@@ -225,3 +230,11 @@
 		}
 	}
 }
+
+// The same seed plays the same run.
+func TestACoordinationRunRepeats(t *testing.T) {
+	for seed := range uint64(6) {
+		one, other := playCoordination(t, seed), playCoordination(t, seed)
+		assert.Equal(t, one, other)
+	}
+}
--- a/control/world_faults_test.go
+++ b/control/world_faults_test.go
@@ -285,6 +285,7 @@
 	w.calm, w.ackLoss = true, 0
 	clear(w.cut)
 	clear(w.slow)
+	w.releaseFrames()
 	for _, m := range w.machines {
 		m.stalled, m.frozen = 0, 0
 		m.downTill = min(m.downTill, w.now+time.Second)
--- a/control/world_harm_test.go
+++ b/control/world_harm_test.go
@@ -8,7 +8,7 @@
 
 // harmCoordination brings one trouble: one of the world's, or one that is aimed at calls.
 func (w *world) harmCoordination() {
-	switch w.random.IntN(14) {
+	switch w.random.IntN(15) {
 	case 0: // a leader stands still amid its calls, for long
 		w.partLeader(w.random.IntN(coordinationParts)).frozen = w.now + time.Second + w.randomSpan(6*time.Second)
 	case 1: // power lost right after an acknowledgement
@@ -22,6 +22,8 @@
 		w.isolate(w.partLeader(w.random.IntN(coordinationParts)), time.Second+w.randomSpan(3*time.Second), in, !in, false)
 	case 5: // stopped by plan
 		w.leave(w.partLeader(w.random.IntN(coordinationParts)))
+	case 6: // what a leader sends, or hears, comes seconds late
+		w.holdFrames(w.partLeader(w.random.IntN(coordinationParts)))
 	default:
 		w.harm()
 	}
@@ -60,3 +62,40 @@
 		w.applications.counts.twoWiped++
 	}
 }
+
+// longestFrameHeld is for how long a frame may be held up on its way, while its connection seems to be well.
+const longestFrameHeld = 3 * time.Second
+
+// holdFrames has what a machine sends to some others, or what they send to it, come late.
+func (w *world) holdFrames(m *machine) {
+	until := w.now + 500*time.Millisecond + w.randomSpan(2*time.Second)
+	outward := w.random.IntN(2) == 0
+	for _, other := range w.machines {
+		if other == m || w.random.IntN(3) == 0 {
+			continue
+		}
+		if outward {
+			w.held[[2]string{m.ip, other.ip}] = until
+		} else {
+			w.held[[2]string{other.ip, m.ip}] = until
+		}
+	}
+}
+
+// releaseFrames lets all that is held up come.
+func (w *world) releaseFrames() {
+	if len(w.held) == 0 {
+		return
+	}
+	clear(w.held)
+	for _, l := range w.links {
+		if l.conn == nil {
+			continue
+		}
+		for _, queue := range l.conn.queue {
+			for i := range queue {
+				queue[i].due = min(queue[i].due, w.now)
+			}
+		}
+	}
+}
--- a/control/world_holders_test.go
+++ b/control/world_holders_test.go
@@ -131,10 +131,10 @@
 		h.errand = nil
 	}
 	h.until = 0
-	switch a.world.random.IntN(3) {
+	switch a.world.random.IntN(4) {
 	case 0:
 		h.finish(a)
-	case 1:
+	case 1, 2:
 		h.errand = a.begin(h.command(wire.HeartbeatLock), 500*time.Millisecond)
 	default:
 		h.rest(a)
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -114,6 +114,7 @@
 	links      []*link
 	cut        map[[2]string]time.Duration // one way, until when
 	slow       map[[2]string]time.Duration // links that take slowEntry for each entry, until when
+	held       map[[2]string]time.Duration // one way, whose frames may come seconds late, until when
 	ackLoss    float64
 	opers      []*operator
 	calls      []call
@@ -188,7 +189,7 @@
 
 func newWorld(t *testing.T, seed uint64, tolerate int, guarantees ...string) *world {
 	w := &world{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), tolerate: tolerate, guarantees: guarantees,
-		cut: map[[2]string]time.Duration{}, slow: map[[2]string]time.Duration{}, bodies: map[int64]string{}, trace: func(string, ...any) {}}
+		cut: map[[2]string]time.Duration{}, slow: map[[2]string]time.Duration{}, held: map[[2]string]time.Duration{}, bodies: map[int64]string{}, trace: func(string, ...any) {}}
 	w.pace = w.roughPace()
 	size := 2*tolerate + 1
 	for i := range size {
@@ -423,6 +424,9 @@
 	if m.Append != nil && m.Append.Entry != nil && c.world.slow[[2]string{ips[from], ips[to]}] > c.world.now {
 		due += slowEntry
 	}
+	if c.world.held[[2]string{ips[from], ips[to]}] > c.world.now {
+		due += c.world.randomSpan(longestFrameHeld)
+	}
 	if n := len(c.queue[to]); n > 0 {
 		due = max(due, c.queue[to][n-1].due)
 	}
@@ -714,7 +718,7 @@
 }
 
 func (w *world) describe(m *machine) string {
-	if m.node == nil {
+	if m.node == nil || m.node.node == nil {
 		return fmt.Sprintf("%s down until %v, gone %v, disk %s %v", m.ip, m.downTill, m.gone, m.disk.identity.ID, m.disk.state.Entry.Position())
 	}
 	r := m.node.node.replica
