--- a/rehearse/soak/coordination_test.go
+++ b/rehearse/soak/coordination_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"sort"
 	"strings"
 	"sync"
@@ -52,6 +54,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	a.start(ctx)
+	disk := watchDisk(ctx, f.folder)
 	troubled, end := context.WithTimeout(ctx, time.Duration(*coordinationSecondsFlag)*time.Second)
 	defer end()
 	played := newSeries(troubled, f, coordinationTroubles(a.witness))
@@ -61,6 +64,7 @@
 	a.awaitService(t, f, "once all is calm")
 	stop()
 	a.callers.Wait()
+	t.Logf("slowest sync of the disk beneath: %v", disk().Round(time.Millisecond))
 
 	played.killAll(span(random, 50, 500))
 	a.awaitService(t, f, "after a restart of all")
@@ -114,6 +118,31 @@
 	calls.Wait()
 }
 
+// watchDisk syncs a file again and again until the context ends, and gives how long the slowest sync took: where that is
+// seconds, a failed run tells of the disk beneath.
+func watchDisk(ctx context.Context, folder string) (slowest func() time.Duration) {
+	most, done := time.Duration(0), make(chan struct{})
+	go func() {
+		defer close(done)
+		file, err := os.Create(filepath.Join(folder, "syncs"))
+		if err != nil {
+			return
+		}
+		defer file.Close()
+		for ctx.Err() == nil {
+			began := time.Now()
+			_, _ = file.WriteString("x")
+			_ = file.Sync()
+			most = max(most, time.Since(began))
+			pause(ctx, 100*time.Millisecond)
+		}
+	}()
+	return func() time.Duration {
+		<-done
+		return most
+	}
+}
+
 // describeParts logs what each process knows of each part.
 func (f *fleet) describeParts(t *testing.T) {
 	for _, m := range f.alive(true) {
--- a/rehearse/soak/coordination_troubles_test.go
+++ b/rehearse/soak/coordination_troubles_test.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// upon lays a trap, and waits until what it does is done, or until nothing has come for too long.
+// upon lays a trap, and waits until what it does is done. Where nothing has come for too long, the trap is lifted.
 func (s *series) upon(w *witness, t *trap, do func()) {
 	done := make(chan struct{})
 	t.spring = func() {
@@ -85,7 +85,11 @@
 	w.set(t)
 	select {
 	case <-done:
+		s.count("a trap sprang")
 	case <-time.After(trapPatience):
+		if !w.lift(t) {
+			<-done
+		}
 	}
 }
 
--- a/rehearse/soak/witness_test.go
+++ b/rehearse/soak/witness_test.go
@@ -132,6 +132,18 @@
 	w.traps = append(w.traps, t)
 }
 
+// lift takes a trap away that has not sprung, and reports false where it has.
+func (w *witness) lift(t *trap) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := slices.Index(w.traps, t)
+	if at < 0 {
+		return false
+	}
+	w.traps = slices.Delete(w.traps, at, at+1)
+	return true
+}
+
 // springTraps takes the traps that wait for a call. The caller holds w.mu.
 func (w *witness) springTraps(c *applicationCall, answered bool) {
 	w.traps = slices.DeleteFunc(w.traps, func(t *trap) bool {
