--- a/rehearse/soak/coordination_test.go
+++ b/rehearse/soak/coordination_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"sort"
 	"strings"
 	"sync"
@@ -26,7 +28,7 @@
 	// Too little played fails a run: so much for each second of trouble.
 	leastAnswers          = 15
 	leastTroublesOfSecond = 0.7
-	leastKindsOfTrouble   = 4
+	leastKindsOfTrouble   = 5
 )
 
 // TestCoordinationSoak plays troubles against real control processes, and holds what applications were told of locks, numbers,
@@ -52,6 +54,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	a.start(ctx)
+	disk := watchDisk(ctx, f.folder)
 	troubled, end := context.WithTimeout(ctx, time.Duration(*coordinationSecondsFlag)*time.Second)
 	defer end()
 	played := newSeries(troubled, f, coordinationTroubles(a.witness))
@@ -61,6 +64,7 @@
 	a.awaitService(t, f, "once all is calm")
 	stop()
 	a.callers.Wait()
+	t.Logf("slowest sync of the disk beneath: %v", disk().Round(time.Millisecond))
 
 	played.killAll(span(random, 50, 500))
 	a.awaitService(t, f, "after a restart of all")
@@ -114,6 +118,31 @@
 	calls.Wait()
 }
 
+// watchDisk syncs a file again and again until the context ends, and gives how long the slowest sync took: where that is
+// seconds, a failed run tells of the disk beneath.
+func watchDisk(ctx context.Context, folder string) (slowest func() time.Duration) {
+	most, done := time.Duration(0), make(chan struct{})
+	go func() {
+		defer close(done)
+		file, err := os.Create(filepath.Join(folder, "syncs"))
+		if err != nil {
+			return
+		}
+		defer file.Close()
+		for ctx.Err() == nil {
+			began := time.Now()
+			_, _ = file.WriteString("x")
+			_ = file.Sync()
+			most = max(most, time.Since(began))
+			pause(ctx, 100*time.Millisecond)
+		}
+	}()
+	return func() time.Duration {
+		<-done
+		return most
+	}
+}
+
 // describeParts logs what each process knows of each part.
 func (f *fleet) describeParts(t *testing.T) {
 	for _, m := range f.alive(true) {
@@ -173,4 +202,5 @@
 	assert.Check(t, answers >= leastAnswers*seconds, "%d calls were answered 200", answers)
 	assert.Check(t, float64(troubles) >= leastTroublesOfSecond*float64(seconds), "%d troubles", troubles)
 	assert.Check(t, len(played.played) >= leastKindsOfTrouble, "%d kinds of trouble", len(played.played))
+	assert.Check(t, played.played[trapSprang] > 0, "nothing was done amid a call")
 }
--- a/rehearse/soak/coordination_troubles_test.go
+++ b/rehearse/soak/coordination_troubles_test.go
@@ -18,6 +18,7 @@
 	statusPatience = 300 * time.Millisecond
 	// trapPatience is how long a trap waits for its call.
 	trapPatience = 2 * time.Second
+	trapSprang   = "a trap sprang"
 )
 
 // coordinationTroubles are those that the parts are played under.
@@ -75,7 +76,7 @@
 	}
 }
 
-// upon lays a trap, and waits until what it does is done, or until nothing has come for too long.
+// upon lays a trap, and waits until what it does is done. Where nothing has come for too long, the trap is lifted.
 func (s *series) upon(w *witness, t *trap, do func()) {
 	done := make(chan struct{})
 	t.spring = func() {
@@ -85,7 +86,11 @@
 	w.set(t)
 	select {
 	case <-done:
+		s.count(trapSprang)
 	case <-time.After(trapPatience):
+		if !w.lift(t) {
+			<-done
+		}
 	}
 }
 
