Leases: none is renewed for a holder that is behind a change of members

Cause: members change one at a time, and a granter that has just learned of a change gives no new lease for as long as one can last. Change: a request for a lease carries a digest of the members by whom the holder counts and the entry that names them; who knows of a later change refuses, as it stores what makes that change valid. Requests of processes of before carry none and are answered as before.

--- /dev/null
+++ b/control/lease_members_test.go
@@ -0,0 +1,38 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivybank/control/replica"
+	"ivybank/wire"
+)
+
+// A member renews no lease for a holder that counts by members of before a change that it knows: after one more change a
+// majority may never have heard of that lease.
+func TestLeaseIsNotRenewedForOneThatIsBehindAChangeOfMembers(t *testing.T) {
+	w, _ := newRestartWorld(t, 1)
+	w.playUntilLed(5 * time.Second)
+	w.playUntil(w.now + 2*time.Second)
+	owner := w.ownerMachine()
+	holder := owner.node.node.shards[0].holder
+	request := &wire.LeaseRequest{Resource: holder.Resource(), Holder: owner.disk.identity.ID, Term: holder.Term(),
+		Members: digestOfMembers(owner.node.node.replica.Members()), At: owner.node.node.replica.Newest().Position()}
+	granter := owner.node.node
+	assert.Assert(t, granter.answerLease(request, granter.now()).Granted)
+
+	behind := *request
+	behind.Members = digestOfMembers(granter.replica.Members()[1:])
+	behind.At.Index--
+	assert.Assert(t, !granter.answerLease(&behind, granter.now()).Granted)
+
+	later := behind // of a change that this member doesn't know yet
+	later.At = replica.Position{Term: request.At.Term, Index: request.At.Index + 1}
+	assert.Assert(t, granter.answerLease(&later, granter.now()).Granted)
+
+	older := *request // an older entry with the same members
+	older.At.Index--
+	assert.Assert(t, granter.answerLease(&older, granter.now()).Granted)
+}
--- a/control/shards.go
+++ b/control/shards.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -107,6 +108,7 @@
 }
 
 func (n *Node) requestLease(q *wire.LeaseRequest, now time.Duration) {
+	q.Members, q.At = digestOfMembers(n.replica.Members()), n.replica.Newest().Position()
 	n.toAllLinks(&wire.Message{LeaseRequest: q})
 	n.onLeaseReply(n.replica.Self().ID, n.grantLease(q, now), now)
 }
@@ -122,13 +124,34 @@
 	return reply
 }
 
+// answerLease grants nothing to one that counts by members of before a change that this node knows. So a lease by the members
+// before ends, at the latest, as the pause after that change does: by then a second change may have made a majority of members
+// that never heard of it.
+func (n *Node) answerLease(q *wire.LeaseRequest, now time.Duration) *wire.LeaseReply {
+	behind := q.Members != 0 && q.At.Less(n.replica.Newest().Position()) && q.Members != digestOfMembers(n.replica.Members())
+	if behind && !q.Release {
+		return n.granter.Refuse(q)
+	}
+	return n.grantLease(q, now)
+}
+
+// digestOfMembers tells sets of members apart.
+func digestOfMembers(members []wire.Member) uint64 {
+	ids := make([]string, 0, len(members))
+	for _, m := range members {
+		ids = append(ids, m.ID)
+	}
+	slices.Sort(ids)
+	return xxhash.Sum64String(strings.Join(ids, "\n")) | 1
+}
+
 // onLeaseRequest answers a member; both this node and the one that asks have to be members by what this one knows.
 func (n *Node) onLeaseRequest(from wire.Member, q *wire.LeaseRequest, now time.Duration) {
 	if !n.replica.Includes(from.ID) || !n.replica.IsMember() || q.Holder != from.ID {
 		n.dropped.NotMember++
 		return
 	}
-	reply := n.grantLease(q, now)
+	reply := n.answerLease(q, now)
 	if link := n.links[from.IP]; link != nil {
 		link.Send(&wire.Message{LeaseReply: reply})
 	}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -172,6 +172,9 @@
 	Round    uint64 `cbor:"4,keyasint"`
 	Release  bool   `cbor:"5,keyasint,omitempty"`
 	Life     uint64 `cbor:"6,keyasint"` // of the process that asks, echoed by the reply
+	// Members is a digest of the members by whom the holder counts, as of the entry At; 0 where it doesn't say.
+	Members uint64   `cbor:"7,keyasint,omitempty"`
+	At      Position `cbor:"8,keyasint,omitzero"`
 }
 
 // LeaseReply answers a LeaseRequest. Term is the highest fencing number that the member knows.
