--- a/rehearse/soak/callers_test.go
+++ b/rehearse/soak/callers_test.go
@@ -21,6 +21,7 @@
 	electionCallers = 3
 	numberCallers   = 3
 	keyCallers      = 6
+	readCallers     = 6
 	locksShared     = 5
 	electionsShared = 2
 	numbersShared   = 2
@@ -33,6 +34,7 @@
 	shortestHold  = 300 * time.Millisecond
 	longestHold   = 1200 * time.Millisecond
 	longestPauses = 60 * time.Millisecond
+	readPause     = 5 * time.Millisecond
 )
 
 var errDead = errors.New("the caller is dead")
@@ -93,6 +95,7 @@
 	run(electionCallers, a.standForElection)
 	run(numberCallers, a.drawNumbers)
 	run(keyCallers, a.putAndRead)
+	run(readCallers, a.read)
 	run(groupsShared, a.watchAll)
 	run(groupsShared, a.watchFromNowOn)
 }
@@ -216,6 +219,22 @@
 	})
 }
 
+// read reads keys in quick succession, always at one address: also where that is a leader that has been cut off.
+func (a *applications) read(ctx context.Context, number int, random *rand.Rand) {
+	address := a.addresses[number%len(a.addresses)]
+	c, err := coordclient.New(coordclient.Options{Addresses: []string{address}, Transport: a.witness})
+	if err != nil {
+		panic(err)
+	}
+	for ctx.Err() == nil {
+		key := groupName(random.IntN(groupsShared)) + fmt.Sprint("k", random.IntN(keysOfGroup))
+		one, cancel := context.WithTimeout(ctx, callPatience/10)
+		_, _ = c.Get(one, key)
+		cancel()
+		pause(ctx, readPause)
+	}
+}
+
 // watchAll watches a group from its first put, and takes the watch up anew again and again.
 func (a *applications) watchAll(ctx context.Context, group int, random *rand.Rand) {
 	a.watch(ctx, group, 1, random)
--- a/rehearse/soak/coordination_troubles_test.go
+++ b/rehearse/soak/coordination_troubles_test.go
@@ -59,6 +59,9 @@
 		{"cut a control process off", 4, func(s *series, r *rand.Rand) {
 			s.part(s.anyControl(r), s.fleet.alive(true), span(r, 500, 4000), 1+r.IntN(2), r.IntN(2) == 0)
 		}},
+		{"cut a leader off from the others, not from callers", 3, func(s *series, r *rand.Rand) {
+			s.part(s.anyLeader(r), s.fleet.alive(true), span(r, 800, 2500), 2, false)
+		}},
 		{"cut all control processes apart", 1, func(s *series, r *rand.Rand) {
 			lasts := span(r, 300, 1500)
 			for _, m := range s.fleet.alive(true) {
