--- a/rehearse/soak/coordination_test.go
+++ b/rehearse/soak/coordination_test.go
@@ -18,7 +18,7 @@
 	"ivybank/coordclient"
 )
 
-var coordinationSecondsFlag = flag.Int("coordination-seconds", 5, "seconds of trouble in each run of the coordination soak")
+var coordinationSecondsFlag = flag.Int("coordination-seconds", 6, "seconds of trouble in each run of the coordination soak")
 
 const (
 	// recoverySpan is how long it may take until all is served again after a restart of all.
@@ -28,7 +28,7 @@
 	// Too little played fails a run: so much for each second of trouble.
 	leastAnswers          = 15
 	leastTroublesOfSecond = 0.7
-	leastKindsOfTrouble   = 4
+	leastKindsOfTrouble   = 5
 )
 
 // TestCoordinationSoak plays troubles against real control processes, and holds what applications were told of locks, numbers,
