--- /dev/null
+++ b/control/world_network_test.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"time"
+
+	"ivybank/control/hostlist"
+	"ivybank/wire"
+)
+
+// link is a connection that its owner wants kept up.
+type link struct {
+	world  *world
+	owner  *process
+	to     string
+	hello  wire.Hello
+	events wire.LinkEvents
+	closed bool
+	conn   *connection
+	redial time.Duration
+}
+
+func (l *link) Send(m *wire.Message) bool { return l.conn != nil && l.conn.send(true, m) }
+func (l *link) Up() bool                  { return l.conn != nil && l.conn.open[0] }
+func (l *link) Redial()                   { l.redial = 0 }
+func (l *link) Close() {
+	l.closed = true
+	if l.conn != nil {
+		l.conn.end(0)
+	}
+}
+
+// connection carries frames both ways, in order. End 0 is that of the link's owner.
+type connection struct {
+	world  *world
+	link   *link
+	server *nodeProcess
+	open   [2]bool
+	heard  [2]time.Duration // when an end last had a byte from the other
+	queue  [2][]frame       // to each end
+	agent  *subscriber
+}
+
+type frame struct {
+	due     time.Duration
+	message *wire.Message
+}
+
+// serverEnd is how the accepting process answers over a connection.
+type serverEnd struct{ *connection }
+
+func (e serverEnd) Send(m *wire.Message) bool { return e.send(false, m) }
+
+func (c *connection) processOf(end int) *process {
+	if end == 0 {
+		return c.link.owner
+	}
+	return &c.server.process
+}
+
+func (c *connection) send(byOwner bool, m *wire.Message) bool {
+	from, to := 1, 0
+	if byOwner {
+		from, to = 0, 1
+	}
+	if !c.open[from] {
+		return false
+	}
+	if !byOwner {
+		c.server.checkFeed(m)
+	}
+	ips := [2]string{c.link.owner.machine.ip, c.server.machine.ip}
+	due := c.world.now + c.world.pace.frame(ips[from], ips[to])
+	if m.Append != nil && m.Append.Entry != nil && c.world.slow[[2]string{ips[from], ips[to]}] > c.world.now {
+		due += slowEntry
+	}
+	if c.world.held[[2]string{ips[from], ips[to]}] > c.world.now {
+		due += c.world.randomSpan(longestFrameHeld)
+	}
+	if n := len(c.queue[to]); n > 0 {
+		due = max(due, c.queue[to][n-1].due)
+	}
+	c.queue[to] = append(c.queue[to], frame{due, m})
+	return true
+}
+
+// checkFeed holds what a control process may say to agents: hosts and grants while it owns the shard, and that a
+// configuration is current while it leads.
+func (p *nodeProcess) checkFeed(m *wire.Message) {
+	now := p.Now()
+	switch {
+	case m.Hosts != nil && !p.node.shards[m.Hosts.Shard].holder.Holds(now):
+		p.world.fail("%s feeds hosts without the lease", p.machine.ip)
+	case m.QuotaGrant != nil && !p.node.shards[hostlist.ShardOf("t")].holder.Holds(now):
+		p.world.fail("%s grants from a limit without the lease", p.machine.ip)
+	case m.Config != nil && m.Config.Current && !p.node.replica.Leading(now):
+		p.world.fail("%s calls a configuration current without leading", p.machine.ip)
+	}
+}
+
+// end closes one end. What it had sent is still delivered, or lost where it resets the connection.
+func (c *connection) end(end int) {
+	if !c.open[end] {
+		return
+	}
+	c.open[end] = false
+	c.queue[end] = nil
+	if c.world.random.IntN(2) == 0 {
+		c.queue[1-end] = nil
+	}
+	if end == 1 && !c.server.dead {
+		if c.link.hello.Role == wire.RoleControl {
+			c.server.node.PeerDisconnected(wire.Member{ID: c.link.hello.Node, IP: c.link.hello.IP})
+		} else {
+			c.server.node.AgentDisconnected(c.agent)
+		}
+		c.server.node.Flush()
+	}
+}
+
+// connect tries to bring a link up.
+func (w *world) connect(l *link) {
+	m := w.machineAt(l.to)
+	if l.owner.dead || l.closed || w.now < l.redial || !l.owner.machine.running(w.now) {
+		return
+	}
+	l.redial = w.now + w.pace.firstRedial + w.randomSpan(w.pace.longestRedial-w.pace.firstRedial)
+	from := l.owner.machine.ip
+	if m == nil || m.node == nil || !m.running(w.now) || w.isCut(from, l.to) || w.isCut(l.to, from) {
+		return
+	}
+	c := &connection{world: w, link: l, server: m.node, open: [2]bool{true, true}, heard: [2]time.Duration{w.now, w.now}}
+	l.conn = c
+	m.node.parts = append(m.node.parts, c)
+	if l.hello.Role == wire.RoleControl {
+		m.node.node.PeerConnected(wire.Member{ID: l.hello.Node, IP: l.hello.IP}, serverEnd{c})
+	} else {
+		c.agent = &subscriber{conn: serverEnd{c}}
+	}
+	m.node.node.Flush()
+	if l.events.Subscribe != nil {
+		c.send(true, l.events.Subscribe())
+	}
+	if l.events.Connected != nil {
+		l.events.Connected()
+		l.owner.machine.node.node.Flush()
+	}
+}
+
+// carry moves what is due over a connection, and ends it where an end has been silent for too long.
+func (w *world) carry(c *connection) {
+	ips := [2]string{c.link.owner.machine.ip, c.server.machine.ip}
+	for end := range 2 {
+		receiver := c.processOf(end)
+		if !c.open[end] || receiver.dead || !receiver.machine.running(w.now) {
+			continue
+		}
+		cut := w.isCut(ips[1-end], ips[end])
+		for !cut && c.open[end] && len(c.queue[end]) > 0 && c.queue[end][0].due <= w.now {
+			m := c.queue[end][0].message
+			c.queue[end] = c.queue[end][1:]
+			c.heard[end] = w.now
+			c.deliver(end, m)
+		}
+		sender := c.processOf(1 - end)
+		if !cut && c.open[1-end] && !sender.dead && sender.machine.running(w.now) {
+			c.heard[end] = w.now // heartbeats
+		}
+		closedByPeer := !cut && (!c.open[1-end] || sender.dead) && len(c.queue[end]) == 0
+		if closedByPeer || w.now > c.heard[end]+silenceLimit {
+			c.end(end)
+		}
+	}
+}
+
+func (c *connection) deliver(end int, m *wire.Message) {
+	if end == 0 {
+		c.link.events.Received(m)
+		if owner := c.link.owner.machine.node; owner != nil && &owner.process == c.link.owner {
+			owner.node.Flush()
+		}
+		return
+	}
+	node := c.server.node
+	if c.link.hello.Role == wire.RoleControl {
+		node.OnPeerMessage(wire.Member{ID: c.link.hello.Node, IP: c.link.hello.IP}, m)
+	} else {
+		node.OnAgentMessage(c.agent, m)
+	}
+	node.Flush()
+}
