A call that is left under way gets no answer, not an empty 200

Cause: the handler returned without writing once the request's context had ended, and net/http then answers 200. Calls of an entry that isn't committed stayed under way without an end, which made that reachable. Change: the handlers close the connection; calls under way are left once they are older than their callers' patience; fields that a kind of call doesn't have don't get into entries. The operator's calls had the same fault and are mended alike. Evidence: TestCallLeftUnderWayGetsNoImplicitOK, TestOrderLeftUnderWayGetsNoImplicitOK, TestCallOfAnEntryThatStandsStillIsLeft and TestFieldsOfOtherKindsAreDropped fail on the code before and pass now.

--- a/control/applications.go
+++ b/control/applications.go
@@ -112,6 +112,7 @@
 		h.write(w, kind, a)
 	case <-r.Context().Done():
 		h.node.env.Do(func() { h.node.callerLeft(<-taken) })
+		panic(http.ErrAbortHandler) // a handler that returns without an answer answers 200
 	}
 }
 
@@ -129,11 +130,24 @@
 	if err := json.Unmarshal(text, &body); err != nil || !(body.HoldMS >= 0 && body.HoldMS < math.MaxInt32) {
 		return command, false
 	}
-	command.Holder, command.Fence, command.HoldMS = body.Holder, body.Fence, int64(math.Ceil(body.HoldMS))
-	command.Value, command.IfRevision = body.Value, body.IfRevision
+	body.into(&command)
 	return command, true
 }
 
+// into gives a command the fields that its kind has: an entry carries no others.
+func (b *requestBody) into(c *wire.Command) {
+	switch c.Kind {
+	case wire.BeginLock:
+		c.Holder, c.HoldMS = b.Holder, int64(math.Ceil(b.HoldMS))
+	case wire.HeartbeatLock:
+		c.Holder, c.Fence, c.HoldMS = b.Holder, b.Fence, int64(math.Ceil(b.HoldMS))
+	case wire.FinishLock:
+		c.Holder, c.Fence = b.Holder, b.Fence
+	case wire.ReplaceKey:
+		c.Value, c.IfRevision = b.Value, b.IfRevision
+	}
+}
+
 // readWatch reads what a watch asks for; fields that are missing are 0.
 func readWatch(r *http.Request, command *wire.Command) bool {
 	query := r.URL.Query()
--- a/control/applications_test.go
+++ b/control/applications_test.go
@@ -1,13 +1,20 @@
 package control
 
 import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"ivybank/control/replica"
 	"ivybank/wire"
 )
 
@@ -118,3 +125,71 @@
 		assert.Assert(t, !answered)
 	}
 }
+
+// pendingNode has a part without a leader whose queue nobody looks at, so calls stay under way.
+func pendingNode() *Node {
+	p := &part{replica: replica.New(wire.Member{ID: "a", IP: "10.0.0.1"}, replica.Group{Target: 3}, replica.Disk{}, rand.New(rand.NewPCG(1, 2)), 0)}
+	return &Node{counts: newNodeCounts(), env: &directEnvironment{}, replica: p.replica, parts: []*part{p}}
+}
+
+// directEnvironment runs events at once, on a clock that stands still.
+type directEnvironment struct {
+	Environment
+	mutex sync.Mutex
+}
+
+func (e *directEnvironment) Now() time.Duration { return 0 }
+
+func (e *directEnvironment) Do(event func()) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	event()
+}
+
+// readAfterHalfClose sends a request, closes the way there, and gives all that comes back.
+func readAfterHalfClose(t *testing.T, handler http.Handler, request string) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	conn, err := net.Dial("tcp4", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, request)
+	assert.NilError(t, err)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	answer, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	return string(answer)
+}
+
+// A call whose request ended while its outcome wasn't known was answered with an empty 200: a renewal, a return or an order
+// that nobody had acknowledged counted as done.
+func TestCallLeftUnderWayGetsNoImplicitOK(t *testing.T) {
+	mux := http.NewServeMux()
+	(&applicationHandler{pendingNode()}).register(mux)
+	body := `{"holder":"a","fence":1,"hold_ms":3000}`
+	request := fmt.Sprintf("POST /v1/Locks.Heartbeat/l HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	assert.Equal(t, readAfterHalfClose(t, mux, request), "")
+}
+
+func TestOrderLeftUnderWayGetsNoImplicitOK(t *testing.T) {
+	h := newOperatorHandler(pendingNode())
+	never := func(http.ResponseWriter, *http.Request, func(verdict)) {}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.await(w, r, callReplace, never) })
+	assert.Equal(t, readAfterHalfClose(t, handler, "POST /v1/Config.Replace HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"), "")
+}
+
+// What a call doesn't need isn't put into entries, which all members keep.
+func TestFieldsOfOtherKindsAreDropped(t *testing.T) {
+	all := `{"holder":"a","fence":7,"hold_ms":5,"value":"v","if_revision":3}`
+	for target, want := range map[string]wire.Command{
+		"/v1/numbers/n":         {Kind: wire.NextNumber, Name: "n"},
+		"/v1/Locks.Begin/n":     {Kind: wire.BeginLock, Name: "n", Holder: "a", HoldMS: 5},
+		"/v1/Locks.Heartbeat/n": {Kind: wire.HeartbeatLock, Name: "n", Holder: "a", Fence: 7, HoldMS: 5},
+		"/v1/Locks.Finish/n":    {Kind: wire.FinishLock, Name: "n", Holder: "a", Fence: 7},
+	} {
+		command, ok := commandOf("POST", target, all)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, command, want)
+	}
+}
--- a/control/calls.go
+++ b/control/calls.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"ivybank/control/coordination"
@@ -185,6 +186,7 @@
 	stillLeads := p.replica.Role() == replica.Leader && p.replica.Term() == p.proposedAt.Term
 	switch {
 	case stillLeads && p.replica.Committed().Position() != p.proposedAt:
+		n.leaveLateUnanswered(p)
 		return
 	case !stillLeads || len(p.machine.Answers) != len(p.proposed):
 		for _, c := range p.proposed {
@@ -198,6 +200,16 @@
 	p.proposed = nil
 }
 
+// leaveLateUnanswered ends the calls of the entry under way whose callers have gone elsewhere meanwhile.
+func (n *Node) leaveLateUnanswered(p *part) {
+	now := n.now()
+	for _, c := range p.proposed {
+		if now > c.since+callerPatience {
+			n.leaveUnanswered(c, silentLate)
+		}
+	}
+}
+
 // serveQueue looks at each waiting call once.
 func (n *Node) serveQueue(p *part, now time.Duration) {
 	if len(p.queue) == 0 {
@@ -265,12 +277,11 @@
 func (n *Node) callsUnderWay() int {
 	count := 0
 	for _, p := range n.parts {
-		for _, c := range p.queue {
+		for _, c := range slices.Concat(p.queue, p.proposed) {
 			if !c.finished() && !c.isWatch() {
 				count++
 			}
 		}
-		count += len(p.proposed)
 	}
 	for _, passed := range n.passed {
 		if !passed.call.finished() && !passed.call.isWatch() {
--- a/control/figures.go
+++ b/control/figures.go
@@ -28,7 +28,7 @@
 	refusedNotLeader refusal = "not_leader"     // another process passed it on to this one, which doesn't lead
 	refusedWaited    refusal = "waited_long"    // its turn at the leader didn't come
 	refusedQueueFull refusal = "queue_full"     // too many wait
-	silentLate       silence = "late"           // it was older than its caller's patience when it came
+	silentLate       silence = "late"           // it was, or became, older than its caller's patience
 	silentLeaderLost silence = "leader_lost"    // this process lost its office with the entry under way
 	silentPassed     silence = "reply_not_come" // it was passed on, and no reply can be expected any more
 )
--- a/control/operator.go
+++ b/control/operator.go
@@ -74,6 +74,7 @@
 		h.node.counts.answered(call, v.status)
 		writeVerdict(w, v)
 	case <-r.Context().Done():
+		panic(http.ErrAbortHandler) // a handler that returns without an answer answers 200
 	}
 }
 
--- a/control/world_crossings_test.go
+++ b/control/world_crossings_test.go
@@ -131,6 +131,23 @@
 	assert.Equal(t, refused, 0)
 }
 
+// A call whose entry can't be committed, as all disks stand still, is left without an answer once its caller has gone elsewhere.
+func TestCallOfAnEntryThatStandsStillIsLeft(t *testing.T) {
+	w := servedWorld(t, 3, 1)
+	leader := w.leaderOf(getCommand())
+	for _, m := range w.machines {
+		m.stalled = w.now + 4*time.Second
+	}
+	answer := w.tell(leader, putCommand("first"))
+	w.playUntil(w.now + callerPatience/2)
+	assert.Assert(t, *answer == nil)
+	w.playUntil(w.now + callerPatience)
+	assert.Assert(t, *answer != nil && (*answer).Outcome == wire.OutcomeUnknown)
+	assert.Equal(t, leader.node.node.callsUnderWay(), 0)
+	w.playUntil(w.now + 5*time.Second)
+	assert.Equal(t, w.do(getCommand()).Value, "first")
+}
+
 // A call that was passed on gets its true outcome or silence where the leader that has it ends.
 func TestPassedOnCallIsNeverRefused(t *testing.T) {
 	shown, silent := 0, 0
