Steps are bounded by their size, in memory and on their way

Change: beyond 1,024 steps or 1 MiB the whole state takes their place in the next write; steps for others are kept up to 1 MiB. Measured: TestStepsThatWaitForTheDiskAreBounded and TestStepsThatAreKeptForOthersAreBounded (they need the bounds to build); TestRandomFaultsWithAMachine passes.

--- a/control/replica/machine.go
+++ b/control/replica/machine.go
@@ -12,6 +12,15 @@
 // stepsKept is for how many steps a replica can lead others on without the whole state.
 const stepsKept = 64
 
+// stepBytesKept bounds the commands of these steps: they may all go in one message, and each member holds them.
+const stepBytesKept = 1 << 20
+
+// mostUnsaved and mostUnsavedBytes bound the steps, and their commands, that wait to be written one by one.
+const (
+	mostUnsaved      = 1024
+	mostUnsavedBytes = 1 << 20
+)
+
 // ErrGap says that a step doesn't follow the entry before it.
 var ErrGap = errors.New("replica: a step is missing")
 
@@ -69,15 +78,49 @@
 	return &step
 }
 
+// keepUnsaved remembers an entry for the next Save. While a disk stands still, more and more come: beyond a bound the whole
+// state takes their place.
+func (r *Replica) keepUnsaved(sent *wire.Entry) {
+	if !sent.IsStep() {
+		r.unsaved, r.saveWhole = nil, false
+	}
+	if r.saveWhole {
+		return
+	}
+	r.unsaved = append(r.unsaved, sent)
+	if len(r.unsaved) > mostUnsaved || sent.IsStep() && commandBytes(r.unsaved) > mostUnsavedBytes {
+		r.unsaved, r.saveWhole = nil, true
+	}
+}
+
+// takeUnsaved gives the entries that lead from the last Save, or from a whole entry, to the newest one.
+func (r *Replica) takeUnsaved() []*wire.Entry {
+	entries := r.unsaved
+	if r.saveWhole {
+		entries = []*wire.Entry{r.wholeEntry()}
+	}
+	r.unsaved, r.saveWhole = nil, false
+	return entries
+}
+
+// commandBytes is the size of the commands of entries.
+func commandBytes(entries []*wire.Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += len(e.Commands)
+	}
+	return size
+}
+
 // keepStep remembers a step so that others can be led on by it.
 func (r *Replica) keepStep(step *wire.Entry) {
 	if len(r.steps) > 0 && r.steps[len(r.steps)-1].Position() != step.After {
 		r.steps = nil
 	}
-	if len(r.steps) == stepsKept {
+	r.steps = append(r.steps, step)
+	for len(r.steps) > stepsKept || len(r.steps) > 1 && commandBytes(r.steps) > stepBytesKept {
 		r.steps = slices.Delete(r.steps, 0, 1)
 	}
-	r.steps = append(r.steps, step)
 }
 
 // stepsFrom gives the steps from an entry to the newest one; nil where they aren't known.
--- a/control/replica/machine_test.go
+++ b/control/replica/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -309,6 +310,45 @@
 	assert.Assert(t, r.TakeSave() == nil)
 }
 
+// followSteps has a new follower take a number of steps, none of which its disk gets.
+func followSteps(t *testing.T, count int, command []byte) (*Replica, *chainMachine) {
+	t.Helper()
+	s := newSim(t, 1, 3)
+	leader, newest, machine := s.members[1], s.nodes[0].disk.Entry, &chainMachine{}
+	r := NewWithMachine(s.members[0], Group{Target: 3}, Disk{Entry: newest}, machine, s.random, 0)
+	for index := newest.Index + 1; index <= newest.Index+uint64(count); index++ {
+		step := &wire.Entry{Term: 1, Index: index, After: r.Newest().Position(), Commands: command}
+		r.Receive(leader, &wire.Message{Append: &wire.Append{Term: 1, Leader: leader.ID, Steps: []*wire.Entry{step}}}, 0)
+	}
+	assert.Equal(t, r.Newest().Index, newest.Index+uint64(count))
+	return r, machine
+}
+
+// While a disk stood still, all steps were kept in memory until it went on.
+func TestStepsThatWaitForTheDiskAreBounded(t *testing.T) {
+	for _, steps := range []struct {
+		count   int
+		command []byte
+	}{{3 * mostUnsaved, []byte("1/1")}, {8, []byte(strings.Repeat("x", mostUnsavedBytes/4))}} {
+		r, machine := followSteps(t, steps.count, steps.command)
+		assert.Assert(t, len(r.unsaved) <= mostUnsaved && commandBytes(r.unsaved) <= mostUnsavedBytes)
+		save := r.TakeSave()
+		assert.Equal(t, len(save.Entries), 1)
+		replayed := &chainMachine{}
+		entry, err := Replay(replayed, save.Entries)
+		assert.NilError(t, err)
+		assert.Equal(t, entry.Position(), r.Newest().Position())
+		assert.Equal(t, replayed.hash, machine.hash)
+		assert.Assert(t, r.TakeSave() == nil)
+	}
+}
+
+// Others are led on by steps of a bounded size in all, or by the whole state.
+func TestStepsThatAreKeptForOthersAreBounded(t *testing.T) {
+	r, _ := followSteps(t, stepsKept, []byte(strings.Repeat("x", stepBytesKept/4)))
+	assert.Assert(t, len(r.steps) > 0 && commandBytes(r.steps) <= stepBytesKept)
+}
+
 func TestRandomFaultsWithAMachine(t *testing.T) {
 	schedules := simSchedule
 	if testing.Short() {
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -133,6 +133,7 @@
 	steps     []*wire.Entry // the newest ones, each following the one before
 	whole     *wire.Entry   // the newest one that was made whole
 	unsaved   []*wire.Entry // since the last Save was handed out
+	saveWhole bool          // the next Save holds the whole state: too many steps have come since the last one
 
 	role       Role
 	leader     wire.Member
@@ -325,10 +326,7 @@
 		panic("replica: an older entry would replace a newer one")
 	}
 	r.disk.Entry = e
-	if !sent.IsStep() {
-		r.unsaved = nil
-	}
-	r.unsaved = append(r.unsaved, sent)
+	r.keepUnsaved(sent)
 	r.requestSave(true, false)
 }
 
@@ -348,7 +346,7 @@
 func (r *Replica) TakeSave() *Save {
 	s := r.pending
 	if s != nil {
-		s.Entries, r.unsaved = r.unsaved, nil
+		s.Entries = r.takeUnsaved()
 	}
 	r.pending = nil
 	return s
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -62,8 +62,8 @@
 	switch {
 	case m.frame != nil:
 		return int64(len(*m.frame))
-	case m.Append != nil && m.Append.Entry != nil:
-		return int64(len(m.Append.Entry.Value))
+	case m.Append != nil:
+		return m.Append.size()
 	case m.Config != nil:
 		return int64(len(m.Config.Body))
 	default:
@@ -71,6 +71,18 @@
 	}
 }
 
+// size is that of the states and commands that an Append carries.
+func (a *Append) size() int64 {
+	size := 0
+	if a.Entry != nil {
+		size = len(a.Entry.Value)
+	}
+	for _, step := range a.Steps {
+		size += len(step.Commands)
+	}
+	return int64(size)
+}
+
 // Receive waits for the next message that isn't a heartbeat.
 func (c *Conn) Receive() (*Message, error) {
 	for {
