--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -152,14 +152,20 @@
 			w.playUntilLed(5 * time.Second)
 		}
 	}
+	assertSoon(t, "a leader", played, restartsOfAll)
+}
+
+// assertSoon holds the times that so many restarts of all took until something was there against their bounds.
+func assertSoon(t *testing.T, what string, played []restartOfAll, count int) {
+	t.Helper()
 	slices.SortFunc(played, func(a, b restartOfAll) int { return int(a.took - b.took) })
 	middle, at99, worst := played[len(played)/2], played[len(played)*99/100], played[len(played)-1]
-	t.Logf("%d restarts of all: a leader %v after the last start in the middle, %v at the 99th of 100, %v at worst", len(played),
-		middle.took, at99.took, worst.took)
+	t.Logf("%d restarts of all: %s %v after the last start in the middle, %v at the 99th of 100, %v at worst", len(played),
+		what, middle.took, at99.took, worst.took)
 	for _, r := range played[len(played)-5:] {
 		t.Log(r)
 	}
-	assert.Equal(t, len(played), restartsOfAll)
+	assert.Equal(t, len(played), count)
 	assert.Assert(t, at99.took <= leaderSoonAt99, "%v", at99)
 	assert.Assert(t, worst.took <= leaderSoonWorst, "%v", worst)
 }
--- a/control/world_coordination_test.go
+++ b/control/world_coordination_test.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"fmt"
-	"runtime"
 	"testing"
 	"time"
 
@@ -167,21 +165,8 @@
 	if testing.Short() {
 		schedules = max(1, schedules/10)
 	}
-	results := make(chan coordinationRun, schedules)
-	t.Run("play", func(t *testing.T) {
-		parts := min(schedules, 2*runtime.GOMAXPROCS(0))
-		for part := range parts {
-			t.Run(fmt.Sprint(part), func(t *testing.T) {
-				t.Parallel()
-				for i := part; i < schedules; i += parts {
-					results <- playCoordination(t, *worldSeed+uint64(i))
-				}
-			})
-		}
-	})
-	close(results)
 	var played coordinationRun
-	for r := range results {
+	for r := range playSchedules(t, schedules, playCoordination) {
 		played.world.add(r.world)
 		played.calls.add(r.calls)
 		played.changes += r.changes
--- a/control/world_faults_test.go
+++ b/control/world_faults_test.go
@@ -385,28 +385,33 @@
 	return w.counts
 }
 
-// TestControlSideUnderRandomTroubles plays schedules on all processors. One that fails is played again by -seed and
-// -schedules 1.
-func TestControlSideUnderRandomTroubles(t *testing.T) {
-	schedules := *worldSchedules
-	if testing.Short() {
-		schedules = max(1, schedules/10)
-	}
-	results := make(chan worldCounts, schedules)
+// playSchedules plays schedules of seeds from worldSeed on, on all processors, and gives what each has played.
+func playSchedules[T any](t *testing.T, schedules int, play func(t *testing.T, seed uint64) T) <-chan T {
+	results := make(chan T, schedules)
 	t.Run("play", func(t *testing.T) {
 		parts := min(schedules, 2*runtime.GOMAXPROCS(0))
 		for part := range parts {
 			t.Run(fmt.Sprint(part), func(t *testing.T) {
 				t.Parallel()
 				for i := part; i < schedules; i += parts {
-					results <- playWorld(t, *worldSeed+uint64(i))
+					results <- play(t, *worldSeed+uint64(i))
 				}
 			})
 		}
 	})
 	close(results)
+	return results
+}
+
+// TestControlSideUnderRandomTroubles plays schedules on all processors. One that fails is played again by -seed and
+// -schedules 1.
+func TestControlSideUnderRandomTroubles(t *testing.T) {
+	schedules := *worldSchedules
+	if testing.Short() {
+		schedules = max(1, schedules/10)
+	}
 	var played worldCounts
-	for c := range results {
+	for c := range playSchedules(t, schedules, playWorld) {
 		played.add(c)
 	}
 	t.Logf("played %+v", played)
--- a/control/world_parts_restart_test.go
+++ b/control/world_parts_restart_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -53,16 +52,7 @@
 			w.playUntilServed(5 * time.Second)
 		}
 	}
-	slices.SortFunc(played, func(a, b restartOfAll) int { return int(a.took - b.took) })
-	middle, at99, worst := played[len(played)/2], played[len(played)*99/100], played[len(played)-1]
-	t.Logf("%d restarts of all: all parts served %v after the last start in the middle, %v at the 99th of 100, %v at worst", len(played),
-		middle.took, at99.took, worst.took)
-	for _, r := range played[len(played)-5:] {
-		t.Log(r)
-	}
-	assert.Equal(t, len(played), partRestarts)
-	assert.Assert(t, at99.took <= leaderSoonAt99, "%v", at99)
-	assert.Assert(t, worst.took <= leaderSoonWorst, "%v", worst)
+	assertSoon(t, "all parts served", played, partRestarts)
 }
 
 // All that was acknowledged is there after all power was cut: a number goes on, a key has its value, and a lock that is held
