--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,7 +14,6 @@
 
 // client keeps one connection to the router.
 type client struct {
-	name    string
 	address string
 	conn    net.Conn
 	reader  *bufio.Reader
@@ -87,8 +85,3 @@
 		c.conn = nil
 	}
 }
-
-// cut says whether an answer ended before it was whole, as the connection was closed.
-func (r result) cut() bool {
-	return errors.Is(r.err, io.ErrUnexpectedEOF) || errors.Is(r.err, io.EOF) || r.err != nil && strings.Contains(r.err.Error(), "reset")
-}
