--- a/review/standin-2/network.go
+++ b/review/standin-2/network.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -10,8 +12,9 @@
 )
 
 const (
-	firstPort       = 7680
 	portsPerMachine = 4 // the first is the internal port, the second the one between router and agent
+	lowestPort      = 10000
+	portSpan        = 20000
 	controlPort     = 8665
 	frontPort       = 8662
 	readyPort       = 8663
@@ -27,6 +30,7 @@
 // and new connections stay without an answer.
 type network struct {
 	base     int // chooses the addresses
+	first    int // the first machine's first port
 	machines int
 	mu       sync.Mutex
 	cut      map[pair]bool
@@ -35,6 +39,9 @@
 
 func newNetwork(attempt, machines int) (*network, error) {
 	n := &network{base: os.Getpid()<<2 + attempt, machines: machines, cut: map[pair]bool{}}
+	if err := n.choosePorts(); err != nil {
+		return nil, err
+	}
 	for from := range machines {
 		for to := range machines {
 			if from == to {
@@ -53,7 +60,27 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+n.base>>8&127, n.base&255, machine+1)
 }
 
-func (n *network) port(machine int) int { return firstPort + portsPerMachine*machine }
+func (n *network) port(machine int) int { return n.first + portsPerMachine*machine }
+
+// choosePorts chooses ports of which those between routers and agents, which all machines have at 127.0.0.1, are free.
+func (n *network) choosePorts() error {
+	for range 100 {
+		n.first = lowestPort + rand.IntN(portSpan)
+		free := true
+		for machine := range n.machines {
+			listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", n.port(machine)+1))
+			if err != nil {
+				free = false
+				break
+			}
+			listener.Close()
+		}
+		if free {
+			return nil
+		}
+	}
+	return errors.New("no free ports")
+}
 
 func (n *network) address(machine, port int) string {
 	return fmt.Sprintf("%s:%d", n.ip(machine), port)
