--- a/review/standin-3/flood.go
+++ b/review/standin-3/flood.go
@@ -63,14 +63,14 @@
 	}
 }
 
-// residentMB returns the memory of a process.
+// residentMB returns the memory that a process holds for itself.
 func residentMB(pid int) int {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
 	for _, line := range strings.Split(string(text), "\n") {
-		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "RssAnon:" {
 			kb, _ := strconv.Atoi(fields[1])
 			return kb >> 10
 		}
