--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-in of the cases in review/7, review/8 and review/9. It needs the standard library alone.
+# Builds the stand-in of the cases in review/7 and review/8. It needs the standard library alone.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -172,7 +172,10 @@
 }
 
 // garbleTwice plays the disruption for 5 s, and once more, beside the clients.
-func (p *play) garbleTwice(what string) {
+func (p *play) garbleTwice(what string) { p.garbleFrom(what, garbleFirst, garbleSecond) }
+
+// garbleFrom plays the disruption for 5 s from each of these times on, beside the clients.
+func (p *play) garbleFrom(what string, begins ...time.Duration) {
 	if !p.trouble {
 		return
 	}
@@ -182,7 +185,7 @@
 		garble.on = on
 		p.record.add("disruption: %s: %v", what, on)
 	}
-	for _, begin := range []time.Duration{garbleFirst, garbleSecond} {
+	for _, begin := range begins {
 		time.AfterFunc(begin, func() { set(true) })
 		time.AfterFunc(begin+garbleTime, func() { set(false) })
 	}
--- a/review/standin-3/flood.go
+++ b/review/standin-3/flood.go
@@ -18,8 +18,9 @@
 const (
 	floodClients  = 16
 	floodWork     = 250 * time.Millisecond
-	floodRate     = 100 << 20 // bytes a second from one host, less than link_mbps
+	floodRate     = 100 << 20 // bytes a second from all hosts together, less than link_mbps
 	floodChunk    = 1 << 20
+	floodSpan     = 10 * time.Second // of the clients
 	frontMemoryMB = 284
 	memorySample  = 20 * time.Millisecond
 	restartDelay  = 500 * time.Millisecond
@@ -48,19 +49,45 @@
 	}
 }
 
-// sendNonsense sends bytes until the connection ends, and returns how many.
+// pace holds all hosts together to floodRate.
+var pace struct {
+	mu   sync.Mutex
+	next time.Time // when the next chunk may be sent
+}
+
+// waitTurn waits until one more chunk may be sent.
+func waitTurn() {
+	pace.mu.Lock()
+	if now := time.Now(); pace.next.Before(now) {
+		pace.next = now
+	}
+	at := pace.next
+	pace.next = at.Add(time.Second * floodChunk / floodRate)
+	pace.mu.Unlock()
+	time.Sleep(time.Until(at))
+}
+
+// sendNonsense sends bytes until the connection or the disruption ends, and returns how many.
 func sendNonsense(conn net.Conn) int {
 	defer conn.Close()
 	chunk := bytes.Repeat([]byte("nonsense"), floodChunk/8)
-	began := time.Now()
-	for sent := 0; ; {
+	sent := 0
+	for inTrouble() {
+		waitTurn()
 		n, err := conn.Write(chunk)
 		sent += n
 		if err != nil {
-			return sent
+			break
 		}
-		time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / floodRate * float64(time.Second)))))
 	}
+	return sent
+}
+
+// inTrouble reports whether the disruption is on.
+func inTrouble() bool {
+	garble.mu.Lock()
+	defer garble.mu.Unlock()
+	return garble.on
 }
 
 // residentMB returns the memory that a process holds for itself.
@@ -124,10 +151,10 @@
 	var machine sync.WaitGroup
 	kills, most := 0, 0
 	machine.Go(func() { kills, most = p.limitMemory(stop) })
-	p.garbleTwice("i-1 and i-2 send bytes that form no answer to 3 in 100 requests")
+	p.garbleFrom("i-1 and i-2 send bytes that form no answer to 3 in 100 requests", garbleFirst)
 	var mu sync.Mutex
 	sent, served, failed, lost := 0, 0, 0, 0
-	p.everyClient(floodClients, garbleSpan, 20*time.Millisecond, func(c *client) {
+	p.everyClient(floodClients, floodSpan, 20*time.Millisecond, func(c *client) {
 		a := c.send("/a/extract", 4*time.Second, []byte("extract"))
 		runs := p.ledger.of(a.id)
 		sound := len(runs) > 0 && runs[0].host != "i-1" && runs[0].host != "i-2"
