An answer without a length is complete only if its connection did not fail

What callers saw: a host answers a long request before it has read it, without a length, and is reset in the middle of its answer. A stream of events without a length that was reset between two events ended as a complete one, and no other host took it up.

Cause: a request of 16 KiB or more is written by a goroutine of its own. The kernel reports a reset to one call alone; where that is the write, the next read finds the plain end of the connection, the end of a body without a length. The result of the write was used only to decide whether the connection may be used again.

Evidence: strace of the case on the code before: of nine resets eight were returned by write (ECONNRESET), and eight halves were passed on; the ninth was returned by read and that request failed as it should. For the first one, the next read on the same descriptor returned 0.

Change: the body of such an answer asks the write how it ended before it passes on io.EOF, and ends a write that still waits for the host. It works because a reset is reported to the write or to the read, and each of them counts now. Held answers, streams, successors and refusals read by this body. Short requests whose write failed half-way are covered as well.

--- a/router/exchange_test.go
+++ b/router/exchange_test.go
@@ -67,6 +67,8 @@
 	listener net.Listener
 	handle   func(*hostRequest) bool
 	onHeader func(*hostRequest) headerAction // called once the header was read; may be nil
+	// readsFast leaves the receive buffer of connections at its default size, so that long requests arrive quickly.
+	readsFast atomic.Bool
 
 	mu          sync.Mutex
 	runs        map[string]int
@@ -89,7 +91,9 @@
 			h.mu.Lock()
 			h.connections++
 			h.mu.Unlock()
-			_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10) // unread data stays with the sender
+			if !h.readsFast.Load() {
+				_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10) // unread data stays with the sender
+			}
 			go h.serve(conn.(*net.TCPConn))
 		}
 	}()
@@ -388,6 +392,54 @@
 	}
 }
 
+// Guards against half of a response being passed on as a whole one: a host responds without a length before it has read a
+// long request, and breaks off. Only the write of the request may learn of the reset.
+func TestEarlyResponseThatBreaksOff(t *testing.T) {
+	const requests = 12
+	long := bytes.Repeat([]byte("x"), 4<<20)
+	breakOff := func(head, body string) func(*hostRequest) headerAction {
+		return func(q *hostRequest) headerAction {
+			q.write("HTTP/1.1 200 OK\r\nRequest-Id: " + q.id() + "\r\nResponse-Seal: s\r\n" + head + "\r\n" + body)
+			time.Sleep(10 * time.Millisecond)
+			q.reset()
+			return closeConnection
+		}
+	}
+	respondWhole := func(q *hostRequest) bool {
+		if strings.HasPrefix(q.request.URL.Path, "/stream/") {
+			return streamAll(q)
+		}
+		return respondOK(q)
+	}
+	for path, broken := range map[string]func(*hostRequest) headerAction{
+		"/unsafe/x":     breakOff("", "answer"),
+		"/idempotent/x": breakOff("", "answer"),
+		"/stream/x":     breakOff("Content-Type: text/event-stream\r\n", eventsFrom(1, 3)),
+	} {
+		t.Run(path, func(t *testing.T) {
+			first, second := newFakeHost(t, "h1", respondWhole), newFakeHost(t, "h2", respondWhole)
+			first.onHeader = broken
+			second.readsFast.Store(true)
+			_, server := newTestRouter(t, first, second)
+			complete := 0
+			for i := range requests {
+				id := fmt.Sprint("r", i)
+				got := post(t, t.Context(), server, path, id, long)
+				if got.broken || got.status != http.StatusOK {
+					continue
+				}
+				complete++
+				want := "answer to " + id
+				if path == "/stream/x" {
+					want = eventsFrom(1, 7)
+				}
+				assert.Check(t, got.body == want, "%s: got %q as a complete response", id, got.body)
+			}
+			assert.Check(t, complete > 0)
+		})
+	}
+}
+
 // When a client disconnects, its request at the host is ended within half a second, and the connection serves no
 // other request.
 func TestClientDisconnects(t *testing.T) {
--- a/router/upstream/exchange.go
+++ b/router/upstream/exchange.go
@@ -24,9 +24,6 @@
 
 // Limits of an exchange.
 const (
-	// asyncWriteBytes is the size of a request from which on it is written concurrently with reading the response: a
-	// host may respond before it has read a long body.
-	asyncWriteBytes     = 16 << 10
 	maxInterimResponses = 8        // interim responses to one request
 	maxSurplusResponses = 2        // responses to earlier requests that are skipped
 	maxRecentIDs        = 4        // most recent requests of a connection whose IDs are kept to recognise surplus responses
@@ -42,51 +39,19 @@
 	if err := c.raw.SetDeadline(deadline); err != nil {
 		return nil, &Error{NotSent, err}
 	}
-	pending, err := c.write(q.encode())
+	write, err := c.write(q.encode())
 	if err != nil {
 		return nil, err
 	}
 	response, err := c.readResponse(q)
 	c.recentIDs = append(c.recentIDs[max(0, len(c.recentIDs)+1-maxRecentIDs):], q.Header.Get(IDHeader))
-	if pending != nil && !pending.isDone() {
+	if !write.succeeded() {
 		c.Retire() // the host has not read the whole request, so no other request can follow on this connection
 	}
-	return response, err
-}
-
-// pendingWrite receives the result of writing a request concurrently with reading its response.
-type pendingWrite chan error
-
-func (w pendingWrite) isDone() bool {
-	select {
-	case err := <-w:
-		return err == nil
-	default:
-		return false
+	if err == nil && !isDelimited(response) {
+		response.Body = &closeDelimitedBody{response.Body, write}
 	}
-}
-
-// write sends a short request completely, and a long one in the background. If a host rejects a request early and
-// closes the connection, the write fails but the response can still be read: so a failed write is an error here only
-// if no byte was written.
-func (c *Conn) write(request []byte) (pendingWrite, error) {
-	if len(request) >= asyncWriteBytes {
-		pending := make(pendingWrite, 1)
-		go func() {
-			_, err := c.raw.Write(request)
-			pending <- err
-		}()
-		return pending, nil
-	}
-	n, err := c.raw.Write(request)
-	if err == nil {
-		return nil, nil
-	}
-	if n == 0 {
-		return nil, &Error{NotSent, fmt.Errorf("upstream: %w", err)}
-	}
-	c.Retire()
-	return nil, nil
+	return response, err
 }
 
 // readResponse reads response headers until one belongs to the request.
@@ -123,14 +88,19 @@
 // skip reads the rest of a response to an earlier request. It reports false if the response is incomplete, too large
 // or has no marked end.
 func skip(response *http.Response) bool {
-	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	if !delimited {
+	if !isDelimited(response) {
 		return false
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSurplusBytes+1))
 	return err == nil && n <= maxSurplusBytes
 }
 
+// isDelimited reports whether a response marks the end of its body, or has none. The body of any other response ends
+// with the connection.
+func isDelimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+}
+
 func (q *Request) encode() []byte {
 	var b bytes.Buffer
 	b.Grow(1024 + len(q.Body))
