The header of a host's response is read up to 16 KiB

What callers saw: a host sends bytes that form no response, 80 to 100 MB in one go.

Cause: http.ReadResponse reads from a bare bufio.Reader and keeps a line, or fields, until they end. Nothing bounded that but the deadline of the request.

Change: the connection counts what is read while a header is read and fails at 16 KiB with ErrHeaderTooLarge. Each header has the limit to itself; bodies have limits of their own. It works because the header was the one read from a host without a bound.

--- a/router/exchange_test.go
+++ b/router/exchange_test.go
@@ -232,6 +232,10 @@
 			q.write("HTTP/1.1 200 OK\r\nRequest-Id: " + q.id() + "\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nabcd")
 			return true
 		},
+		"a header without an end": func(q *hostRequest) bool {
+			q.write("HTTP/1.1 200 OK\r\nRequest-Id: " + q.id() + "\r\nX: " + strings.Repeat("bytes", 200<<10))
+			return true
+		},
 		"without a request id": func(q *hostRequest) bool { q.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); return true },
 		"refused without an id": func(q *hostRequest) bool {
 			q.write("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
--- a/router/upstream/exchange.go
+++ b/router/upstream/exchange.go
@@ -58,7 +58,7 @@
 func (c *Conn) readResponse(q *Request) (*http.Response, error) {
 	interim, surplus := 0, 0
 	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+		response, err := c.readHeader(q.Method)
 		if err != nil {
 			return nil, &Error{MaybeExecuted, fmt.Errorf("upstream: %w", err)}
 		}
@@ -81,6 +81,13 @@
 	}
 }
 
+// readHeader reads the header of one response to a request with the method.
+func (c *Conn) readHeader(method string) (*http.Response, error) {
+	c.received.beginHeader()
+	defer c.received.endHeader()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
 func invalidResponse(format string, args ...any) *Error {
 	return &Error{MaybeExecuted, fmt.Errorf("%w: "+format, append([]any{ErrInvalidResponse}, args...)...)}
 }
--- a/router/upstream/pool.go
+++ b/router/upstream/pool.go
@@ -54,6 +54,7 @@
 // Conn is one connection to a host, used for one exchange at a time.
 type Conn struct {
 	raw       net.Conn
+	received  *headerLimitedConn // what reader reads from
 	reader    *bufio.Reader
 	address   string
 	idleSince time.Time     // start of the idle time
@@ -100,8 +101,13 @@
 		return nil, &Error{NotSent, fmt.Errorf("upstream: %w", err)}
 	}
 	tcp.SetUserTimeout(raw, maxUnacknowledgedTime)
-	c := &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), address: address, maxIdle: maxIdleTime}
-	return c.bind(ctx), nil
+	return newConn(raw, address).bind(ctx), nil
+}
+
+func newConn(raw net.Conn, address string) *Conn {
+	received := &headerLimitedConn{Conn: raw}
+	return &Conn{raw: raw, received: received, reader: bufio.NewReaderSize(received, readBufferBytes), address: address,
+		maxIdle: maxIdleTime}
 }
 
 // bind closes the connection when the context of the request that uses it ends, until the connection is put back.
