The platform's list is read within two seconds, 16 MiB and 50,000 hosts

What would be seen: a platform that answers slowly, or whose pages never end, keeps the owner of a shard from the next read for 200 calls of up to 0.7 s, so hosts that come, drain or go are missed meanwhile; its pages may hold 200 x 4 MiB together, and a page of short entries some 90 bytes for each 3 that came.

Cause: only a single page was bounded, and only in bytes; the whole read had no end of its own, though a list older than two seconds is thrown away.

Change: one deadline for the whole read, the same two seconds; bounds for all pages together and for the number of hosts, checked while they are decoded; 64 KiB for headers. The outcome of each read is counted (ivybank_control_host_list_reads_total), as an error was only logged at the debug level.

--- a/control/hostlist/table_test.go
+++ b/control/hostlist/table_test.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -105,3 +107,40 @@
 		})
 	}
 }
+
+// Guards against a platform that takes a control process over its memory limit, or keeps it from reading the list again.
+func TestReaderBoundsTheList(t *testing.T) {
+	const more = `],"next_token":"again"}`
+	padding := strings.Repeat(" ", maxPageBytes-1024)
+	for name, test := range map[string]struct {
+		answer http.HandlerFunc
+		want   error
+	}{
+		"a long page": {func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, `{"instances":[`+padding+strings.Repeat(" ", 2048)+`]}`)
+		}, ErrTooLong},
+		"long pages": {func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, `{"instances":[`+padding+more)
+		}, ErrTooLong},
+		"many hosts in a page": {func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, `{"instances":[`+strings.Repeat("{},", maxHosts)+`{}]}`)
+		}, ErrTooLong},
+		"many hosts in all pages": {func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, `{"instances":[`+strings.Repeat("{},", maxHosts/2)+`{}`+more)
+		}, ErrTooLong},
+		"slow pages": {func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(callTimeout / 2)
+			fmt.Fprint(w, `{"instances":[`+more)
+		}, context.DeadlineExceeded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(test.answer)
+			defer server.Close()
+			start := time.Now()
+			_, err := NewReader(server.Listener.Addr().String()).Read(context.Background())
+			assert.ErrorIs(t, err, test.want)
+			assert.Assert(t, time.Since(start) < ReadTimeout+callTimeout)
+		})
+	}
+}
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -23,6 +23,16 @@
 // unansweredReason is why an application call got no answer.
 type unansweredReason string
 
+// hostListResult is how a read of the platform's host list ended.
+type hostListResult string
+
+// Values of the result label.
+const (
+	hostListRead     hostListResult = "read"
+	hostListFailed   hostListResult = "failed"
+	hostListOutdated hostListResult = "outdated" // it took longer than hostlist.ReadTimeout
+)
+
 // Values of the reason labels.
 const (
 	refusedNoLeader      refusalReason    = "no_leader"      // no leader was known or reachable
@@ -56,6 +66,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("ivybank_control_calls_total{call=%q,status=\"%d\"}", call, status)).Inc()
 }
 
+// countHostListRead counts a read of the platform's host list.
+func (c *nodeCounters) countHostListRead(result hostListResult) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("ivybank_control_host_list_reads_total{result=%q}", result)).Inc()
+}
+
 // writeMetrics writes the metrics of the process in the Prometheus text format.
 func (n *Node) writeMetrics(ctx context.Context, w io.Writer) {
 	statuses := make(chan Status, 1)
--- a/control/shards.go
+++ b/control/shards.go
@@ -28,7 +28,6 @@
 	// first grant to an owner until the last moment at which that owner's buckets get their start amount, and grants
 	// that are made and used late.
 	tenureMargin = 3 * time.Second
-	maxReadAge   = 2 * time.Second // a host list that took longer to read is discarded
 )
 
 // shard is a subset of the services and tenants, with this node's claim to own it.
@@ -208,14 +207,17 @@
 // was acquired or took too long, since it may be older than what the previous owner has published.
 func (n *Node) HostsRead(hosts []wire.Host, err error) {
 	n.readingHosts = false
-	if err != nil {
+	now := n.now()
+	switch {
+	case err != nil:
+		n.counters.countHostListRead(hostListFailed)
 		n.log.Debug("cannot read host list", "error", err)
 		return
-	}
-	now := n.now()
-	if now > n.readStartedAt+maxReadAge {
+	case now > n.readStartedAt+hostlist.ReadTimeout:
+		n.counters.countHostListRead(hostListOutdated)
 		return
 	}
+	n.counters.countHostListRead(hostListRead)
 	for _, s := range n.shards {
 		if s.table == nil || !s.holder.Holds(now) || n.readStartedAt < s.acquiredAt {
 			continue
