A refusal's body doesn't hold its request

What callers would see: a host refuses a request (Not-Executed, or 421) and doesn't send the body that its header announces. The request, which may go to any other host, waited for that body until its deadline and ended with 503.

Cause: the rest of the refusal was read so that the connection could be used again, by nothing bounded but the deadline of the request and 1 MiB.

Change: Pool.Drain waits 20 ms for at most 64 KiB and otherwise closes the connection.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -61,11 +61,7 @@
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			outcome = policy.Misplaced
 		}
-		if _, err := io.CopyN(io.Discard, response.Body, maxBufferedResponse); errors.Is(err, io.EOF) {
-			x.router.pool.Put(conn, response)
-		} else {
-			conn.Close()
-		}
+		x.router.pool.Drain(conn, response)
 		return false, &upstream.Error{Execution: upstream.NotExecuted,
 			Err: errors.New("router: host refused the request: " + response.Status)}
 	}
--- a/router/exchange_test.go
+++ b/router/exchange_test.go
@@ -138,6 +138,16 @@
 	return h.runs[id]
 }
 
+func (h *fakeHost) requestCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	count := 0
+	for _, runs := range h.runs {
+		count += runs
+	}
+	return count
+}
+
 func (h *fakeHost) connectionCount() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -444,6 +454,25 @@
 	}
 }
 
+// Guards against a refusal that holds its request until the deadline: the host sends the header alone, and no body.
+func TestRefusalWithoutItsBody(t *testing.T) {
+	full := newFakeHost(t, "h1", func(q *hostRequest) bool {
+		q.write("HTTP/1.1 503 Full\r\nRequest-Id: " + q.id() + "\r\nNot-Executed: 1\r\nContent-Length: 10\r\n\r\n")
+		return true
+	})
+	free := newFakeHost(t, "h2", respondOK)
+	_, server := newTestRouter(t, full, free)
+	for i := range 6 { // the free host may be tried first by chance
+		id := fmt.Sprint("u", i)
+		start := time.Now()
+		got := post(t, t.Context(), server, "/unsafe/x", id, []byte("body"))
+		assert.Equal(t, got, clientResult{status: http.StatusOK, body: "answer to " + id})
+		assert.Equal(t, free.runCount(id), 1)
+		assert.Assert(t, time.Since(start) < 500*time.Millisecond, "the request waits for the body of a refusal")
+	}
+	assert.Equal(t, full.connectionCount(), full.requestCount(), "a connection whose response is incomplete is not reused")
+}
+
 // When a client disconnects, its request at the host is ended within half a second, and the connection serves no
 // other request.
 func TestClientDisconnects(t *testing.T) {
--- a/router/upstream/pool.go
+++ b/router/upstream/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,6 +28,8 @@
 	readBufferBytes       = 4 << 10
 	sweepInterval         = time.Second
 	maxUnacknowledgedTime = 1500 * time.Millisecond
+	maxDrainTime          = 20 * time.Millisecond
+	maxDrainBytes         = 64 << 10
 )
 
 // Execution says whether the host may have executed the request of a failed exchange.
@@ -152,6 +155,20 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// Drain returns a connection to the pool after a response whose body is not needed. It closes the connection if the
+// body has not arrived after maxDrainTime, or is larger than maxDrainBytes: a new connection costs less than the wait.
+func (p *Pool) Drain(c *Conn, response *http.Response) {
+	if c.raw.SetReadDeadline(time.Now().Add(maxDrainTime)) != nil {
+		c.raw.Close()
+		return
+	}
+	if _, err := io.CopyN(io.Discard, response.Body, maxDrainBytes); !errors.Is(err, io.EOF) {
+		c.raw.Close()
+		return
+	}
+	p.Put(c, response)
+}
+
 // Sweep closes connections that have been idle for too long, until the context ends.
 func (p *Pool) Sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
