router: attempts without a whole response are counted by cause

Change: ivybank_router_host_errors_total{cause}, from the typed errors of an exchange; a response over its limit has an error of its own. tryHost is in steps (awaitHeader, refusalOutcome, readBuffered, respondBuffered); what it does is as before.

Measured: TestHostErrorsAreCountedByCause; tests of router and upstream with the race detector pass.

--- a/router/attempt.go
+++ b/router/attempt.go
@@ -28,6 +28,9 @@
 // errHostAbandoned reports that a silent host began its response just as the router had given it up for another one.
 var errHostAbandoned = errors.New("router: host abandoned as its response began")
 
+// errResponseTooLarge reports that a response that is not a stream has more than maxBufferedResponse.
+var errResponseTooLarge = errors.New("router: response too large")
+
 // tryHost sends the request to one host. It reports true once the client has its response, otherwise the error says
 // why not.
 func (x *exchange) tryHost(a *policy.Attempt) (bool, error) {
@@ -38,29 +41,23 @@
 		if x.req.Context().Err() == nil {
 			outcome = policy.Failed
 		}
+		x.countHostError(err)
 		return false, err
 	}
 	if !x.useCharge() {
 		conn.Close()
 		return false, errOverLimit
 	}
-	stopTimer := x.watchHeader(a, conn)
-	response, err := conn.Do(x.hostRequest(a), x.deadline)
-	if !stopTimer() && err == nil {
-		// The silence timer closes the connection, possibly only now, so the rest of the response would be lost.
-		err = &upstream.Error{Execution: upstream.MaybeExecuted, Err: errHostAbandoned}
-	}
+	response, err := x.awaitHeader(a, conn)
 	if err != nil {
 		conn.Close()
 		outcome = x.failureOutcome(a)
+		x.countHostError(err)
 		return false, err
 	}
 	x.service.RecordActivity(a, x.router.now())
-	if response.Header.Get(notExecutedHeader) != "" || response.StatusCode == http.StatusMisdirectedRequest {
-		outcome = policy.Refused
-		if response.StatusCode == http.StatusMisdirectedRequest {
-			outcome = policy.Misplaced
-		}
+	if refused, isRefusal := refusalOutcome(response); isRefusal {
+		outcome = refused
 		x.router.pool.Drain(conn, response)
 		return false, &upstream.Error{Execution: upstream.NotExecuted,
 			Err: errors.New("router: host refused the request: " + response.Status)}
@@ -73,22 +70,57 @@
 		outcome = x.stream(streamSource{a, conn, response})
 		return true, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
-	if err != nil || len(body) > maxBufferedResponse {
+	body, err := readBuffered(response)
+	if err != nil {
 		conn.Close()
 		outcome = x.failureOutcome(a)
-		return false, &upstream.Error{Execution: upstream.MaybeExecuted, Err: upstream.ErrInvalidResponse}
+		x.countHostError(err)
+		return false, &upstream.Error{Execution: upstream.MaybeExecuted, Err: err}
 	}
 	outcome = policy.Served
 	if response.StatusCode >= http.StatusInternalServerError {
 		outcome = policy.Failed
 	}
 	x.router.pool.Put(conn, response)
+	x.respondBuffered(response, body)
+	return true, nil
+}
+
+// awaitHeader sends the request over a connection and returns the response once its header has come.
+func (x *exchange) awaitHeader(a *policy.Attempt, conn *upstream.Conn) (*http.Response, error) {
+	stopTimer := x.watchHeader(a, conn)
+	response, err := conn.Do(x.hostRequest(a), x.deadline)
+	if !stopTimer() && err == nil {
+		// The silence timer closes the connection, possibly only now, so the rest of the response would be lost.
+		err = &upstream.Error{Execution: upstream.MaybeExecuted, Err: errHostAbandoned}
+	}
+	return response, err
+}
+
+// refusalOutcome returns the outcome of an attempt whose host says that it has not run the request. It reports false for
+// any other response.
+func refusalOutcome(response *http.Response) (policy.Outcome, bool) {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return policy.Misplaced, true
+	}
+	return policy.Refused, response.Header.Get(notExecutedHeader) != ""
+}
+
+// readBuffered reads the body of a response that is not a stream.
+func readBuffered(response *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
+	if err == nil && len(body) > maxBufferedResponse {
+		err = errResponseTooLarge
+	}
+	return body, err
+}
+
+// respondBuffered passes a complete response of a host on to the client.
+func (x *exchange) respondBuffered(response *http.Response, body []byte) {
 	x.copyHeader(response)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(response.StatusCode)
-	_, _ = x.w.Write(body)
-	return true, nil
+	_, _ = x.w.Write(body) // a write error means that the client has disconnected
 }
 
 // endAttempt records and counts the outcome of an attempt.
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
+	"os"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"ivybank/router/policy"
+	"ivybank/router/upstream"
 )
 
 // endReason says why the router ended a request with a response of its own. It is the value of a metric label.
@@ -41,6 +45,44 @@
 
 var rerouteCauses = []rerouteCause{rerouteSilentBeforeResponse, rerouteSilentInStream}
 
+// hostErrorCause says why an attempt at a host brought no complete response. It is the value of a metric label.
+type hostErrorCause string
+
+const (
+	hostErrorNotConnected   hostErrorCause = "not_connected"    // no connection, or none that took a byte
+	hostErrorHeaderTooLarge hostErrorCause = "header_too_large" // the response header did not end within its limit
+	hostErrorBodyTooLarge   hostErrorCause = "body_too_large"   // the response, or an event of it, is over its limit
+	hostErrorInvalid        hostErrorCause = "invalid_response" // the bytes are no response to the request
+	hostErrorIncomplete     hostErrorCause = "incomplete"       // the connection ended before the response did
+	hostErrorTimeout        hostErrorCause = "timeout"          // the deadline of the request passed
+	hostErrorSilent         hostErrorCause = "silent"           // the router gave up the silent host and closed the connection
+)
+
+var hostErrorCauses = []hostErrorCause{hostErrorNotConnected, hostErrorHeaderTooLarge, hostErrorBodyTooLarge, hostErrorInvalid,
+	hostErrorIncomplete, hostErrorTimeout, hostErrorSilent}
+
+// hostErrorCauseOf returns the cause of an error of an attempt.
+func hostErrorCauseOf(err error) hostErrorCause {
+	var exchange *upstream.Error
+	var network *net.OpError
+	switch {
+	case errors.As(err, &exchange) && exchange.Execution == upstream.NotSent:
+		return hostErrorNotConnected
+	case errors.Is(err, upstream.ErrHeaderTooLarge):
+		return hostErrorHeaderTooLarge
+	case errors.Is(err, errResponseTooLarge), errors.Is(err, errEventTooLarge):
+		return hostErrorBodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return hostErrorTimeout
+	case errors.Is(err, errHostAbandoned), errors.Is(err, net.ErrClosed):
+		return hostErrorSilent
+	case errors.Is(err, upstream.ErrIncompleteResponse), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
+		return hostErrorIncomplete
+	default:
+		return hostErrorInvalid
+	}
+}
+
 var outcomeNames = map[policy.Outcome]string{policy.Served: "served", policy.Failed: "failed", policy.Refused: "refused",
 	policy.Withdrawn: "withdrawn", policy.Misplaced: "misplaced"}
 
@@ -50,6 +92,7 @@
 	ended         map[endReason]*metrics.Counter
 	rerouted      map[rerouteCause]*metrics.Counter
 	attempts      map[policy.Outcome]*metrics.Counter
+	hostErrors    map[hostErrorCause]*metrics.Counter
 	ejections     *metrics.Counter
 	lateEvents    *metrics.Counter
 	responseStart *metrics.PrometheusHistogram
@@ -58,7 +101,7 @@
 
 func newRouterMetrics(limitRefusals func() (byOwner, noOwner int64)) *routerMetrics {
 	m := &routerMetrics{set: metrics.NewSet(), ended: map[endReason]*metrics.Counter{},
-		rerouted: map[rerouteCause]*metrics.Counter{},
+		rerouted: map[rerouteCause]*metrics.Counter{}, hostErrors: map[hostErrorCause]*metrics.Counter{},
 		attempts: map[policy.Outcome]*metrics.Counter{}, limitRefusals: limitRefusals}
 	for _, reason := range endReasons {
 		m.ended[reason] = m.set.NewCounter(fmt.Sprintf("ivybank_router_requests_ended_total{ground=%q}", reason))
@@ -69,6 +112,9 @@
 	for outcome, name := range outcomeNames {
 		m.attempts[outcome] = m.set.NewCounter(fmt.Sprintf("ivybank_router_attempts_total{outcome=%q}", name))
 	}
+	for _, cause := range hostErrorCauses {
+		m.hostErrors[cause] = m.set.NewCounter(fmt.Sprintf("ivybank_router_host_errors_total{cause=%q}", cause))
+	}
 	m.ejections = m.set.NewCounter("ivybank_router_ejections_total")
 	m.lateEvents = m.set.NewCounter("ivybank_router_events_beyond_aim_total")
 	m.responseStart = m.set.NewPrometheusHistogram("ivybank_router_answer_begins_seconds")
@@ -87,3 +133,11 @@
 func (m *routerMetrics) observeResponseStart(elapsed time.Duration) {
 	m.responseStart.Update(elapsed.Seconds())
 }
+
+// countHostError counts why an attempt brought no complete response, unless the client has gone: then nothing is known of
+// the host.
+func (x *exchange) countHostError(err error) {
+	if x.req.Context().Err() == nil {
+		x.router.metrics.hostErrors[hostErrorCauseOf(err)].Inc()
+	}
+}
--- a/router/metrics_test.go
+++ b/router/metrics_test.go
@@ -32,3 +32,30 @@
 	assert.Assert(t, strings.HasPrefix(response.Header().Get("Content-Type"), "text/plain; version=0.0.4"))
 	assert.Equal(t, response.Body.Len(), text.Len())
 }
+
+// Each attempt without a whole response is counted by its cause.
+func TestHostErrorsAreCountedByCause(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: u\r\n"
+	for cause, response := range map[hostErrorCause]string{
+		hostErrorHeaderTooLarge: head + "A: " + strings.Repeat("b", 1<<20),
+		hostErrorBodyTooLarge:   head + "Content-Length: 2000000\r\n\r\n" + strings.Repeat("b", 2_000_000),
+		hostErrorInvalid:        "these bytes form no answer\r\n\r\n",
+		hostErrorIncomplete:     head + "Content-Length: 20\r\n\r\nhalf",
+	} {
+		t.Run(string(cause), func(t *testing.T) {
+			host := newFakeHost(t, "h1", func(q *hostRequest) bool {
+				q.write(response)
+				return false
+			})
+			r, server := newTestRouter(t, host)
+			assert.Equal(t, post(t, t.Context(), server, "/unsafe/x", "u", nil).status, http.StatusBadGateway)
+			for _, other := range hostErrorCauses {
+				want := uint64(0)
+				if other == cause {
+					want = 1
+				}
+				assert.Equal(t, r.metrics.hostErrors[other].Get(), want, "%s", other)
+			}
+		})
+	}
+}
--- a/router/stream.go
+++ b/router/stream.go
@@ -116,6 +116,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		x.endAttempt(from.attempt, x.failureOutcome(from.attempt))
+		x.countHostError(err)
 		for successor == nil && !x.limitExhausted && x.isRetryable() && x.reserveRetry() {
 			successor = x.openSuccessor(last.get())
 		}
@@ -171,6 +172,7 @@
 	}
 	conn, err := x.router.pool.Get(x.req.Context(), a.Host.Address)
 	if err != nil {
+		x.countHostError(err)
 		return fail(policy.Failed)
 	}
 	if !x.useCharge() {
@@ -185,6 +187,7 @@
 	response, err := conn.Do(request, x.deadline)
 	if err != nil {
 		conn.Close()
+		x.countHostError(err)
 		return fail(x.failureOutcome(a))
 	}
 	if response.StatusCode != http.StatusOK || !strings.HasPrefix(response.Header.Get(contentTypeHeader), eventStreamType) {
