A process goes on accepting and receiving after an error of its socket

What would be seen: after one error that net/http does not call temporary (ENOBUFS, ENOMEM and the like) a router's or control process's server ended in a goroutine whose error nobody read: the process went on, ready by its own word if the other listener still worked, and accepted nobody. The loop that receives datagrams ended in the same way, and the process heard no peers any more.

Change: tcp.RetryAccept gives servers a listener that fails only once it is closed; the links between processes had that by themselves and use it now. The datagram loop ends only once its socket is closed.

Measured: TestServerOutlivesErrorsOfAccept and TestReceiveOutlivesAnError fail without the retry and pass with it. TestMessagesGoBetweenProcesses fails with -count=2, as its second play finds the address in use; it did before as well and passes alone.

--- a/control/operator.go
+++ b/control/operator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ivybank/control/store"
+	"ivybank/internal/tcp"
 )
 
 const (
@@ -54,7 +55,7 @@
 	}
 	server := &http.Server{Handler: h.node.countUnknownCalls(mux), ReadHeaderTimeout: operatorHeaderTimeout,
 		IdleTimeout: operatorIdleTimeout, ReadTimeout: operatorReadTimeout}
-	_ = server.Serve(listener) // runs until the process ends
+	_ = server.Serve(tcp.RetryAccept(listener)) // runs until the process ends
 }
 
 // countUnknownCalls counts the requests without a matching route, which are answered 404 or 405.
--- a/membership/service.go
+++ b/membership/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -16,8 +17,17 @@
 const (
 	shuffleInterval  = 2 * time.Second
 	maxDatagramBytes = 2048
+	// receiveRetryDelay is the pause after an error of the socket.
+	receiveRetryDelay = 50 * time.Millisecond
 )
 
+// datagramConn is a UDP socket.
+type datagramConn interface {
+	ReadFromUDP(b []byte) (int, *net.UDPAddr, error)
+	WriteToUDP(b []byte, to *net.UDPAddr) (int, error)
+	Close() error
+}
+
 // datagram is the content of a UDP datagram: a sample of peers or a message.
 type datagram struct {
 	Answer  bool   `cbor:"1,keyasint,omitempty"`
@@ -29,7 +39,7 @@
 type Service struct {
 	mu     sync.Mutex
 	view   *View
-	conn   *net.UDPConn
+	conn   datagramConn
 	port   int
 	handle func(from string, message []byte) bool
 	// Malformed counts datagrams that could not be decoded.
@@ -118,16 +128,18 @@
 	_, _ = s.conn.WriteToUDP(body, &net.UDPAddr{IP: to, Port: s.port}) // datagrams may be lost anyway
 }
 
+// receive handles datagrams until the socket is closed. Any other error of the socket passes.
 func (s *Service) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, from, err := s.conn.ReadFromUDP(buffer)
-		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Timeout() {
-				continue
-			}
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(receiveRetryDelay)
+			continue
+		}
 		var d datagram
 		if cbor.Unmarshal(buffer[:n], &d) != nil || len(d.Sample) > 2*shuffleSize {
 			s.Malformed.Add(1)
--- a/router/server.go
+++ b/router/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ivybank/internal/metrics"
+	"ivybank/internal/tcp"
 )
 
 const (
@@ -45,9 +46,11 @@
 	defer metricsServer.Close()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readyPath, r.handleReady)
-	go func() { _ = (&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}).Serve(readyListener) }()
+	go func() {
+		_ = (&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}).Serve(tcp.RetryAccept(readyListener))
+	}()
 	server := &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
-	go func() { _ = server.Serve(clientListener) }()
+	go func() { _ = server.Serve(tcp.RetryAccept(clientListener)) }()
 	<-ctx.Done()
 	r.drain(server)
 	return nil
--- a/wire/link.go
+++ b/wire/link.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
+
+	"ivybank/internal/tcp"
 )
 
 // Times of connection attempts.
@@ -140,17 +141,11 @@
 // one.
 func Serve(ctx context.Context, listener net.Listener, handle func(*Conn, Hello), rejected func(error)) {
 	defer context.AfterFunc(ctx, func() { listener.Close() })()
+	listener = tcp.RetryAccept(listener)
 	for {
 		raw, err := listener.Accept()
 		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Timeout() {
-				continue
-			}
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			time.Sleep(minRedialDelay) // out of file descriptors: connections that close free some
-			continue
+			return
 		}
 		go func() {
 			conn := NewConn(raw)
